--- /dev/null
+++ b/src/main/java/org/wigeonstage/admission/CostFilter.java
@@ -0,0 +1,52 @@
+package org.wigeonstage.admission;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.wigeonstage.request.RequestCost;
+import org.wigeonstage.routing.RendezvousHash;
+
+/** Estimates the work of a model request. */
+final class CostFilter implements AdmissionFilter {
+
+  /** The average length of a token in characters. */
+  private static final int CHARACTERS_PER_TOKEN = 4;
+
+  /** The length of the leading text by which prompts are taken to share a prefix. */
+  private static final int PREFIX_CHARACTERS = 512;
+
+  private final OutputEstimator estimator;
+
+  CostFilter(OutputEstimator estimator) {
+    this.estimator = estimator;
+  }
+
+  @Override
+  public void apply(CallContext context) {
+    JsonNode body = context.modelBody();
+    if (body == null) {
+      return;
+    }
+    String prompt = promptOf(body);
+    int limit = body.path("max_tokens").asInt(Integer.MAX_VALUE);
+    int expected = estimator.estimate(context.account().name(), context.model());
+    context.cost(
+        new RequestCost(
+            prompt.length() / CHARACTERS_PER_TOKEN,
+            Math.max(0, Math.min(limit, expected)),
+            prefixHashOf(prompt)));
+  }
+
+  private static String promptOf(JsonNode body) {
+    StringBuilder prompt = new StringBuilder(body.path("prompt").asText(""));
+    for (JsonNode message : body.path("messages")) {
+      prompt.append(message.path("content").asText(""));
+    }
+    return prompt.toString();
+  }
+
+  private static long prefixHashOf(String prompt) {
+    if (prompt.length() < PREFIX_CHARACTERS) {
+      return 0;
+    }
+    return RendezvousHash.ofText(prompt.substring(0, PREFIX_CHARACTERS));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/agent/AgentOperatorsHandler.java
@@ -0,0 +1,63 @@
+package org.wigeonstage.agent;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.handover.LoadReport;
+import org.wigeonstage.http.Problem;
+import org.wigeonstage.http.RequestHandler;
+import org.wigeonstage.http.ServerExchange;
+import org.wigeonstage.telemetry.MetricsPage;
+
+/** Answers operators and probes at an agent. */
+final class AgentOperatorsHandler implements RequestHandler {
+
+  private static final String JSON = "application/json";
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private final AgentProcess agent;
+  private final MetricsPage metrics;
+
+  AgentOperatorsHandler(AgentProcess agent, MetricRegistry registry) {
+    this.agent = agent;
+    this.metrics = new MetricsPage(registry);
+  }
+
+  @Override
+  public void handle(ServerExchange exchange) {
+    switch (exchange.method() + " " + exchange.path()) {
+      case "GET /healthz" -> exchange.respond(OK, "text/plain", "ok\n");
+      case "GET /readyz" ->
+          exchange.respond(
+              agent.isReady() ? OK : UNAVAILABLE,
+              "text/plain",
+              agent.isReady() ? "ready\n" : "not ready\n");
+      case "GET /metrics" -> exchange.respond(OK, MetricsPage.TEXT_TYPE, metrics.text());
+      case "GET /metrics.json" -> exchange.respond(OK, JSON, metrics.json());
+      case "GET /v1/status" -> exchange.respond(OK, JSON, status().toString());
+      case "POST /v1/drain" -> {
+        agent.leave();
+        exchange.respond(OK, JSON, status().toString());
+      }
+      default ->
+          Problem.respond(exchange, ErrorCode.NOT_FOUND, "nothing at " + exchange.path(), Map.of());
+    }
+  }
+
+  private ObjectNode status() {
+    LoadReport load = agent.load();
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("name", agent.name())
+        .put("role", "agent")
+        .put("incarnation", agent.incarnation())
+        .put("configVersion", agent.configuration().current().version())
+        .put("leaving", agent.isLeaving())
+        .put("running", load.running())
+        .put("window", load.window())
+        .put("waiting", load.waiting());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/agent/BackendCall.java
@@ -0,0 +1,121 @@
+package org.wigeonstage.agent;
+
+import com.codahale.metrics.MetricRegistry;
+import io.opentelemetry.api.trace.Span;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.http.AnswerListener;
+import org.wigeonstage.http.ClientExchange;
+import org.wigeonstage.request.Outcome;
+import org.wigeonstage.request.RequestId;
+
+/** One request at the backend server, from its only dispatch to the end of its answer. */
+final class BackendCall implements AnswerListener {
+
+  private static final int MAX_RESUMES = 3;
+
+  private final RequestId id;
+  private final BackendCaller caller;
+  private final MetricRegistry metrics;
+  private final Span span;
+  private volatile @Nullable ClientExchange exchange;
+  private volatile boolean cancelled;
+  private long received;
+  private int resumes;
+  private boolean paused;
+
+  BackendCall(RequestId id, BackendCaller caller, MetricRegistry metrics, Span span) {
+    this.id = id;
+    this.caller = caller;
+    this.metrics = metrics;
+    this.span = span;
+  }
+
+  RequestId id() {
+    return id;
+  }
+
+  Span span() {
+    return span;
+  }
+
+  long received() {
+    return received;
+  }
+
+  void exchange(ClientExchange newExchange) {
+    exchange = newExchange;
+    if (paused) {
+      newExchange.pause();
+    }
+  }
+
+  void pause() {
+    paused = true;
+    ClientExchange current = exchange;
+    if (current != null) {
+      current.pause();
+    }
+  }
+
+  void resume() {
+    paused = false;
+    ClientExchange current = exchange;
+    if (current != null) {
+      current.resume();
+    }
+  }
+
+  void cancel() {
+    cancelled = true;
+    ClientExchange current = exchange;
+    if (current != null) {
+      current.abort();
+    }
+  }
+
+  @Override
+  public void began(int status, @Nullable String contentType) {
+    if (resumes == 0) {
+      caller.ledger().run(ledger -> ledger.answerBegan(id, status, contentType));
+    }
+  }
+
+  @Override
+  public void continued(byte[] data) {
+    received += data.length;
+    caller.ledger().run(ledger -> ledger.answerContinued(id, data));
+  }
+
+  @Override
+  public void ended() {
+    finish(Outcome.COMPLETED);
+  }
+
+  @Override
+  public void notConnected(Throwable cause) {
+    if (resumes > 0) {
+      broken(cause);
+      return;
+    }
+    caller.remove(this);
+    metrics.counter("backend.notConnected").inc();
+    caller.ledger().run(ledger -> ledger.dispatchFailed(id));
+  }
+
+  @Override
+  public void broken(Throwable cause) {
+    if (!cancelled && resumes < MAX_RESUMES && caller.canResume()) {
+      resumes++;
+      metrics.counter("backend.resumed").inc();
+      caller.resumeStream(this);
+    } else {
+      metrics.counter("backend.broken").inc();
+      finish(Outcome.UNKNOWN);
+    }
+  }
+
+  private void finish(Outcome outcome) {
+    caller.remove(this);
+    caller.ledger().run(ledger -> ledger.answerEnded(id, outcome));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/Command.java
@@ -0,0 +1,36 @@
+package org.wigeonstage.cli;
+
+import java.io.IOException;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** A subcommand. */
+interface Command {
+
+  /** The exit code of a success. */
+  int SUCCESS = 0;
+
+  /** The exit code of a failure at run time. */
+  int FAILURE = 1;
+
+  /** The exit code of a command line that can't be understood. */
+  int USAGE = 2;
+
+  /** Returns the words that name the command. */
+  String name();
+
+  /** Returns what the command does, in one line. */
+  String summary();
+
+  /** Returns the options, without {@code --help}. */
+  Options options();
+
+  /**
+   * Runs the command.
+   *
+   * @param line the parsed options
+   * @param console where to print
+   * @return the exit code
+   */
+  int run(CommandLine line, Console console) throws IOException, InterruptedException;
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/CommandRunner.java
@@ -0,0 +1,113 @@
+package org.wigeonstage.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.WigeonstageException;
+
+/** Finds the subcommand that the arguments name, and runs it. */
+final class CommandRunner {
+
+  private static final String PROGRAM = "wigeonstage";
+  private static final int HELP_WIDTH = 100;
+
+  private final List<Command> commands;
+  private final Console console;
+
+  CommandRunner(List<Command> commands, Console console) {
+    this.commands = commands;
+    this.console = console;
+  }
+
+  int run(String[] args) {
+    if (args.length == 0 || args[0].equals("--help") || args[0].equals("help")) {
+      printOverview();
+      return args.length == 0 ? Command.USAGE : Command.SUCCESS;
+    }
+    Optional<Command> command = find(args);
+    if (command.isEmpty()) {
+      return usageError("unknown command '" + String.join(" ", args) + "'; see --help");
+    }
+    return run(command.get(), rest(command.get(), args));
+  }
+
+  private Optional<Command> find(String[] args) {
+    String given = String.join(" ", args) + " ";
+    return commands.stream().filter(command -> given.startsWith(command.name() + " ")).findFirst();
+  }
+
+  private static String[] rest(Command command, String[] args) {
+    int words = command.name().split(" ", -1).length;
+    return Arrays.copyOfRange(args, words, args.length);
+  }
+
+  private int run(Command command, String[] args) {
+    if (Arrays.asList(args).contains("--help")) {
+      printHelp(command);
+      return Command.SUCCESS;
+    }
+    try {
+      CommandLine line = new DefaultParser().parse(command.options(), args);
+      if (!line.getArgList().isEmpty()) {
+        return usageError("unexpected argument '" + line.getArgList().get(0) + "'");
+      }
+      return command.run(line, console);
+    } catch (ParseException | UsageException e) {
+      return usageError(command.name() + ": " + e.getMessage());
+    } catch (WigeonstageException e) {
+      return failure(e.code().text(), e.getMessage());
+    } catch (IOException e) {
+      return failure("io", e.getMessage());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return failure("interrupted", "interrupted");
+    }
+  }
+
+  private int usageError(String message) {
+    console.err().println(PROGRAM + ": " + message);
+    return Command.USAGE;
+  }
+
+  private int failure(String code, @Nullable String message) {
+    console.err().println(PROGRAM + ": [" + code + "] " + message);
+    return Command.FAILURE;
+  }
+
+  private void printOverview() {
+    console.out().println("usage: " + PROGRAM + " <command> [options]");
+    console.out().println();
+    for (Command command : commands) {
+      console.out().printf("  %-18s %s%n", command.name(), command.summary());
+    }
+    console.out().println();
+    console.out().println(PROGRAM + " <command> --help shows a command's options.");
+  }
+
+  private void printHelp(Command command) {
+    Options options = command.options();
+    options.addOption(Arguments.flag("help", "show this help"));
+    PrintWriter writer = new PrintWriter(console.out(), true, StandardCharsets.UTF_8);
+    new HelpFormatter()
+        .printHelp(
+            writer,
+            HELP_WIDTH,
+            PROGRAM + " " + command.name(),
+            command.summary(),
+            options,
+            2,
+            2,
+            null,
+            true);
+    writer.flush();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/ConfigGetCommand.java
@@ -0,0 +1,29 @@
+package org.wigeonstage.cli;
+
+import java.io.IOException;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** Implements {@code config get}. */
+final class ConfigGetCommand implements Command {
+
+  @Override
+  public String name() {
+    return "config get";
+  }
+
+  @Override
+  public String summary() {
+    return "print the configuration in force, with its version";
+  }
+
+  @Override
+  public Options options() {
+    return OperatorClient.options();
+  }
+
+  @Override
+  public int run(CommandLine line, Console console) throws IOException {
+    return OperatorClient.of(line).print(console, "GET", "/v1/configuration");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/Console.java
@@ -0,0 +1,11 @@
+package org.wigeonstage.cli;
+
+import java.io.PrintStream;
+
+/**
+ * The streams that a command prints to.
+ *
+ * @param out results
+ * @param err errors and progress
+ */
+record Console(PrintStream out, PrintStream err) {}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/DrainCommand.java
@@ -0,0 +1,29 @@
+package org.wigeonstage.cli;
+
+import java.io.IOException;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** Implements {@code drain}. */
+final class DrainCommand implements Command {
+
+  @Override
+  public String name() {
+    return "drain";
+  }
+
+  @Override
+  public String summary() {
+    return "make an entry or agent leave: it takes no new requests and finishes the others";
+  }
+
+  @Override
+  public Options options() {
+    return OperatorClient.options();
+  }
+
+  @Override
+  public int run(CommandLine line, Console console) throws IOException {
+    return OperatorClient.of(line).print(console, "POST", "/v1/drain");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/LoadCommand.java
@@ -0,0 +1,59 @@
+package org.wigeonstage.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.InstantSource;
+import java.util.Arrays;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.load.Experiment;
+import org.wigeonstage.load.LoadGenerator;
+import org.wigeonstage.load.LoadResult;
+import org.wigeonstage.load.LoadTable;
+
+/** Sends the load of an experiment file to entries that run already. */
+final class LoadCommand implements Command {
+
+  private static final int CLIENT_THREADS = 2;
+
+  @Override
+  public String name() {
+    return "load";
+  }
+
+  @Override
+  public String summary() {
+    return "send an open-loop load to running entries and report what the callers saw";
+  }
+
+  @Override
+  public Options options() {
+    return new Options()
+        .addOption(Arguments.required("experiment", "file", "the experiment, in JSON"))
+        .addOption(
+            Arguments.required("entries", "host:port,...", "where callers reach the entries"));
+  }
+
+  @Override
+  public int run(CommandLine line, Console console) throws IOException, InterruptedException {
+    String text = Files.readString(Path.of(line.getOptionValue("experiment")));
+    Experiment experiment = Json.read(text, Experiment.class);
+    List<Endpoint> entries =
+        Arrays.stream(line.getOptionValue("entries").split(",", -1)).map(Endpoint::of).toList();
+    try (HttpClient client = HttpClient.start("load", CLIENT_THREADS)) {
+      LoadGenerator generator =
+          new LoadGenerator(
+              client, MonotonicClock.system(), InstantSource.system(), console.err()::println);
+      LoadResult result = generator.run(experiment, entries);
+      console.out().print(LoadTable.of(result));
+      console.out().println("wrong answers: " + result.wrongAnswers());
+      return result.wrongAnswers() == 0 ? SUCCESS : FAILURE;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/OperatorClient.java
@@ -0,0 +1,70 @@
+package org.wigeonstage.cli;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.wigeonstage.http.BlockingCall;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.HttpAnswer;
+import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.request.HttpCall;
+
+/** Calls the operators' port of an entry or agent. */
+final class OperatorClient {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(15);
+  private static final String KEY_VARIABLE = "WIGEONSTAGE_OPERATOR_KEY";
+
+  private final Endpoint target;
+
+  private OperatorClient(Endpoint target) {
+    this.target = target;
+  }
+
+  /** Returns the options that name the process to call. */
+  static Options options() {
+    return new Options()
+        .addOption(
+            Arguments.required(
+                "operators",
+                "host:port",
+                "the operators' address of an entry or agent; the operator's key is taken from "
+                    + KEY_VARIABLE));
+  }
+
+  static OperatorClient of(CommandLine line) {
+    String address = line.getOptionValue("operators");
+    try {
+      return new OperatorClient(Endpoint.of(address));
+    } catch (IllegalArgumentException e) {
+      throw new UsageException("--operators must be host:port, was '" + address + "'");
+    }
+  }
+
+  HttpAnswer call(HttpCall call, Map<String, String> headers) throws IOException {
+    Map<String, String> all = new HashMap<>(headers);
+    String key = System.getenv(KEY_VARIABLE);
+    if (key != null) {
+      all.put("Authorization", "Bearer " + key);
+    }
+    try (HttpClient client = HttpClient.start("operator", 1)) {
+      return BlockingCall.make(client, target, call, all, TIMEOUT);
+    }
+  }
+
+  /** Makes a call without a body and prints the answer; returns the exit code. */
+  int print(Console console, String method, String path) throws IOException {
+    HttpAnswer answer = call(new HttpCall(method, path, null, new byte[0]), Map.of());
+    return print(console, answer);
+  }
+
+  /** Prints an answer; returns the exit code. */
+  static int print(Console console, HttpAnswer answer) {
+    boolean success = answer.status() < 300;
+    (success ? console.out() : console.err()).println(answer.text());
+    return success ? Command.SUCCESS : Command.FAILURE;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/StandinEngineCommand.java
@@ -0,0 +1,42 @@
+package org.wigeonstage.cli;
+
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.standin.EngineSpeed;
+import org.wigeonstage.standin.EngineStandin;
+import org.wigeonstage.telemetry.LogSetup;
+
+/** Runs a stand-in until it is signalled. */
+final class StandinEngineCommand implements Command {
+
+  @Override
+  public String name() {
+    return "standin engine";
+  }
+
+  @Override
+  public String summary() {
+    return "run a stand-in for a model engine, for development";
+  }
+
+  @Override
+  public Options options() {
+    return new Options()
+        .addOption(Arguments.required("listen", "host:port", "where to listen"))
+        .addOption(Arguments.optional("generation", "1-3", "the hardware generation; default: 2"))
+        .addOption(Arguments.flag("ignore-fencing", "carry out orders with an old fencing number"));
+  }
+
+  @Override
+  public int run(CommandLine line, Console console) throws InterruptedException {
+    LogSetup.apply("standin engine", "auto");
+    Endpoint listen = Endpoint.of(line.getOptionValue("listen"));
+    EngineSpeed speed = EngineSpeed.ofGeneration(Arguments.integer(line, "generation", 2));
+    EngineStandin standin = EngineStandin.start(listen, speed, !line.hasOption("ignore-fencing"));
+    console.out().println("listening on " + standin.endpoint());
+    new CountDownLatch(1).await();
+    return SUCCESS;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/StandinPlatformCommand.java
@@ -0,0 +1,37 @@
+package org.wigeonstage.cli;
+
+import java.util.concurrent.CountDownLatch;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.standin.PlatformStandin;
+import org.wigeonstage.telemetry.LogSetup;
+
+/** Runs a stand-in until it is signalled. */
+final class StandinPlatformCommand implements Command {
+
+  @Override
+  public String name() {
+    return "standin platform";
+  }
+
+  @Override
+  public String summary() {
+    return "run a stand-in for the platform's object API, for development";
+  }
+
+  @Override
+  public Options options() {
+    return new Options().addOption(Arguments.required("listen", "host:port", "where to listen"));
+  }
+
+  @Override
+  public int run(CommandLine line, Console console) throws InterruptedException {
+    LogSetup.apply("standin platform", "auto");
+    Endpoint listen = Endpoint.of(line.getOptionValue("listen"));
+    PlatformStandin standin = PlatformStandin.start(listen);
+    console.out().println("listening on " + standin.endpoint());
+    new CountDownLatch(1).await();
+    return SUCCESS;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/StatusCommand.java
@@ -0,0 +1,29 @@
+package org.wigeonstage.cli;
+
+import java.io.IOException;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** Implements {@code status}. */
+final class StatusCommand implements Command {
+
+  @Override
+  public String name() {
+    return "status";
+  }
+
+  @Override
+  public String summary() {
+    return "show the status of an entry or agent";
+  }
+
+  @Override
+  public Options options() {
+    return OperatorClient.options();
+  }
+
+  @Override
+  public int run(CommandLine line, Console console) throws IOException {
+    return OperatorClient.of(line).print(console, "GET", "/v1/status");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/common/ControlThreads.java
@@ -0,0 +1,25 @@
+package org.wigeonstage.common;
+
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+/** Creates the single threads that own control state. */
+public final class ControlThreads {
+
+  private ControlThreads() {}
+
+  /**
+   * Returns an executor with one daemon thread.
+   *
+   * @param name the thread's name
+   * @return the executor
+   */
+  public static ScheduledExecutorService single(String name) {
+    return Executors.newSingleThreadScheduledExecutor(
+        task -> {
+          Thread thread = new Thread(task, name);
+          thread.setDaemon(true);
+          return thread;
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/common/InvalidDocumentException.java
@@ -0,0 +1,38 @@
+package org.wigeonstage.common;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Thrown where a JSON document has faults; nothing of it has taken effect. */
+public final class InvalidDocumentException extends WigeonstageException {
+
+  private static final long serialVersionUID = 1L;
+
+  private final transient List<Fault> faults;
+
+  /**
+   * Creates an exception.
+   *
+   * @param document what kind of document it is
+   * @param faults the faults, at least one
+   */
+  public InvalidDocumentException(String document, List<Fault> faults) {
+    super(
+        ErrorCode.INVALID_CONFIGURATION,
+        document
+            + " has "
+            + faults.size()
+            + (faults.size() == 1 ? " fault: " : " faults: ")
+            + faults.stream().map(Fault::toString).collect(Collectors.joining("; ")));
+    this.faults = List.copyOf(faults);
+  }
+
+  /**
+   * Returns the faults.
+   *
+   * @return at least one fault
+   */
+  public List<Fault> faults() {
+    return faults;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/config/AccountSpec.java
@@ -0,0 +1,20 @@
+package org.wigeonstage.config;
+
+import java.util.List;
+
+/**
+ * A client account.
+ *
+ * @param name the account's name
+ * @param keyHashes SHA-256 hashes of the account's bearer keys, in hexadecimal
+ * @param tier the name of the tier that its requests have unless a rule names another
+ * @param requestsPerSecond the account's limit over all entries together
+ */
+public record AccountSpec(
+    String name, List<String> keyHashes, String tier, double requestsPerSecond) {
+
+  /** Makes the list immutable. */
+  public AccountSpec {
+    keyHashes = List.copyOf(keyHashes);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/config/ActiveConfiguration.java
@@ -0,0 +1,71 @@
+package org.wigeonstage.config;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.wigeonstage.common.WigeonstageException;
+
+/** The configuration in force in this process. Its version only grows. Safe for several threads. */
+public final class ActiveConfiguration {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Learns of a configuration that has come into force. */
+  @FunctionalInterface
+  public interface Listener {
+
+    /**
+     * Notes a change.
+     *
+     * @param previous what was in force
+     * @param current what is in force now
+     */
+    void changed(ConfigurationVersion previous, ConfigurationVersion current);
+  }
+
+  private final List<Listener> listeners = new CopyOnWriteArrayList<>();
+  private volatile ConfigurationVersion current = ConfigurationVersion.NONE;
+
+  /**
+   * Returns what is in force.
+   *
+   * @return the document and its version
+   */
+  public ConfigurationVersion current() {
+    return current;
+  }
+
+  /**
+   * Adds a listener.
+   *
+   * @param listener what learns of changes
+   */
+  public void addListener(Listener listener) {
+    listeners.add(listener);
+  }
+
+  /**
+   * Puts a document into force if its version is higher than the current one.
+   *
+   * @param version the document's version
+   * @param text the document's JSON text
+   * @return whether it is in force now
+   */
+  public synchronized boolean offer(long version, String text) {
+    ConfigurationVersion previous = current;
+    if (version <= previous.version()) {
+      return false;
+    }
+    ConfigurationDocument document;
+    try {
+      document = ConfigurationParser.parse(text);
+    } catch (WigeonstageException e) {
+      logger.atSevere().log("configuration version %s refused: %s", version, e.getMessage());
+      return false;
+    }
+    current = new ConfigurationVersion(version, document, text);
+    logger.atInfo().log("configuration version %s in force", version);
+    listeners.forEach(listener -> listener.changed(previous, current));
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/config/ConfigurationWriter.java
@@ -0,0 +1,108 @@
+package org.wigeonstage.config;
+
+import com.fasterxml.jackson.databind.node.NullNode;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.platform.ObjectStore;
+import org.wigeonstage.platform.StoreException;
+import org.wigeonstage.platform.StoredObject;
+
+/**
+ * Writes configuration documents to the platform: whole, or not at all.
+ *
+ * <p>A write whose answer is lost is repeated with the same expected version. The platform carries
+ * out at most one of the attempts, and the history then tells whether it was this submission's.
+ */
+public final class ConfigurationWriter {
+
+  private static final int MAX_ATTEMPTS = 3;
+
+  private final ObjectStore store;
+  private final InstantSource clock;
+
+  /**
+   * Creates a writer.
+   *
+   * @param store the platform's object API
+   * @param clock the wall clock
+   */
+  public ConfigurationWriter(ObjectStore store, InstantSource clock) {
+    this.store = store;
+    this.clock = clock;
+  }
+
+  /**
+   * Submits a change. It may be submitted again under the same identifier, to learn what became of
+   * it.
+   *
+   * @param request the change
+   * @return whether it has taken effect
+   * @throws org.wigeonstage.common.InvalidDocumentException where the document has faults; nothing
+   *     has taken effect
+   * @throws StoreException where the platform can't be reached; nothing has taken effect through
+   *     this call
+   */
+  public ChangeResult submit(ChangeRequest request) {
+    ConfigurationParser.parse(request.document());
+    boolean maybeWritten = false;
+    for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      try {
+        return submitOnce(request);
+      } catch (StoreException e) {
+        maybeWritten |= e.code() == ErrorCode.WRITE_UNDECIDED;
+        boolean retry = maybeWritten || e.code() == ErrorCode.VERSION_CONFLICT;
+        if (!retry) {
+          throw e;
+        }
+      }
+    }
+    return new ChangeResult(ChangeResult.Decision.UNDECIDED, request.baseVersion(), List.of());
+  }
+
+  private ChangeResult submitOnce(ChangeRequest request) {
+    Optional<StoredObject> stored = store.get(ConfigurationRecord.KIND, ConfigurationRecord.NAME);
+    long version = stored.map(StoredObject::version).orElse(0L);
+    ConfigurationRecord current = recordOf(stored);
+    if (current.contains(request.submissionId())) {
+      return new ChangeResult(ChangeResult.Decision.ACCEPTED, version, List.of());
+    }
+    if (version != request.baseVersion()) {
+      return new ChangeResult(
+          ChangeResult.Decision.REFUSED, version, changesSince(current, request.baseVersion()));
+    }
+    long written =
+        store.put(
+            ConfigurationRecord.KIND,
+            ConfigurationRecord.NAME,
+            version,
+            Json.write(extend(current, request)));
+    return new ChangeResult(ChangeResult.Decision.ACCEPTED, written, List.of());
+  }
+
+  private static ConfigurationRecord recordOf(Optional<StoredObject> stored) {
+    return stored
+        .map(object -> Json.read(object.value(), ConfigurationRecord.class))
+        .orElse(new ConfigurationRecord(NullNode.getInstance(), List.of()));
+  }
+
+  private ConfigurationRecord extend(ConfigurationRecord current, ChangeRequest request) {
+    List<AcceptedChange> history = new ArrayList<>(current.history());
+    history.add(
+        new AcceptedChange(
+            request.submissionId(),
+            request.author(),
+            request.summary(),
+            clock.millis(),
+            request.baseVersion()));
+    int excess = Math.max(0, history.size() - ConfigurationRecord.MAX_HISTORY);
+    return new ConfigurationRecord(request.document(), history.subList(excess, history.size()));
+  }
+
+  private static List<AcceptedChange> changesSince(ConfigurationRecord current, long version) {
+    return current.history().stream().filter(change -> change.baseVersion() >= version).toList();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/demo/Deployment.java
@@ -0,0 +1,278 @@
+package org.wigeonstage.demo;
+
+import com.google.common.io.Closer;
+import java.io.Closeable;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.wigeonstage.agent.AgentProcess;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.common.WigeonstageException;
+import org.wigeonstage.config.ChangeRequest;
+import org.wigeonstage.config.ConfigurationWriter;
+import org.wigeonstage.config.PoolSpec;
+import org.wigeonstage.entry.EntryProcess;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.platform.HttpObjectStore;
+import org.wigeonstage.settings.AgentSettings;
+import org.wigeonstage.settings.EntrySettings;
+import org.wigeonstage.settings.TelemetrySettings;
+import org.wigeonstage.standin.EngineSpeed;
+import org.wigeonstage.standin.EngineStandin;
+import org.wigeonstage.standin.PlatformStandin;
+import org.wigeonstage.standin.ServiceStandin;
+
+/** A deployment in one process: entries, agents, and stand-ins for all that is outside. */
+public final class Deployment implements Closeable {
+
+  private static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
+  private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
+  private static final long POLL_MILLIS = 20;
+  private static final long SERVICE_DELAY_MILLIS = 5;
+  private static final int GENERATIONS = 3;
+
+  private final DeploymentPlan plan;
+  private final DeploymentOptions options;
+  private final Closer closer = Closer.create();
+  private final PlatformStandin platform;
+  private final List<EngineStandin> engines = new ArrayList<>();
+  private final List<ServiceStandin> services = new ArrayList<>();
+  private final List<AgentProcess> agents = new ArrayList<>();
+  private final List<EntryProcess> entries = new ArrayList<>();
+
+  private Deployment(DeploymentPlan plan, DeploymentOptions options) {
+    this.plan = plan;
+    this.options = options;
+    this.platform = closer.register(PlatformStandin.start(ANY_PORT));
+  }
+
+  /**
+   * Starts a deployment and waits until it is ready.
+   *
+   * @param plan what to start
+   * @param options how to start it
+   * @return the running deployment
+   */
+  public static Deployment start(DeploymentPlan plan, DeploymentOptions options) {
+    Deployment deployment = new Deployment(plan, options);
+    deployment.startAll();
+    return deployment;
+  }
+
+  private void startAll() {
+    writeConfiguration();
+    for (DeploymentPlan.Pool pool : plan.pools()) {
+      for (int i = 0; i < pool.size(); i++) {
+        startBackendServer(pool, i);
+      }
+    }
+    for (int i = 0; i < plan.entries(); i++) {
+      startEntry("entry-" + (i + 1), plan.failureDomainOf(i));
+    }
+    await(this::isConnected, "the deployment's connections");
+  }
+
+  private void writeConfiguration() {
+    try (HttpClient client = HttpClient.start("setup", 1)) {
+      InstantSource clock = InstantSource.system();
+      HttpObjectStore store = new HttpObjectStore(client, platform.endpoint());
+      new ConfigurationWriter(store, clock)
+          .submit(
+              new ChangeRequest(
+                  "initial", "demo", "first document", 0, Json.tree(plan.toDocument())));
+    } catch (IOException e) {
+      throw new WigeonstageException(ErrorCode.IO, "can't stop the set-up client", e);
+    }
+  }
+
+  private void startBackendServer(DeploymentPlan.Pool pool, int index) {
+    String name = DeploymentPlan.agentName(pool, index);
+    boolean isModel = pool.kind() == PoolSpec.Kind.MODEL;
+    Endpoint backendServer = isModel ? startEngine(index) : startService(name);
+    agents.add(
+        closer.register(
+            AgentProcess.start(
+                agentSettings(name, plan.failureDomainOf(index), pool.kind(), backendServer),
+                InstantSource.system())));
+  }
+
+  private Endpoint startEngine(int index) {
+    EngineSpeed speed = EngineSpeed.ofGeneration(1 + index % GENERATIONS);
+    EngineStandin engine = closer.register(EngineStandin.start(ANY_PORT, speed, true));
+    engines.add(engine);
+    return engine.endpoint();
+  }
+
+  private Endpoint startService(String name) {
+    ServiceStandin service =
+        closer.register(ServiceStandin.start(name, ANY_PORT, SERVICE_DELAY_MILLIS));
+    services.add(service);
+    return service.endpoint();
+  }
+
+  private AgentSettings agentSettings(
+      String name, String failureDomain, PoolSpec.Kind kind, Endpoint backendServer) {
+    return new AgentSettings(
+        name,
+        failureDomain,
+        kind.toString(),
+        ANY_PORT.toString(),
+        ANY_PORT.toString(),
+        backendServer.toString(),
+        platform.endpoint().toString(),
+        options.queueCapacity(),
+        1,
+        options.windowMax(),
+        options.reservedShare(),
+        options.targetGap().toMillis(),
+        START_TIMEOUT.toMillis(),
+        TelemetrySettings.DEFAULTS);
+  }
+
+  private void startEntry(String name, String failureDomain) {
+    EntrySettings settings =
+        new EntrySettings(
+            name,
+            failureDomain,
+            ANY_PORT.toString(),
+            ANY_PORT.toString(),
+            platform.endpoint().toString(),
+            List.of(),
+            options.routing().text(),
+            1024 * 1024,
+            4000,
+            List.of(),
+            START_TIMEOUT.toMillis(),
+            TelemetrySettings.DEFAULTS);
+    entries.add(closer.register(EntryProcess.start(settings, InstantSource.system())));
+  }
+
+  private boolean isConnected() {
+    return entries.stream().allMatch(entry -> entry.connectedAgents() == agents.size());
+  }
+
+  private static void await(BooleanSupplier condition, String what) {
+    MonotonicClock clock = MonotonicClock.system();
+    Duration end = clock.elapsed().plus(START_TIMEOUT);
+    while (!condition.getAsBoolean()) {
+      if (clock.elapsed().compareTo(end) > 0) {
+        throw new WigeonstageException(ErrorCode.IO, "timeout while waiting for " + what);
+      }
+      try {
+        Thread.sleep(POLL_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new WigeonstageException(ErrorCode.IO, "interrupted", e);
+      }
+    }
+  }
+
+  /**
+   * Returns the plan.
+   *
+   * @return the plan that was started
+   */
+  public DeploymentPlan plan() {
+    return plan;
+  }
+
+  /**
+   * Returns the platform stand-in.
+   *
+   * @return the stand-in
+   */
+  public PlatformStandin platform() {
+    return platform;
+  }
+
+  /**
+   * Returns the engine stand-ins.
+   *
+   * @return the engines, by the order of their agents
+   */
+  public List<EngineStandin> engines() {
+    return List.copyOf(engines);
+  }
+
+  /**
+   * Returns the agents.
+   *
+   * @return the agents, those of the first pool first
+   */
+  public List<AgentProcess> agents() {
+    return List.copyOf(agents);
+  }
+
+  /**
+   * Returns the entries.
+   *
+   * @return the entries
+   */
+  public List<EntryProcess> entries() {
+    return List.copyOf(entries);
+  }
+
+  /**
+   * Returns where callers reach the entries.
+   *
+   * @return the addresses
+   */
+  public List<Endpoint> callersEndpoints() {
+    return entries.stream().map(EntryProcess::callersEndpoint).toList();
+  }
+
+  /**
+   * Returns how many requests were received more than once by backend servers, all runners taken
+   * together.
+   *
+   * @return the number of identifiers with a count above 1
+   */
+  public long doubleDispatches() {
+    Map<String, Integer> totals = new HashMap<>();
+    engines.forEach(e -> e.dispatches().forEach((id, n) -> totals.merge(id, n, Integer::sum)));
+    services.forEach(s -> s.dispatches().forEach((id, n) -> totals.merge(id, n, Integer::sum)));
+    return totals.values().stream().filter(count -> count > 1).count();
+  }
+
+  /**
+   * Returns how often each body was run by the plain services.
+   *
+   * @return counts by body
+   */
+  public Map<String, Integer> serviceRuns() {
+    Map<String, Integer> totals = new HashMap<>();
+    services.forEach(s -> s.runs().forEach((body, n) -> totals.merge(body, n, Integer::sum)));
+    return totals;
+  }
+
+  /**
+   * Returns the prompt tokens that the engines processed.
+   *
+   * @return the number
+   */
+  public long prefillComputed() {
+    return engines.stream().mapToLong(EngineStandin::prefillComputed).sum();
+  }
+
+  /**
+   * Returns the prompt tokens that the engines found in their caches.
+   *
+   * @return the number
+   */
+  public long prefillSaved() {
+    return engines.stream().mapToLong(EngineStandin::prefillSaved).sum();
+  }
+
+  @Override
+  public void close() throws IOException {
+    closer.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/dispatch/DispatcherLimits.java
@@ -0,0 +1,22 @@
+package org.wigeonstage.dispatch;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.time.Duration;
+
+/**
+ * Bounds of a {@link RequestDispatcher}.
+ *
+ * @param maxOffers the most agents that one request is offered to
+ * @param withdrawGrace how long the answer to a withdrawal is awaited
+ */
+public record DispatcherLimits(int maxOffers, Duration withdrawGrace) {
+
+  /** The bounds that apply where the settings name none. */
+  public static final DispatcherLimits DEFAULTS = new DispatcherLimits(32, Duration.ofSeconds(5));
+
+  /** Checks the bounds. */
+  public DispatcherLimits {
+    checkArgument(maxOffers > 0, "max offers must be positive, was %s", maxOffers);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/entry/CallersHandler.java
@@ -0,0 +1,213 @@
+package org.wigeonstage.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.opentelemetry.api.trace.Span;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.admission.AdmissionChain;
+import org.wigeonstage.admission.CallContext;
+import org.wigeonstage.admission.CallerRequest;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.common.WigeonstageException;
+import org.wigeonstage.config.ActiveConfiguration;
+import org.wigeonstage.config.ConfigurationDocument;
+import org.wigeonstage.config.TierSpec;
+import org.wigeonstage.dispatch.DispatchResult;
+import org.wigeonstage.dispatch.DispatcherEffects;
+import org.wigeonstage.handover.Message;
+import org.wigeonstage.http.RequestHandler;
+import org.wigeonstage.http.ServerExchange;
+import org.wigeonstage.request.Outcome;
+import org.wigeonstage.request.RequestId;
+import org.wigeonstage.request.RequestSpec;
+import org.wigeonstage.telemetry.Tracing;
+
+/** Takes callers' requests, and carries out the dispatcher's decisions about them. */
+final class CallersHandler implements RequestHandler, DispatcherEffects {
+
+  private static final int OK = 200;
+
+  private final AdmissionChain admission;
+  private final ActiveConfiguration configuration;
+  private final LinkKeeper links;
+  private final MetricRegistry metrics;
+  private final Tracing tracing;
+  private final InstantSource clock;
+  private final MonotonicClock monotonicClock;
+  private final Map<RequestId, CallerAnswer> answers = new ConcurrentHashMap<>();
+  private @Nullable LockedDispatcher dispatcher;
+  private volatile boolean leaving;
+
+  CallersHandler(
+      AdmissionChain admission,
+      ActiveConfiguration configuration,
+      LinkKeeper links,
+      MetricRegistry metrics,
+      Tracing tracing,
+      InstantSource clock,
+      MonotonicClock monotonicClock) {
+    this.admission = admission;
+    this.configuration = configuration;
+    this.links = links;
+    this.metrics = metrics;
+    this.tracing = tracing;
+    this.clock = clock;
+    this.monotonicClock = monotonicClock;
+  }
+
+  /** Sets the dispatcher whose decisions are carried out; called once, before any request. */
+  void bind(LockedDispatcher newDispatcher) {
+    dispatcher = newDispatcher;
+  }
+
+  private LockedDispatcher dispatcher() {
+    return Objects.requireNonNull(dispatcher, "dispatcher not bound");
+  }
+
+  void leave() {
+    leaving = true;
+  }
+
+  int openAnswers() {
+    return answers.size();
+  }
+
+  @Override
+  public void handle(ServerExchange exchange) {
+    switch (exchange.path()) {
+      case "/healthz" -> exchange.respond(OK, "text/plain", "ok\n");
+      case "/readyz" -> respondReadiness(exchange);
+      case "/v1/models" -> respondModels(exchange);
+      default -> submit(exchange);
+    }
+  }
+
+  private void respondReadiness(ServerExchange exchange) {
+    boolean ready = isReady();
+    int status = ready ? OK : ErrorCode.LEAVING.httpStatus();
+    exchange.respond(status, "text/plain", ready ? "ready\n" : "not ready\n");
+  }
+
+  boolean isReady() {
+    return !leaving && configuration.current().version() > 0;
+  }
+
+  private void respondModels(ServerExchange exchange) {
+    ArrayNode models = JsonNodeFactory.instance.arrayNode();
+    configuration.current().document().pools().stream()
+        .flatMap(pool -> pool.models().stream())
+        .sorted()
+        .forEach(model -> models.add(models.objectNode().put("id", model).put("object", "model")));
+    ObjectNode body = JsonNodeFactory.instance.objectNode().put("object", "list");
+    body.set("data", models);
+    exchange.respond(OK, "application/json", body.toString());
+  }
+
+  private void submit(ServerExchange exchange) {
+    RequestId id = RequestId.create(clock.instant());
+    Span span = tracing.startSpan("entry", exchange.header("traceparent"));
+    span.setAttribute("wigeonstage.request", id.value());
+    try {
+      submit(exchange, id, span);
+    } catch (WigeonstageException e) {
+      metrics.counter("callers.refused." + e.code().text()).inc();
+      span.setAttribute("wigeonstage.outcome", Outcome.NOT_RUN.text());
+      span.end();
+      String detail = Objects.requireNonNullElse(e.getMessage(), e.code().text());
+      CallerAnswer.refuse(exchange, id, e.code(), Outcome.NOT_RUN, detail);
+    }
+  }
+
+  private void submit(ServerExchange exchange, RequestId id, Span span) {
+    if (leaving) {
+      throw new WigeonstageException(ErrorCode.LEAVING, "this entry is leaving");
+    }
+    ConfigurationDocument document = configuration.current().document();
+    CallContext context = new CallContext(document, requestOf(exchange));
+    admission.admit(context);
+    TierSpec tier = document.specOf(context.tier());
+    RequestSpec spec = context.toSpec(Tracing.traceParentOf(span));
+    Instant now = clock.instant();
+    metrics.counter("callers.admitted.tier." + tier.name()).inc();
+    answers.put(
+        id,
+        new CallerAnswer(
+            exchange, id, span, monotonicClock.elapsed(), offset -> consumed(id, offset)));
+    exchange.onGone(() -> callerGone(id));
+    dispatcher()
+        .run(
+            (target, directory) ->
+                target.submit(
+                    id,
+                    spec,
+                    now.plusMillis(tier.startWithinMillis()),
+                    now.plusMillis(tier.finishWithinMillis())));
+  }
+
+  private static CallerRequest requestOf(ServerExchange exchange) {
+    return new CallerRequest(
+        exchange.path(),
+        exchange.toCall(exchange.pathAndQuery()),
+        exchange.header("Authorization"),
+        exchange.header("Idempotency-Key"));
+  }
+
+  private void consumed(RequestId id, long offset) {
+    dispatcher().run((target, directory) -> target.callerConsumed(id, offset));
+  }
+
+  private void callerGone(RequestId id) {
+    CallerAnswer answer = answers.remove(id);
+    if (answer != null) {
+      metrics.counter("callers.gone").inc();
+      answer.span().end();
+      dispatcher().run((target, directory) -> target.callerGone(id));
+    }
+  }
+
+  @Override
+  public void send(String agent, Message message) {
+    links.send(agent, message);
+  }
+
+  @Override
+  public void answerBegan(RequestId id, int status, @Nullable String contentType) {
+    CallerAnswer answer = answers.get(id);
+    if (answer != null) {
+      answer.began(status, contentType);
+    }
+  }
+
+  @Override
+  public void answerContinued(RequestId id, byte[] data) {
+    CallerAnswer answer = answers.get(id);
+    if (answer == null) {
+      return;
+    }
+    if (answer.parts() == 0) {
+      metrics
+          .timer("callers.firstPart")
+          .update(
+              monotonicClock.elapsed().minus(answer.startedAt()).toNanos(), TimeUnit.NANOSECONDS);
+    }
+    answer.continued(data);
+  }
+
+  @Override
+  public void finished(RequestId id, DispatchResult result) {
+    metrics.counter("callers.outcome." + result.outcome().text()).inc();
+    CallerAnswer answer = answers.remove(id);
+    if (answer != null) {
+      answer.finished(result);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/entry/EntryOperatorsHandler.java
@@ -0,0 +1,85 @@
+package org.wigeonstage.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.InstantSource;
+import java.util.Map;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.http.Problem;
+import org.wigeonstage.http.RequestHandler;
+import org.wigeonstage.http.ServerExchange;
+import org.wigeonstage.platform.ObjectStore;
+import org.wigeonstage.routing.AgentState;
+import org.wigeonstage.telemetry.MetricsPage;
+
+/** Answers operators and probes at an entry. */
+final class EntryOperatorsHandler implements RequestHandler {
+
+  private static final String JSON = "application/json";
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private final EntryProcess entry;
+  private final MetricsPage metrics;
+
+  EntryOperatorsHandler(
+      EntryProcess entry, ObjectStore store, InstantSource clock, MetricRegistry registry) {
+    this.entry = entry;
+    this.metrics = new MetricsPage(registry);
+  }
+
+  @Override
+  public void handle(ServerExchange exchange) {
+    switch (exchange.method() + " " + exchange.path()) {
+      case "GET /healthz" -> exchange.respond(OK, "text/plain", "ok\n");
+      case "GET /readyz" ->
+          exchange.respond(
+              entry.isReady() ? OK : UNAVAILABLE,
+              "text/plain",
+              entry.isReady() ? "ready\n" : "not ready\n");
+      case "GET /metrics" -> exchange.respond(OK, MetricsPage.TEXT_TYPE, metrics.text());
+      case "GET /metrics.json" -> exchange.respond(OK, JSON, metrics.json());
+      case "GET /v1/status" -> exchange.respond(OK, JSON, status().toString());
+      case "POST /v1/drain" -> {
+        entry.leave();
+        exchange.respond(OK, JSON, status().toString());
+      }
+      default ->
+          Problem.respond(exchange, ErrorCode.NOT_FOUND, "nothing at " + exchange.path(), Map.of());
+    }
+  }
+
+  private ObjectNode status() {
+    ObjectNode status =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("name", entry.settings().name())
+            .put("role", "entry")
+            .put("configVersion", entry.configuration().current().version())
+            .put("ready", entry.isReady());
+    ArrayNode agents = status.putArray("agents");
+    entry
+        .dispatcher()
+        .run(
+            (dispatcher, directory) -> {
+              status.put("openRequests", dispatcher.openRequests());
+              directory.allAgents().forEach(agent -> agents.add(describe(agent)));
+            });
+    return status;
+  }
+
+  private static ObjectNode describe(AgentState agent) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("name", agent.name())
+        .put("failureDomain", agent.failureDomain())
+        .put("connected", agent.isLinked())
+        .put("available", agent.isAvailable())
+        .put("outstanding", agent.outstanding())
+        .put("running", agent.load().running())
+        .put("waiting", agent.load().waiting())
+        .put("window", agent.load().window());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/entry/EntryProcess.java
@@ -0,0 +1,310 @@
+package org.wigeonstage.entry;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.jvm.MemoryUsageGaugeSet;
+import com.google.common.flogger.FluentLogger;
+import com.google.common.io.Closer;
+import java.io.Closeable;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.wigeonstage.admission.AccountLimits;
+import org.wigeonstage.admission.AdmissionChain;
+import org.wigeonstage.admission.OutputEstimator;
+import org.wigeonstage.agent.AgentRegistration;
+import org.wigeonstage.common.ControlThreads;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.config.ActiveConfiguration;
+import org.wigeonstage.config.ConfigurationRecord;
+import org.wigeonstage.dispatch.DispatcherLimits;
+import org.wigeonstage.dispatch.PoolDirectory;
+import org.wigeonstage.dispatch.RequestDispatcher;
+import org.wigeonstage.handover.Message;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.http.HttpServer;
+import org.wigeonstage.platform.HttpObjectStore;
+import org.wigeonstage.platform.ObjectList;
+import org.wigeonstage.routing.RoutingPolicy;
+import org.wigeonstage.settings.EntrySettings;
+import org.wigeonstage.telemetry.Tracing;
+import org.wigeonstage.wire.Link;
+import org.wigeonstage.wire.LinkConnector;
+import org.wigeonstage.wire.LinkListener;
+
+/** The process that callers and operators talk to. */
+public final class EntryProcess implements Closeable {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long TICK_MILLIS = 50;
+  private static final int CLIENT_THREADS = 1;
+  private static final int MAX_OPERATOR_BODY = 2 * 1024 * 1024;
+
+  private final EntrySettings settings;
+  private final Closer closer = Closer.create();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final ActiveConfiguration configuration = new ActiveConfiguration();
+  private final Roster roster = new Roster();
+  private final ScheduledExecutorService control = ControlThreads.single("control");
+  private final LinkKeeper links;
+  private final LinkConnector connector;
+  private final LockedDispatcher dispatcher;
+  private final CallersHandler callersHandler;
+  private final HttpServer callers;
+  private final HttpServer operators;
+  private final List<Thread> watches;
+
+  private EntryProcess(EntrySettings settings, InstantSource clock) {
+    this.settings = settings;
+    MonotonicClock monotonicClock = MonotonicClock.system();
+    Tracing tracing = closer.register(Tracing.start(settings.name(), settings.telemetry()));
+    HttpClient client = closer.register(HttpClient.start("client", CLIENT_THREADS));
+    HttpObjectStore store = new HttpObjectStore(client, Endpoint.of(settings.platform()));
+    this.links = new LinkKeeper(monotonicClock, metrics);
+    AccountLimits limits = new AccountLimits(monotonicClock);
+    this.callersHandler =
+        new CallersHandler(
+            AdmissionChain.of(limits, new OutputEstimator()),
+            configuration,
+            links,
+            metrics,
+            tracing,
+            clock,
+            monotonicClock);
+    PoolDirectory directory = new PoolDirectory();
+    RequestDispatcher decisions =
+        new RequestDispatcher(
+            DispatcherLimits.DEFAULTS,
+            directory,
+            RoutingPolicy.of(settings.routing()).createRouter(new SplittableRandom()),
+            clock,
+            callersHandler);
+    this.dispatcher = new LockedDispatcher(decisions, directory);
+    callersHandler.bind(dispatcher);
+    configuration.addListener(
+        (previous, current) -> {
+          dispatcher.run((target, agents) -> agents.update(current.document()));
+          refreshLinks();
+        });
+    this.connector =
+        closer.register(LinkConnector.start(this::greeting, new AgentLinks(), metrics));
+    this.callers =
+        closer.register(
+            HttpServer.start(
+                "callers",
+                Endpoint.of(settings.callers()),
+                settings.maxBodyBytes(),
+                callersHandler));
+    this.operators =
+        closer.register(
+            HttpServer.start(
+                "operators",
+                Endpoint.of(settings.operators()),
+                MAX_OPERATOR_BODY,
+                new EntryOperatorsHandler(this, store, clock, metrics)));
+    this.watches = startWatches(store);
+    metrics.registerAll("jvm.memory", new MemoryUsageGaugeSet());
+    metrics.register("config.version", (Gauge<Long>) () -> configuration.current().version());
+    metrics.register("links.open", (Gauge<Integer>) links::openLinks);
+    metrics.register("callers.open", (Gauge<Integer>) callersHandler::openAnswers);
+  }
+
+  /**
+   * Starts an entry.
+   *
+   * @param settings its settings
+   * @param clock the wall clock
+   * @return the running entry
+   */
+  public static EntryProcess start(EntrySettings settings, InstantSource clock) {
+    EntryProcess process = new EntryProcess(settings, clock);
+    process.control.scheduleWithFixedDelay(
+        process::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    logger.atInfo().log(
+        "entry %s listens on %s for callers and %s for operators",
+        settings.name(), process.callers.endpoint(), process.operators.endpoint());
+    return process;
+  }
+
+  private List<Thread> startWatches(HttpObjectStore store) {
+    var failures = metrics.counter("store.failures");
+    return List.of(
+        new StoreWatch(store, ConfigurationRecord.KIND, this::configurationRead, failures).start(),
+        new StoreWatch(store, AgentRegistration.KIND, this::registrationsRead, failures).start());
+  }
+
+  private void configurationRead(ObjectList list) {
+    list.objects().stream()
+        .filter(object -> object.name().equals(ConfigurationRecord.NAME))
+        .forEach(
+            object -> {
+              ConfigurationRecord stored = Json.read(object.value(), ConfigurationRecord.class);
+              configuration.offer(object.version(), stored.document().toString());
+            });
+  }
+
+  private void registrationsRead(ObjectList list) {
+    list.objects().stream()
+        .map(object -> Json.read(object.value(), AgentRegistration.class))
+        .forEach(roster::learn);
+    refreshLinks();
+  }
+
+  /** Brings the wanted connections in line with configuration and roster. */
+  private synchronized void refreshLinks() {
+    var members = configuration.current().document().memberNames();
+    for (AgentRegistration registration : roster.registrations()) {
+      if (members.contains(registration.name())) {
+        links.want(registration.name(), Endpoint.of(registration.entries()));
+      }
+    }
+    links.retain(members);
+  }
+
+  private Message.Hello greeting() {
+    return new Message.Hello(
+        Message.PROTOCOL_VERSION, "entry", settings.name(), 0, configuration.current().version());
+  }
+
+  private void tick() {
+    try {
+      links.maintain(connector, configuration.current().version());
+      dispatcher.run((target, directory) -> target.tick());
+    } catch (RuntimeException e) {
+      logger.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(e).log("control task failed");
+    }
+  }
+
+  /**
+   * Returns where the entry listens for callers.
+   *
+   * @return the address, with the port that the system chose
+   */
+  public Endpoint callersEndpoint() {
+    return callers.endpoint();
+  }
+
+  /**
+   * Returns where the entry listens for operators.
+   *
+   * @return the address, with the port that the system chose
+   */
+  public Endpoint operatorsEndpoint() {
+    return operators.endpoint();
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the configuration
+   */
+  public ActiveConfiguration configuration() {
+    return configuration;
+  }
+
+  /**
+   * Returns the number of agents that a connection is open to.
+   *
+   * @return the number
+   */
+  public int connectedAgents() {
+    return links.openLinks();
+  }
+
+  EntrySettings settings() {
+    return settings;
+  }
+
+  Roster roster() {
+    return roster;
+  }
+
+  LockedDispatcher dispatcher() {
+    return dispatcher;
+  }
+
+  boolean isReady() {
+    return callersHandler.isReady();
+  }
+
+  /** Takes no new requests from callers. */
+  public void leave() {
+    logger.atInfo().log("leaving");
+    callersHandler.leave();
+  }
+
+  /**
+   * Leaves and waits until all callers have their answers.
+   *
+   * @return whether all was finished within the settings' grace
+   * @throws InterruptedException where the thread is interrupted
+   */
+  public boolean drain() throws InterruptedException {
+    leave();
+    MonotonicClock clock = MonotonicClock.system();
+    Duration end = clock.elapsed().plusMillis(settings.drainGraceMillis());
+    while (callersHandler.openAnswers() > 0) {
+      if (clock.elapsed().compareTo(end) > 0) {
+        logger.atWarning().log("left before all requests were finished");
+        return false;
+      }
+      Thread.sleep(TICK_MILLIS);
+    }
+    return callers.drain(Duration.ofMillis(settings.drainGraceMillis()));
+  }
+
+  @Override
+  public void close() throws IOException {
+    watches.forEach(Thread::interrupt);
+    control.shutdownNow();
+    closer.close();
+  }
+
+  /** Follows the connections to agents. */
+  private final class AgentLinks implements LinkListener {
+
+    @Override
+    public void opened(Link link) {
+      Message.Hello peer = link.peer();
+      roster.learnIncarnation(peer.name(), peer.incarnation());
+      if (links.opened(link)) {
+        dispatcher.run((target, directory) -> target.linkUp(peer.name(), peer.incarnation()));
+      }
+    }
+
+    @Override
+    public void received(Link link, Message message) {
+      if (!links.isCurrent(link)) {
+        return;
+      }
+      if (message instanceof Message.ConfigSnapshot snapshot) {
+        configuration.offer(snapshot.version(), snapshot.document());
+        return;
+      }
+      if (message instanceof Message.Pong pong) {
+        sendConfigurationIfOlder(link, pong);
+      }
+      dispatcher.run((target, directory) -> target.receive(link.peer().name(), message));
+    }
+
+    private void sendConfigurationIfOlder(Link link, Message.Pong pong) {
+      var current = configuration.current();
+      if (pong.configVersion() < current.version()) {
+        link.send(new Message.ConfigSnapshot(current.version(), current.text()));
+      }
+    }
+
+    @Override
+    public void closed(Link link) {
+      if (links.closed(link)) {
+        dispatcher.run((target, directory) -> target.linkDown(link.peer().name()));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/entry/LinkKeeper.java
@@ -0,0 +1,170 @@
+package org.wigeonstage.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.handover.Message;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.wire.Link;
+import org.wigeonstage.wire.LinkConnector;
+
+/**
+ * Keeps one live connection to each wanted agent, and replaces connections that have gone silent.
+ *
+ * <p>Safe for use by several threads; {@link #maintain} belongs to the control thread.
+ */
+final class LinkKeeper {
+
+  private static final Duration SILENCE_LIMIT = Duration.ofSeconds(3);
+  private static final Duration HELLO_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration HEARTBEAT_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration RECONNECT_DELAY = Duration.ofMillis(300);
+
+  /** What is known of one agent's connection. */
+  private static final class Target {
+    private final Endpoint endpoint;
+    private volatile @Nullable Link link;
+    private volatile @Nullable Duration attemptedAt;
+    private volatile Duration pingedAt = Duration.ZERO;
+
+    Target(Endpoint endpoint) {
+      this.endpoint = endpoint;
+    }
+  }
+
+  private final MonotonicClock clock;
+  private final MetricRegistry metrics;
+  private final Map<String, Target> targets = new ConcurrentHashMap<>();
+  private long pingSequence;
+
+  LinkKeeper(MonotonicClock clock, MetricRegistry metrics) {
+    this.clock = clock;
+    this.metrics = metrics;
+  }
+
+  /** Sets where an agent listens; an open connection to another address is kept until it closes. */
+  void want(String agent, Endpoint endpoint) {
+    Target target = targets.get(agent);
+    if (target == null || !target.endpoint.equals(endpoint)) {
+      Target replacement = new Target(endpoint);
+      Target previous = targets.put(agent, replacement);
+      closeIfOpen(previous);
+    }
+  }
+
+  /** Forgets the agents that are not wanted any more. */
+  void retain(Collection<String> wanted) {
+    targets
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean drop = !wanted.contains(entry.getKey());
+              if (drop) {
+                closeIfOpen(entry.getValue());
+              }
+              return drop;
+            });
+  }
+
+  private static void closeIfOpen(@Nullable Target target) {
+    Link link = target == null ? null : target.link;
+    if (link != null) {
+      link.close();
+    }
+  }
+
+  /** Opens what is missing, closes what is silent and sends heartbeats. */
+  void maintain(LinkConnector connector, long configVersion) {
+    for (Target target : targets.values()) {
+      Link link = target.link;
+      if (link == null) {
+        connectIfDue(connector, target);
+      } else if (link.silence().compareTo(SILENCE_LIMIT) > 0) {
+        metrics.counter("links.silent").inc();
+        link.close();
+      } else {
+        pingIfDue(target, link, configVersion);
+      }
+    }
+  }
+
+  private void connectIfDue(LinkConnector connector, Target target) {
+    Duration now = clock.elapsed();
+    Duration attemptedAt = target.attemptedAt;
+    if (attemptedAt != null && now.minus(attemptedAt).compareTo(HELLO_TIMEOUT) < 0) {
+      return;
+    }
+    target.attemptedAt = now;
+    connector.connect(
+        target.endpoint,
+        () -> target.attemptedAt = clock.elapsed().minus(HELLO_TIMEOUT).plus(RECONNECT_DELAY));
+  }
+
+  private void pingIfDue(Target target, Link link, long configVersion) {
+    Duration now = clock.elapsed();
+    if (now.minus(target.pingedAt).compareTo(HEARTBEAT_INTERVAL) >= 0) {
+      target.pingedAt = now;
+      link.send(new Message.Ping(pingSequence++, configVersion));
+    }
+  }
+
+  /** Takes a new connection; returns false where its agent is not wanted. */
+  boolean opened(Link link) {
+    Target target = targets.get(link.peer().name());
+    if (target == null) {
+      link.close();
+      return false;
+    }
+    Link previous = target.link;
+    target.link = link;
+    target.attemptedAt = null;
+    if (previous != null) {
+      previous.close();
+    }
+    return true;
+  }
+
+  /** Takes the end of a connection; returns whether the agent has no other one. */
+  boolean closed(Link link) {
+    Target target = targets.get(link.peer().name());
+    if (target == null) {
+      return true;
+    }
+    if (target.link != link) {
+      return false;
+    }
+    target.link = null;
+    return true;
+  }
+
+  /** Tells whether a connection is its agent's current one. */
+  boolean isCurrent(Link link) {
+    Target target = targets.get(link.peer().name());
+    return target != null && target.link == link;
+  }
+
+  void send(String agent, Message message) {
+    Target target = targets.get(agent);
+    Link link = target == null ? null : target.link;
+    if (link != null) {
+      link.send(message);
+    }
+  }
+
+  int openLinks() {
+    return (int) targets.values().stream().filter(target -> target.link != null).count();
+  }
+
+  void broadcast(Message message) {
+    for (Target target : targets.values()) {
+      Link link = target.link;
+      if (link != null) {
+        link.send(message);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/entry/LockedDispatcher.java
@@ -0,0 +1,38 @@
+package org.wigeonstage.entry;
+
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.BiConsumer;
+import java.util.function.BiFunction;
+import org.wigeonstage.dispatch.PoolDirectory;
+import org.wigeonstage.dispatch.RequestDispatcher;
+
+/** Lets several threads use a {@link RequestDispatcher} and its directory in turn. */
+final class LockedDispatcher {
+
+  private final ReentrantLock lock = new ReentrantLock();
+  private final RequestDispatcher dispatcher;
+  private final PoolDirectory directory;
+
+  LockedDispatcher(RequestDispatcher dispatcher, PoolDirectory directory) {
+    this.dispatcher = dispatcher;
+    this.directory = directory;
+  }
+
+  void run(BiConsumer<RequestDispatcher, PoolDirectory> action) {
+    lock.lock();
+    try {
+      action.accept(dispatcher, directory);
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  <T> T get(BiFunction<RequestDispatcher, PoolDirectory, T> question) {
+    lock.lock();
+    try {
+      return question.apply(dispatcher, directory);
+    } finally {
+      lock.unlock();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -0,0 +1,166 @@
+package org.wigeonstage.handover;
+
+import java.time.Instant;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.request.Outcome;
+import org.wigeonstage.request.RequestId;
+import org.wigeonstage.request.RequestSpec;
+
+/** A message of the hand-over protocol; each travels in a frame of its own. */
+public sealed interface Message {
+
+  /** The version of the protocol that this build speaks. */
+  int PROTOCOL_VERSION = 1;
+
+  /** A message about one request. */
+  sealed interface AboutRequest extends Message {
+    /**
+     * Returns the request that the message is about.
+     *
+     * @return the request's identifier
+     */
+    RequestId id();
+  }
+
+  /**
+   * Opens a connection; each side sends it first.
+   *
+   * @param protocolVersion the sender's version of the protocol
+   * @param role {@code entry} or {@code agent}
+   * @param name the sender's name
+   * @param incarnation a number that grows with each start of the sender
+   * @param configVersion the version of the configuration that is in force at the sender
+   */
+  record Hello(int protocolVersion, String role, String name, long incarnation, long configVersion)
+      implements Message {}
+
+  /**
+   * Offers a request to an agent.
+   *
+   * @param id the request
+   * @param incarnation the agent's incarnation that the offer is meant for
+   * @param startBy the time after which the request must not be dispatched
+   * @param spec the request
+   */
+  record Offer(RequestId id, long incarnation, Instant startBy, RequestSpec spec)
+      implements AboutRequest {}
+
+  /**
+   * Says that an offer waits in the agent's queue.
+   *
+   * @param id the request
+   */
+  record Accepted(RequestId id) implements AboutRequest {}
+
+  /**
+   * Says that the agent has not dispatched the request and never will.
+   *
+   * @param id the request
+   * @param reason why
+   */
+  record Refused(RequestId id, ErrorCode reason) implements AboutRequest {}
+
+  /**
+   * Ends a keyed submission that no agent may run.
+   *
+   * @param id the request
+   * @param reason why
+   * @param outcome what is known of earlier submissions under the key
+   */
+  record Rejected(RequestId id, ErrorCode reason, Outcome outcome) implements AboutRequest {}
+
+  /**
+   * Asks the agent not to dispatch a request.
+   *
+   * @param id the request
+   * @param incarnation the agent's incarnation that the request was offered to
+   */
+  record Withdraw(RequestId id, long incarnation) implements AboutRequest {}
+
+  /**
+   * Says that the request may have been sent to the backend server.
+   *
+   * @param id the request
+   */
+  record Dispatched(RequestId id) implements AboutRequest {}
+
+  /**
+   * Begins the backend server's answer.
+   *
+   * @param id the request
+   * @param status the HTTP status
+   * @param contentType the media type, or null
+   */
+  record Head(RequestId id, int status, @Nullable String contentType) implements AboutRequest {}
+
+  /**
+   * Carries a part of the answer's body.
+   *
+   * @param id the request
+   * @param offset the position of the first byte in the body
+   * @param data the bytes; not to be modified
+   */
+  record Chunk(RequestId id, long offset, byte[] data) implements AboutRequest {}
+
+  /**
+   * Ends the answer.
+   *
+   * @param id the request
+   * @param length the body's length in bytes
+   * @param outcome {@code COMPLETED}, or {@code UNKNOWN} where the answer broke off
+   */
+  record End(RequestId id, long length, Outcome outcome) implements AboutRequest {}
+
+  /**
+   * Says how much of the answer the caller has taken.
+   *
+   * @param id the request
+   * @param offset the number of bytes
+   */
+  record Acknowledge(RequestId id, long offset) implements AboutRequest {}
+
+  /**
+   * Asks on a new connection for the rest of an answer.
+   *
+   * @param id the request
+   * @param incarnation the agent's incarnation that the request was offered to
+   * @param offset the number of bytes that the entry has
+   */
+  record Resume(RequestId id, long incarnation, long offset) implements AboutRequest {}
+
+  /**
+   * Says that nobody waits for the answer any more.
+   *
+   * @param id the request
+   */
+  record Cancel(RequestId id) implements AboutRequest {}
+
+  /**
+   * The entry's heartbeat.
+   *
+   * @param sequence a number that the answer repeats
+   * @param configVersion the version of the configuration in force at the entry
+   */
+  record Ping(long sequence, long configVersion) implements Message {}
+
+  /**
+   * The agent's answer to a heartbeat.
+   *
+   * @param sequence the number of the heartbeat
+   * @param configVersion the version of the configuration in force at the agent
+   * @param load the agent's load
+   */
+  record Pong(long sequence, long configVersion, LoadReport load) implements Message {}
+
+  /** Says that the sender takes no new requests. */
+  record Leaving() implements Message {}
+
+  /**
+   * Carries a configuration document to a peer whose version is lower.
+   *
+   * @param version the document's version
+   * @param document the document's JSON text
+   */
+  record ConfigSnapshot(long version, String document) implements Message {}
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/http/BlockingCall.java
@@ -0,0 +1,81 @@
+package org.wigeonstage.http;
+
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.request.HttpCall;
+
+/** Makes a call and waits for its whole answer. */
+public final class BlockingCall implements AnswerListener {
+
+  private final CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private int status;
+
+  private BlockingCall() {}
+
+  /**
+   * Makes a call.
+   *
+   * @param client the client
+   * @param target the server
+   * @param call what to send
+   * @param headers further header fields
+   * @param timeout how long to wait
+   * @return the answer
+   * @throws CallFailedException where no whole answer came
+   */
+  public static HttpAnswer make(
+      HttpClient client,
+      Endpoint target,
+      HttpCall call,
+      Map<String, String> headers,
+      Duration timeout) {
+    BlockingCall listener = new BlockingCall();
+    ClientExchange exchange = client.send(target, call, headers, listener);
+    try {
+      return listener.answer.get(timeout.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      exchange.abort();
+      throw new CallFailedException("no answer from " + target + " in time", true, e);
+    } catch (ExecutionException e) {
+      throw e.getCause() instanceof CallFailedException failure
+          ? failure
+          : new CallFailedException("call to " + target + " failed", true, e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      exchange.abort();
+      throw new CallFailedException("interrupted while calling " + target, true, e);
+    }
+  }
+
+  @Override
+  public void began(int newStatus, @Nullable String contentType) {
+    status = newStatus;
+  }
+
+  @Override
+  public void continued(byte[] data) {
+    body.writeBytes(data);
+  }
+
+  @Override
+  public void ended() {
+    answer.complete(new HttpAnswer(status, body.toByteArray()));
+  }
+
+  @Override
+  public void notConnected(Throwable cause) {
+    answer.completeExceptionally(new CallFailedException("can't connect", false, cause));
+  }
+
+  @Override
+  public void broken(Throwable cause) {
+    answer.completeExceptionally(new CallFailedException("connection lost", true, cause));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/http/Endpoint.java
@@ -0,0 +1,47 @@
+package org.wigeonstage.http;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.net.InetSocketAddress;
+
+/**
+ * A TCP address.
+ *
+ * @param host an IP number
+ * @param port the port; 0 lets the system choose when listening
+ */
+public record Endpoint(String host, int port) {
+
+  private static final int MAX_PORT = 65_535;
+
+  /** Checks the port's range. */
+  public Endpoint {
+    checkArgument(port >= 0 && port <= MAX_PORT, "port must be from 0 to 65535, was %s", port);
+  }
+
+  /**
+   * Returns the endpoint written as host, colon and port.
+   *
+   * @param text the text
+   * @return the endpoint
+   */
+  public static Endpoint of(String text) {
+    int colon = text.lastIndexOf(':');
+    checkArgument(colon > 0, "address must be host:port, was %s", text);
+    return new Endpoint(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+  }
+
+  /**
+   * Returns the address for sockets.
+   *
+   * @return the address
+   */
+  public InetSocketAddress socketAddress() {
+    return new InetSocketAddress(host, port);
+  }
+
+  @Override
+  public String toString() {
+    return host + ":" + port;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/http/HttpAnswer.java
@@ -0,0 +1,33 @@
+package org.wigeonstage.http;
+
+import java.nio.charset.StandardCharsets;
+
+/** A whole answer to a call. */
+public final class HttpAnswer {
+
+  private final int status;
+  private final byte[] body;
+
+  HttpAnswer(int status, byte[] body) {
+    this.status = status;
+    this.body = body;
+  }
+
+  /**
+   * Returns the HTTP status.
+   *
+   * @return the status
+   */
+  public int status() {
+    return status;
+  }
+
+  /**
+   * Returns the body as text.
+   *
+   * @return the body, read as UTF-8
+   */
+  public String text() {
+    return new String(body, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/http/Problem.java
@@ -0,0 +1,48 @@
+package org.wigeonstage.http;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import org.wigeonstage.common.ErrorCode;
+
+/** Problem details in the format of RFC 9457. */
+public final class Problem {
+
+  /** The media type of problem details. */
+  public static final String MEDIA_TYPE = "application/problem+json";
+
+  private Problem() {}
+
+  /**
+   * Returns the problem's JSON object.
+   *
+   * @param code the error's code
+   * @param detail what happened
+   * @return an object with type, title, status, code and detail
+   */
+  public static ObjectNode object(ErrorCode code, String detail) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("type", "about:blank")
+        .put("title", code.text())
+        .put("status", code.httpStatus())
+        .put("code", code.text())
+        .put("detail", detail);
+  }
+
+  /**
+   * Answers a request with a problem.
+   *
+   * @param exchange the request
+   * @param code the error's code
+   * @param detail what happened
+   * @param headers further header fields
+   */
+  public static void respond(
+      ServerExchange exchange, ErrorCode code, String detail, Map<String, String> headers) {
+    byte[] body = object(code, detail).toString().getBytes(StandardCharsets.UTF_8);
+    exchange.respond(code.httpStatus(), MEDIA_TYPE, new HashMap<>(headers), body);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/ledger/Attachment.java
@@ -0,0 +1,52 @@
+package org.wigeonstage.ledger;
+
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.handover.LinkId;
+import org.wigeonstage.request.RequestId;
+
+/** One submission that waits for the answer of an {@link Execution}. */
+final class Attachment {
+
+  private final RequestId id;
+  private final Execution execution;
+  private @Nullable LinkId link;
+  private long acknowledged;
+
+  Attachment(RequestId id, Execution execution, LinkId link) {
+    this.id = id;
+    this.execution = execution;
+    this.link = link;
+  }
+
+  RequestId id() {
+    return id;
+  }
+
+  Execution execution() {
+    return execution;
+  }
+
+  @Nullable LinkId link() {
+    return link;
+  }
+
+  void attach(LinkId newLink) {
+    link = newLink;
+  }
+
+  void detach() {
+    link = null;
+  }
+
+  boolean isAttachedTo(LinkId other) {
+    return other.equals(link);
+  }
+
+  long acknowledged() {
+    return acknowledged;
+  }
+
+  void acknowledge(long offset) {
+    acknowledged = Math.max(acknowledged, offset);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/ledger/ExecutionTable.java
@@ -0,0 +1,91 @@
+package org.wigeonstage.ledger;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.handover.LinkId;
+import org.wigeonstage.ledger.Execution.State;
+import org.wigeonstage.request.IdempotencyKey;
+import org.wigeonstage.request.RequestId;
+
+/** The requests that an agent has taken, by request, by submission and by idempotency key. */
+final class ExecutionTable {
+
+  private final KeyHistory keys;
+  private final Map<RequestId, Attachment> attachments = new HashMap<>();
+  private final Map<RequestId, Execution> executions = new HashMap<>();
+
+  ExecutionTable(KeyHistory keys) {
+    this.keys = keys;
+  }
+
+  KeyHistory keys() {
+    return keys;
+  }
+
+  void add(Execution execution) {
+    executions.put(execution.id(), execution);
+    IdempotencyKey key = execution.spec().key();
+    if (key != null) {
+      keys.put(key, execution);
+    }
+  }
+
+  void remove(Execution execution) {
+    executions.remove(execution.id());
+    execution.attachments().keySet().forEach(attachments::remove);
+    IdempotencyKey key = execution.spec().key();
+    if (key != null) {
+      keys.remove(key);
+    }
+  }
+
+  Attachment attach(LinkId link, RequestId id, Execution execution) {
+    Attachment attachment = new Attachment(id, execution, link);
+    attachments.put(id, attachment);
+    execution.attachments().put(id, attachment);
+    execution.orphanedAt(null);
+    return attachment;
+  }
+
+  void detach(Attachment attachment) {
+    attachments.remove(attachment.id());
+    attachment.execution().attachments().remove(attachment.id());
+  }
+
+  @Nullable Attachment attachment(RequestId id) {
+    return attachments.get(id);
+  }
+
+  Collection<Attachment> attachments() {
+    return attachments.values();
+  }
+
+  Collection<Execution> executions() {
+    return List.copyOf(executions.values());
+  }
+
+  @Nullable Execution find(RequestId id) {
+    return executions.get(id);
+  }
+
+  @Nullable Execution findRunning(RequestId id) {
+    Execution execution = executions.get(id);
+    return execution != null && execution.state() == State.RUNNING ? execution : null;
+  }
+
+  /** Returns a request that is certainly in the table. */
+  Execution get(RequestId id) {
+    Execution execution = executions.get(id);
+    if (execution == null) {
+      throw new IllegalStateException("request " + id + " is not in the ledger");
+    }
+    return execution;
+  }
+
+  int size() {
+    return attachments.size();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/ledger/KeyHistory.java
@@ -0,0 +1,63 @@
+package org.wigeonstage.ledger;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.request.IdempotencyKey;
+
+/**
+ * The keyed requests of the retry horizon.
+ *
+ * <p>The history begins with the agent's start. A key that may be older than the history, and so
+ * may have been used at an earlier incarnation, is not known to be new.
+ */
+final class KeyHistory {
+
+  private Instant begin;
+  private final Duration retryHorizon;
+  private final Duration clockSkew;
+  private final Map<String, Execution> executions = new HashMap<>();
+
+  KeyHistory(Instant begin, Duration retryHorizon, Duration clockSkew) {
+    this.begin = begin;
+    this.retryHorizon = retryHorizon;
+    this.clockSkew = clockSkew;
+  }
+
+  /** Notes that no earlier incarnation can have used any key. */
+  void complete() {
+    begin = Instant.EPOCH;
+  }
+
+  @Nullable Execution find(IdempotencyKey key) {
+    return executions.get(key.claimName());
+  }
+
+  /**
+   * Tells whether a key without an entry is certainly unused.
+   *
+   * <p>A key that carries its time of creation is new if it was made after this history began and
+   * within the retry horizon. Any other key is new once the history covers the whole horizon.
+   */
+  boolean isKnownNew(IdempotencyKey key, Instant now) {
+    return key.createdAt()
+        .map(created -> isCovered(created, now))
+        .orElse(now.isAfter(begin.plus(retryHorizon)));
+  }
+
+  private boolean isCovered(Instant created, Instant now) {
+    boolean afterBegin = created.isAfter(begin.plus(clockSkew));
+    boolean withinHorizon = created.plus(retryHorizon).isAfter(now.plus(clockSkew));
+    return afterBegin && withinHorizon;
+  }
+
+  void put(IdempotencyKey key, Execution execution) {
+    executions.put(key.claimName(), execution);
+  }
+
+  void remove(IdempotencyKey key) {
+    executions.remove(key.claimName());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/ledger/LedgerLimits.java
@@ -0,0 +1,55 @@
+package org.wigeonstage.ledger;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.time.Duration;
+
+/**
+ * Bounds of a {@link RequestLedger}.
+ *
+ * @param maxRecords the most requests, finished or refused ones included, that are remembered
+ * @param maxStartDelay the longest time that an offer may set for its start
+ * @param clockSkew the greatest difference between the wall clocks of two hosts
+ * @param retryHorizon how long a keyed request is remembered after it finished
+ * @param answerRetention how long the answer of an unkeyed request waits for its entry
+ * @param orphanGrace how long a request without a connection to an entry is kept
+ * @param streamWindow the most bytes of an answer that wait for acknowledgement
+ * @param keyedAnswerBytes the most bytes of a keyed request's answer that are kept
+ */
+public record LedgerLimits(
+    int maxRecords,
+    Duration maxStartDelay,
+    Duration clockSkew,
+    Duration retryHorizon,
+    Duration answerRetention,
+    Duration orphanGrace,
+    int streamWindow,
+    int keyedAnswerBytes) {
+
+  /** The bounds that apply where the settings name none. */
+  public static final LedgerLimits DEFAULTS =
+      new LedgerLimits(
+          100_000,
+          Duration.ofMinutes(5),
+          Duration.ofSeconds(2),
+          Duration.ofMinutes(10),
+          Duration.ofSeconds(60),
+          Duration.ofSeconds(10),
+          256 * 1024,
+          256 * 1024);
+
+  /** Checks the bounds. */
+  public LedgerLimits {
+    checkArgument(maxRecords > 0, "max records must be positive, was %s", maxRecords);
+    checkArgument(streamWindow > 0, "stream window must be positive, was %s", streamWindow);
+  }
+
+  /**
+   * Returns how long a refusal must be remembered so that no late offer can pass it.
+   *
+   * @return the longest start delay and twice the clock skew
+   */
+  public Duration tombstoneAge() {
+    return maxStartDelay.plus(clockSkew.multipliedBy(2));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/ledger/RequestLedger.java
@@ -0,0 +1,500 @@
+package org.wigeonstage.ledger;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.handover.LinkId;
+import org.wigeonstage.handover.LoadReport;
+import org.wigeonstage.handover.Message;
+import org.wigeonstage.ledger.Execution.State;
+import org.wigeonstage.queue.Admission;
+import org.wigeonstage.queue.DispatchWindow;
+import org.wigeonstage.queue.TierQueue;
+import org.wigeonstage.queue.WaitingRequest;
+import org.wigeonstage.request.IdempotencyKey;
+import org.wigeonstage.request.Outcome;
+import org.wigeonstage.request.RequestId;
+
+/**
+ * Decides what one agent does with the requests that entries offer to it.
+ *
+ * <p>The ledger is the only place that may dispatch a request to the agent's backend server. It
+ * dispatches a request at most once, and it answers {@link Message.Refused} only for requests that
+ * it has not dispatched and never will. It does no input or output and starts no thread; callers
+ * must not use it from several threads at once.
+ */
+public final class RequestLedger {
+
+  private static final Duration AGING_INTERVAL = Duration.ofSeconds(1);
+
+  private final long incarnation;
+  private final LedgerLimits limits;
+  private final TierQueue queue;
+  private final DispatchWindow window;
+  private final InstantSource clock;
+  private final LedgerEffects effects;
+  private final AnswerRelay relay;
+  private final ExecutionAge ages;
+  private final Tombstones tombstones;
+  private final ExecutionTable table;
+  private final RunningLoad load = new RunningLoad();
+  private Instant lastAging = Instant.EPOCH;
+  private boolean leaving;
+  private boolean fenced;
+
+  /**
+   * Creates an empty ledger.
+   *
+   * @param incarnation a number that grows with each start of the agent
+   * @param limits the bounds of what is remembered
+   * @param queue where requests wait
+   * @param window how many requests may run at once
+   * @param clock the wall clock
+   * @param effects what the ledger's decisions cause
+   */
+  public RequestLedger(
+      long incarnation,
+      LedgerLimits limits,
+      TierQueue queue,
+      DispatchWindow window,
+      InstantSource clock,
+      LedgerEffects effects) {
+    this.incarnation = incarnation;
+    this.limits = limits;
+    this.queue = queue;
+    this.window = window;
+    this.clock = clock;
+    this.effects = effects;
+    this.ages = new ExecutionAge(limits);
+    this.relay = new AnswerRelay(limits, effects);
+    this.tombstones = new Tombstones(limits.maxRecords());
+    this.table =
+        new ExecutionTable(
+            new KeyHistory(clock.instant(), limits.retryHorizon(), limits.clockSkew()));
+  }
+
+  /**
+   * Takes a message from an entry. Messages that only agents send are ignored.
+   *
+   * @param link the connection it came on
+   * @param message the message
+   */
+  public void receive(LinkId link, Message message) {
+    if (message instanceof Message.Offer offer) {
+      offer(link, offer);
+    } else if (message instanceof Message.Withdraw withdraw) {
+      withdraw(link, withdraw);
+    } else if (message instanceof Message.Resume resume) {
+      resume(link, resume);
+    } else if (message instanceof Message.Acknowledge acknowledge) {
+      acknowledge(acknowledge);
+    } else if (message instanceof Message.Cancel cancel) {
+      cancel(cancel.id());
+    }
+  }
+
+  private void offer(LinkId link, Message.Offer offer) {
+    if (table.attachment(offer.id()) != null) {
+      return;
+    }
+    if (offer.incarnation() != incarnation) {
+      effects.send(link, new Message.Refused(offer.id(), ErrorCode.STALE_INCARNATION));
+      return;
+    }
+    if (tombstones.contains(offer.id())) {
+      effects.send(link, new Message.Refused(offer.id(), ErrorCode.OFFER_UNSEEN));
+      return;
+    }
+    IdempotencyKey key = offer.spec().key();
+    if (key == null) {
+      enqueue(link, offer);
+    } else {
+      offerKeyed(link, offer, key);
+    }
+  }
+
+  /** Decides by the key's history first, so that a refusal is true of the key as well. */
+  private void offerKeyed(LinkId link, Message.Offer offer, IdempotencyKey key) {
+    Execution earlier = table.keys().find(key);
+    if (earlier != null) {
+      join(link, offer.id(), key, earlier);
+    } else if (table.keys().isKnownNew(key, clock.instant())) {
+      enqueue(link, offer);
+    } else {
+      reject(link, offer.id(), ErrorCode.KEY_HISTORY_LOST, Outcome.UNKNOWN);
+    }
+  }
+
+  private Optional<ErrorCode> refusalOf(Message.Offer offer) {
+    Instant now = clock.instant();
+    if (leaving) {
+      return Optional.of(ErrorCode.LEAVING);
+    }
+    if (offer.startBy().isBefore(now)) {
+      return Optional.of(ErrorCode.DEADLINE);
+    }
+    if (offer.startBy().isAfter(now.plus(limits.maxStartDelay()).plus(limits.clockSkew()))) {
+      return Optional.of(ErrorCode.DEADLINE);
+    }
+    if (table.size() >= limits.maxRecords()) {
+      return Optional.of(ErrorCode.OVERLOADED);
+    }
+    return Optional.empty();
+  }
+
+  private void join(LinkId link, RequestId id, IdempotencyKey key, Execution earlier) {
+    IdempotencyKey earlierKey = earlier.spec().key();
+    if (earlierKey != null && !earlierKey.bodyDigest().equals(key.bodyDigest())) {
+      reject(link, id, ErrorCode.KEY_CONFLICT, Outcome.NOT_RUN);
+    } else if (!earlier.answer().holdsFrom(0)) {
+      reject(link, id, ErrorCode.ANSWER_NOT_HELD, earlier.outcome());
+    } else {
+      Attachment attachment = table.attach(link, id, earlier);
+      relay.replay(attachment, 0);
+    }
+  }
+
+  private void reject(LinkId link, RequestId id, ErrorCode reason, Outcome outcome) {
+    effects.send(link, new Message.Rejected(id, reason, outcome));
+  }
+
+  private void enqueue(LinkId link, Message.Offer offer) {
+    Optional<ErrorCode> refusal = refusalOf(offer);
+    if (refusal.isPresent()) {
+      effects.send(link, new Message.Refused(offer.id(), refusal.get()));
+      return;
+    }
+    WaitingRequest waiting =
+        new WaitingRequest(
+            offer.id(),
+            offer.spec().account(),
+            offer.spec().tier(),
+            offer.spec().cost(),
+            offer.startBy());
+    Admission admission = queue.add(waiting);
+    if (!admission.admitted()) {
+      effects.send(link, new Message.Refused(offer.id(), ErrorCode.OVERLOADED));
+      return;
+    }
+    WaitingRequest displaced = admission.displaced();
+    if (displaced != null) {
+      refuseWaiting(displaced.id(), ErrorCode.OVERLOADED);
+    }
+    Execution execution = new Execution(offer.id(), offer.spec(), clock.instant());
+    table.add(execution);
+    table.attach(link, offer.id(), execution);
+    effects.send(link, new Message.Accepted(offer.id()));
+    dispatchWaiting();
+  }
+
+  /** Ends a request that waits, which is no longer in the queue, without having run it. */
+  private void refuseWaiting(RequestId id, ErrorCode reason) {
+    Execution execution = table.find(id);
+    if (execution == null) {
+      return;
+    }
+    for (Attachment attachment : List.copyOf(execution.attachments().values())) {
+      LinkId link = attachment.link();
+      if (link == null) {
+        tombstones.add(attachment.id(), clock.instant().plus(limits.tombstoneAge()));
+      } else {
+        effects.send(link, new Message.Refused(attachment.id(), reason));
+      }
+    }
+    table.remove(execution);
+  }
+
+  private void withdraw(LinkId link, Message.Withdraw withdraw) {
+    if (withdraw.incarnation() != incarnation) {
+      return;
+    }
+    Attachment attachment = table.attachment(withdraw.id());
+    if (attachment == null) {
+      promiseNever(link, withdraw.id(), ErrorCode.OFFER_UNSEEN);
+      return;
+    }
+    Execution execution = attachment.execution();
+    boolean shared = execution.attachments().size() > 1;
+    if (execution.state() != State.QUEUED || shared) {
+      effects.send(link, new Message.Dispatched(withdraw.id()));
+      return;
+    }
+    if (promiseNever(link, withdraw.id(), ErrorCode.WITHDRAWN)) {
+      queue.remove(execution.id());
+      table.remove(execution);
+    }
+  }
+
+  /** Promises that an unknown or waiting request will never be dispatched, if there is room. */
+  private boolean promiseNever(LinkId link, RequestId id, ErrorCode reason) {
+    boolean promised = tombstones.add(id, clock.instant().plus(limits.tombstoneAge()));
+    if (promised) {
+      effects.send(link, new Message.Refused(id, reason));
+    }
+    return promised;
+  }
+
+  private void resume(LinkId link, Message.Resume resume) {
+    if (resume.incarnation() != incarnation) {
+      reject(link, resume.id(), ErrorCode.ANSWER_LOST, Outcome.UNKNOWN);
+      return;
+    }
+    Attachment attachment = table.attachment(resume.id());
+    if (attachment == null) {
+      promiseNever(link, resume.id(), ErrorCode.OFFER_UNSEEN);
+      return;
+    }
+    attachment.attach(link);
+    attachment.execution().orphanedAt(null);
+    relay.replay(attachment, resume.offset());
+  }
+
+  private void acknowledge(Message.Acknowledge acknowledge) {
+    Attachment attachment = table.attachment(acknowledge.id());
+    if (attachment == null) {
+      return;
+    }
+    attachment.acknowledge(acknowledge.offset());
+    relay.release(attachment.execution());
+  }
+
+  private void cancel(RequestId id) {
+    Attachment attachment = table.attachment(id);
+    if (attachment == null) {
+      return;
+    }
+    Execution execution = attachment.execution();
+    if (execution.attachments().size() > 1) {
+      detach(attachment);
+      return;
+    }
+    if (execution.state() == State.QUEUED) {
+      queue.remove(execution.id());
+      tombstones.add(id, clock.instant().plus(limits.tombstoneAge()));
+      table.remove(execution);
+    } else {
+      abandon(execution);
+    }
+  }
+
+  private void detach(Attachment attachment) {
+    Execution execution = attachment.execution();
+    table.detach(attachment);
+    relay.release(execution);
+  }
+
+  /** Ends a dispatched request that nobody waits for, unless it must be let run. */
+  private void abandon(Execution execution) {
+    boolean mustRun = execution.spec().nonIdempotent() || execution.isKeyed();
+    if (execution.state() == State.RUNNING && !mustRun) {
+      effects.cancel(execution.id());
+      return;
+    }
+    execution.acknowledgeAll();
+    relay.release(execution);
+  }
+
+  /**
+   * Notes that a connection to an entry has closed. Its requests wait for a new one.
+   *
+   * @param link the connection
+   */
+  public void linkClosed(LinkId link) {
+    for (Attachment attachment : table.attachments()) {
+      if (attachment.isAttachedTo(link)) {
+        attachment.detach();
+        markIfOrphaned(attachment.execution());
+      }
+    }
+  }
+
+  private void markIfOrphaned(Execution execution) {
+    if (!execution.hasLink() && execution.orphanedAt() == null) {
+      execution.orphanedAt(clock.instant());
+    }
+  }
+
+  /**
+   * Notes that this agent has no predecessor, so that every idempotency key is known to be new
+   * until it is used here.
+   */
+  public void completeKeyHistory() {
+    table.keys().complete();
+  }
+
+  /** Takes no new requests from now on, and gives back those that wait. */
+  public void leave() {
+    leaving = true;
+    queue.removeAll().forEach(waiting -> refuseWaiting(waiting.id(), ErrorCode.LEAVING));
+  }
+
+  /**
+   * Stops or allows dispatch. While dispatch is stopped, requests wait.
+   *
+   * @param stopped whether no request may be dispatched
+   */
+  public void stopDispatch(boolean stopped) {
+    fenced = stopped;
+    dispatchWaiting();
+  }
+
+  /**
+   * Tells whether nothing waits, runs or has an answer that an entry still needs.
+   *
+   * @return whether the agent may exit
+   */
+  public boolean isDrained() {
+    return queue.size() == 0 && table.executions().stream().noneMatch(Execution::isStillNeeded);
+  }
+
+  /** Applies the passage of time. */
+  public void tick() {
+    Instant now = clock.instant();
+    queue.removeExpired(now).forEach(waiting -> refuseWaiting(waiting.id(), ErrorCode.DEADLINE));
+    tombstones.removeExpired(now);
+    if (ExecutionAge.hasPassed(lastAging, AGING_INTERVAL, now)) {
+      lastAging = now;
+      table.executions().forEach(execution -> age(execution, now));
+    }
+    dispatchWaiting();
+  }
+
+  private void age(Execution execution, Instant now) {
+    if (execution.state() == State.FINISHED) {
+      removeIfOld(execution, now);
+      return;
+    }
+    if (!ages.isOrphan(execution, now)) {
+      return;
+    }
+    if (execution.state() == State.QUEUED) {
+      queue.remove(execution.id());
+      refuseWaiting(execution.id(), ErrorCode.CALLER_GONE);
+    } else {
+      abandon(execution);
+    }
+  }
+
+  private void removeIfOld(Execution execution, Instant now) {
+    if (!ages.isAnswerOld(execution, now)) {
+      return;
+    }
+    execution.answer().clear();
+    if (ages.isForgettable(execution, now)) {
+      table.remove(execution);
+    }
+  }
+
+  private void dispatchWaiting() {
+    Instant now = clock.instant();
+    Optional<WaitingRequest> next = queue.peek();
+    while (next.isPresent() && !fenced && window.hasRoom(next.get().tier(), load.running())) {
+      WaitingRequest waiting = next.get();
+      queue.remove(waiting.id());
+      if (waiting.startBy().isBefore(now)) {
+        refuseWaiting(waiting.id(), ErrorCode.DEADLINE);
+      } else {
+        dispatch(waiting.id(), now);
+      }
+      next = queue.peek();
+    }
+  }
+
+  private void dispatch(RequestId id, Instant now) {
+    Execution execution = table.get(id);
+    execution.run(now);
+    load.started(execution.spec().cost());
+    relay.broadcast(execution, Message.Dispatched::new);
+    effects.dispatch(id, execution.spec());
+    execution.dropBody();
+  }
+
+  /**
+   * Takes the beginning of the backend server's answer.
+   *
+   * @param id the request
+   * @param status the HTTP status
+   * @param contentType the media type, or null
+   */
+  public void answerBegan(RequestId id, int status, @Nullable String contentType) {
+    Execution execution = table.findRunning(id);
+    if (execution == null) {
+      return;
+    }
+    execution.head(new Message.Head(id, status, contentType));
+    execution.lastPartAt(clock.instant());
+    relay.broadcast(execution, target -> new Message.Head(target, status, contentType));
+  }
+
+  /**
+   * Takes a part of the backend server's answer.
+   *
+   * @param id the request
+   * @param data the bytes, not to be modified afterwards
+   */
+  public void answerContinued(RequestId id, byte[] data) {
+    Execution execution = table.findRunning(id);
+    if (execution == null || data.length == 0) {
+      return;
+    }
+    Instant now = clock.instant();
+    window.observeGap(Duration.between(execution.lastPartAt(), now), load.running());
+    execution.lastPartAt(now);
+    relay.append(execution, data);
+  }
+
+  /**
+   * Takes the end of the backend server's answer.
+   *
+   * @param id the request
+   * @param outcome {@code COMPLETED}, or {@code UNKNOWN} where the answer broke off
+   */
+  public void answerEnded(RequestId id, Outcome outcome) {
+    Execution execution = table.findRunning(id);
+    if (execution == null) {
+      return;
+    }
+    execution.finish(outcome, clock.instant());
+    load.ended(execution.spec().cost());
+    load.done(execution.spec().cost(), clock.instant());
+    relay.end(execution);
+    dispatchWaiting();
+  }
+
+  /**
+   * Notes that a dispatched request provably never reached the backend server.
+   *
+   * @param id the request
+   */
+  public void dispatchFailed(RequestId id) {
+    Execution execution = table.findRunning(id);
+    if (execution == null) {
+      return;
+    }
+    load.ended(execution.spec().cost());
+    refuseWaiting(id, ErrorCode.NO_BACKEND_SERVER);
+    dispatchWaiting();
+  }
+
+  /**
+   * Returns the agent's load.
+   *
+   * @return a report for heartbeats
+   */
+  public LoadReport load() {
+    return load.report(queue, window);
+  }
+
+  /**
+   * Returns the number of requests that are remembered.
+   *
+   * @return the number, refused ones included
+   */
+  public int records() {
+    return table.size() + tombstones.size();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/ledger/RunningLoad.java
@@ -0,0 +1,46 @@
+package org.wigeonstage.ledger;
+
+import java.time.Instant;
+import org.wigeonstage.handover.LoadReport;
+import org.wigeonstage.queue.DispatchWindow;
+import org.wigeonstage.queue.TierQueue;
+import org.wigeonstage.request.RequestCost;
+import org.wigeonstage.request.Tier;
+
+/** Counts the requests at the backend server and their work. */
+final class RunningLoad {
+
+  private final WorkRate rate = new WorkRate();
+  private int running;
+  private long work;
+
+  void started(RequestCost cost) {
+    running++;
+    work += cost.work();
+  }
+
+  void ended(RequestCost cost) {
+    running--;
+    work -= cost.work();
+  }
+
+  /** Counts work that the backend server got done. */
+  void done(RequestCost cost, Instant now) {
+    rate.add(cost.work(), now);
+  }
+
+  int running() {
+    return running;
+  }
+
+  LoadReport report(TierQueue queue, DispatchWindow window) {
+    int lowestWaitingRank = queue.lowestTier().map(Tier::rank).orElse(-1);
+    return new LoadReport(
+        running,
+        window.size(),
+        queue.size(),
+        work + queue.work(),
+        rate.perSecond(),
+        lowestWaitingRank);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/load/ArrivalPlanner.java
@@ -0,0 +1,75 @@
+package org.wigeonstage.load;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Draws the requests of an experiment: Poisson arrivals, lengths and shared prefixes. */
+final class ArrivalPlanner {
+
+  private static final int CHARACTERS_PER_TOKEN = 4;
+  private static final double MIN_LENGTH_FACTOR = 0.5;
+  private static final double LENGTH_FACTOR_RANGE = 1.0;
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final Experiment experiment;
+  private final SplittableRandom random;
+  private int serial;
+
+  ArrivalPlanner(Experiment experiment) {
+    this.experiment = experiment;
+    this.random = new SplittableRandom(experiment.seed());
+  }
+
+  /** Returns the requests in the order of their times. */
+  List<PlannedRequest> plan() {
+    List<PlannedRequest> requests = new ArrayList<>();
+    for (RequestClass requestClass : experiment.classes()) {
+      planClass(requestClass, random.split(), requests);
+    }
+    requests.sort(Comparator.comparing(PlannedRequest::at));
+    return requests;
+  }
+
+  private void planClass(
+      RequestClass requestClass, SplittableRandom chance, List<PlannedRequest> requests) {
+    if (requestClass.ratePerSecond() == 0) {
+      return;
+    }
+    double second = 0;
+    while (true) {
+      double rate = requestClass.ratePerSecond() * experiment.factorAt(second);
+      second -= Math.log(1 - chance.nextDouble()) / rate;
+      if (second >= experiment.seconds()) {
+        return;
+      }
+      requests.add(planOne(requestClass, second, chance));
+    }
+  }
+
+  private PlannedRequest planOne(
+      RequestClass requestClass, double second, SplittableRandom chance) {
+    serial++;
+    String nonce = experiment.name() + "-" + experiment.seed() + "-" + serial;
+    int prefix = requestClass.prefixes() == 0 ? 0 : chance.nextInt(requestClass.prefixes());
+    String shared = text(requestClass.name() + " " + prefix + " ", requestClass.prefixTokens());
+    String own = text(nonce + " ", drawLength(requestClass.promptTokens(), chance));
+    return new PlannedRequest(
+        requestClass,
+        Duration.ofNanos((long) (second * NANOS_PER_SECOND)),
+        shared + nonce + " " + own,
+        drawLength(requestClass.outputTokens(), chance));
+  }
+
+  private static int drawLength(int mean, SplittableRandom chance) {
+    double factor = MIN_LENGTH_FACTOR + LENGTH_FACTOR_RANGE * chance.nextDouble();
+    return Math.max(1, (int) Math.round(mean * factor));
+  }
+
+  private static String text(String word, int tokens) {
+    int length = tokens * CHARACTERS_PER_TOKEN;
+    return length == 0 ? "" : word.repeat(length / word.length() + 1).substring(0, length);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/load/CallFollower.java
@@ -0,0 +1,141 @@
+package org.wigeonstage.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.common.WigeonstageException;
+import org.wigeonstage.http.AnswerListener;
+import org.wigeonstage.request.Outcome;
+import org.wigeonstage.standin.EngineAnswers;
+
+/** Follows the answer to one request of an experiment. */
+final class CallFollower implements AnswerListener {
+
+  private static final int OK = 200;
+  private static final String DATA = "data: ";
+  private static final String OUTCOME_EVENT = "event: wigeonstage-outcome";
+
+  private final PlannedRequest request;
+  private final Duration dueAt;
+  private final MonotonicClock clock;
+  private final Consumer<RequestRecord> sink;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private int status;
+  private int parts;
+  private @Nullable Duration firstPart;
+  private @Nullable Duration lastPart;
+
+  CallFollower(
+      PlannedRequest request, Duration dueAt, MonotonicClock clock, Consumer<RequestRecord> sink) {
+    this.request = request;
+    this.dueAt = dueAt;
+    this.clock = clock;
+    this.sink = sink;
+  }
+
+  private Duration sinceDue() {
+    return clock.elapsed().minus(dueAt);
+  }
+
+  @Override
+  public void began(int newStatus, @Nullable String contentType) {
+    status = newStatus;
+  }
+
+  @Override
+  public void continued(byte[] data) {
+    Duration now = sinceDue();
+    if (firstPart == null) {
+      firstPart = now;
+    }
+    lastPart = now;
+    parts++;
+    body.writeBytes(data);
+  }
+
+  @Override
+  public void ended() {
+    String text = body.toString(StandardCharsets.UTF_8);
+    if (status != OK) {
+      record(outcomeOf(text), false, field(text, "code"));
+    } else if (request.requestClass().stream()) {
+      recordStream(text);
+    } else {
+      record(Outcome.COMPLETED, isOwnAnswer(text), null);
+    }
+  }
+
+  private void recordStream(String text) {
+    StringBuilder words = new StringBuilder();
+    Outcome outcome = Outcome.UNKNOWN;
+    boolean outcomeNext = false;
+    for (String line : text.split("\n")) {
+      if (line.equals(OUTCOME_EVENT)) {
+        outcomeNext = true;
+      } else if (line.startsWith(DATA) && outcomeNext) {
+        outcome = outcomeOf(line.substring(DATA.length()));
+      } else if (line.startsWith(DATA + "{")) {
+        JsonNode event = Json.parse(line.substring(DATA.length()));
+        words.append(event.at("/choices/0/delta/content").asText());
+      }
+    }
+    String expected = EngineAnswers.text(request.prompt(), request.outputTokens());
+    record(outcome, expected.contentEquals(words), null);
+  }
+
+  private boolean isOwnAnswer(String text) {
+    JsonNode answer = Json.parse(text);
+    if (!request.requestClass().model()) {
+      return answer.path("echo").asText().equals(request.prompt());
+    }
+    String expected = EngineAnswers.text(request.prompt(), request.outputTokens());
+    return answer.at("/choices/0/message/content").asText().equals(expected);
+  }
+
+  private static Outcome outcomeOf(String json) {
+    String text = field(json, "outcome");
+    for (Outcome outcome : Outcome.values()) {
+      if (outcome.text().equals(text)) {
+        return outcome;
+      }
+    }
+    return Outcome.UNKNOWN;
+  }
+
+  private static @Nullable String field(String json, String name) {
+    try {
+      return Json.parse(json).path(name).asText(null);
+    } catch (WigeonstageException e) {
+      return null;
+    }
+  }
+
+  @Override
+  public void notConnected(Throwable cause) {
+    record(Outcome.NOT_RUN, false, "not-connected");
+  }
+
+  @Override
+  public void broken(Throwable cause) {
+    record(Outcome.UNKNOWN, false, "connection-lost");
+  }
+
+  private void record(Outcome outcome, boolean correct, @Nullable String code) {
+    sink.accept(
+        new RequestRecord(request, outcome, firstPart, sinceDue(), meanGap(), correct, code));
+  }
+
+  private @Nullable Duration meanGap() {
+    Duration first = firstPart;
+    Duration last = lastPart;
+    if (first == null || last == null || parts < 2) {
+      return null;
+    }
+    return last.minus(first).dividedBy(parts - 1L);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/load/Experiment.java
@@ -0,0 +1,48 @@
+package org.wigeonstage.load;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.List;
+
+/**
+ * A load to send.
+ *
+ * @param name the experiment's name
+ * @param seed the seed of all chance
+ * @param seconds how long requests are sent, in seconds
+ * @param classes the kinds of requests
+ * @param bursts the times during which more requests are sent
+ */
+public record Experiment(
+    String name, long seed, int seconds, List<RequestClass> classes, List<Burst> bursts) {
+
+  /**
+   * A time during which more requests are sent.
+   *
+   * @param fromSecond when it begins, in seconds from the start
+   * @param toSecond when it ends, in seconds from the start
+   * @param factor the factor on all rates
+   */
+  public record Burst(int fromSecond, int toSecond, double factor) {}
+
+  /** Checks the duration. */
+  public Experiment {
+    checkArgument(seconds > 0, "seconds must be positive, was %s", seconds);
+    classes = List.copyOf(classes);
+    bursts = List.copyOf(bursts);
+  }
+
+  /**
+   * Returns the factor on all rates at a time.
+   *
+   * @param second the time in seconds from the start
+   * @return 1 outside of bursts
+   */
+  public double factorAt(double second) {
+    return bursts.stream()
+        .filter(burst -> second >= burst.fromSecond() && second < burst.toSecond())
+        .mapToDouble(Burst::factor)
+        .findFirst()
+        .orElse(1);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/load/LoadGenerator.java
@@ -0,0 +1,124 @@
+package org.wigeonstage.load;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.request.HttpCall;
+import org.wigeonstage.request.RequestId;
+
+/** Sends the requests of an experiment when they are due, however slowly answers come. */
+public final class LoadGenerator {
+
+  private static final Duration DRAIN_TIMEOUT = Duration.ofMinutes(3);
+  private static final Duration PROGRESS_INTERVAL = Duration.ofSeconds(1);
+
+  private final HttpClient client;
+  private final MonotonicClock clock;
+  private final InstantSource wallClock;
+  private final Consumer<String> progress;
+
+  /**
+   * Creates a generator.
+   *
+   * @param client makes the calls
+   * @param clock the clock for due times
+   * @param wallClock the clock for idempotency keys
+   * @param progress takes a line of progress about each second
+   */
+  public LoadGenerator(
+      HttpClient client, MonotonicClock clock, InstantSource wallClock, Consumer<String> progress) {
+    this.client = client;
+    this.clock = clock;
+    this.wallClock = wallClock;
+    this.progress = progress;
+  }
+
+  /**
+   * Runs an experiment and waits for its answers.
+   *
+   * @param experiment the experiment
+   * @param entries where to send the requests, in turn
+   * @return what the callers saw
+   * @throws InterruptedException where the thread is interrupted
+   */
+  public LoadResult run(Experiment experiment, List<Endpoint> entries) throws InterruptedException {
+    List<PlannedRequest> requests = new ArrivalPlanner(experiment).plan();
+    Queue<RequestRecord> records = new ConcurrentLinkedQueue<>();
+    CountDownLatch open = new CountDownLatch(requests.size());
+    Duration start = clock.elapsed();
+    Duration nextProgress = PROGRESS_INTERVAL;
+    for (int i = 0; i < requests.size(); i++) {
+      PlannedRequest request = requests.get(i);
+      sleepUntil(start.plus(request.at()));
+      send(
+          request,
+          start.plus(request.at()),
+          entries.get(i % entries.size()),
+          record -> {
+            records.add(record);
+            open.countDown();
+          });
+      if (request.at().compareTo(nextProgress) >= 0) {
+        nextProgress = request.at().plus(PROGRESS_INTERVAL);
+        progress.accept(progressLine(request.at(), i + 1, records.size()));
+      }
+    }
+    boolean allEnded = open.await(DRAIN_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    return new LoadResult(
+        experiment, requests, List.copyOf(records), allEnded ? 0 : open.getCount());
+  }
+
+  private static String progressLine(Duration at, int sent, int ended) {
+    return String.format("%4d s  sent %6d  ended %6d", at.toSeconds(), sent, ended);
+  }
+
+  private void sleepUntil(Duration time) throws InterruptedException {
+    Duration left = time.minus(clock.elapsed());
+    if (!left.isNegative()) {
+      TimeUnit.NANOSECONDS.sleep(left.toNanos());
+    }
+  }
+
+  private void send(
+      PlannedRequest request, Duration dueAt, Endpoint entry, Consumer<RequestRecord> sink) {
+    Map<String, String> headers = new HashMap<>();
+    headers.put("Authorization", "Bearer " + request.requestClass().key());
+    if (request.requestClass().keyed()) {
+      headers.put("Idempotency-Key", RequestId.create(wallClock.instant()).value());
+    }
+    client.send(entry, callOf(request), headers, new CallFollower(request, dueAt, clock, sink));
+  }
+
+  private static HttpCall callOf(PlannedRequest request) {
+    RequestClass requestClass = request.requestClass();
+    if (!requestClass.model()) {
+      byte[] body = request.prompt().getBytes(StandardCharsets.UTF_8);
+      return new HttpCall("POST", requestClass.target(), "text/plain", body);
+    }
+    ObjectNode body =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("model", requestClass.target())
+            .put("max_tokens", request.outputTokens())
+            .put("stream", requestClass.stream());
+    body.putArray("messages").addObject().put("role", "user").put("content", request.prompt());
+    return new HttpCall(
+        "POST",
+        "/v1/chat/completions",
+        "application/json",
+        body.toString().getBytes(StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/routing/AgentState.java
@@ -0,0 +1,172 @@
+package org.wigeonstage.routing;
+
+import org.wigeonstage.handover.LoadReport;
+
+/** What an entry knows of one agent. Not safe for use by several threads. */
+public final class AgentState {
+
+  private final String name;
+  private final String failureDomain;
+  private final long nameHash;
+  private LoadReport load = LoadReport.IDLE;
+  private long incarnation;
+  private boolean linked;
+  private boolean leaving;
+  private boolean suspected;
+  private int outstanding;
+  private long outstandingWork;
+  private long workSinceReport;
+
+  /**
+   * Creates the state of an agent without a connection.
+   *
+   * @param name the agent's name
+   * @param failureDomain the failure domain of its host
+   */
+  public AgentState(String name, String failureDomain) {
+    this.name = name;
+    this.failureDomain = failureDomain;
+    this.nameHash = RendezvousHash.ofText(name);
+  }
+
+  /**
+   * Returns the agent's name.
+   *
+   * @return the name
+   */
+  public String name() {
+    return name;
+  }
+
+  /**
+   * Returns the failure domain of the agent's host.
+   *
+   * @return the failure domain's name
+   */
+  public String failureDomain() {
+    return failureDomain;
+  }
+
+  long nameHash() {
+    return nameHash;
+  }
+
+  /**
+   * Notes that a connection to the agent is open.
+   *
+   * @param newIncarnation the agent's incarnation
+   */
+  public void linkUp(long newIncarnation) {
+    if (newIncarnation != incarnation) {
+      leaving = false;
+      load = LoadReport.IDLE;
+    }
+    incarnation = newIncarnation;
+    linked = true;
+  }
+
+  /** Notes that no connection to the agent is open. */
+  public void linkDown() {
+    linked = false;
+  }
+
+  /**
+   * Returns the incarnation that the agent gave on its last connection.
+   *
+   * @return the incarnation, or 0 before the first connection
+   */
+  public long incarnation() {
+    return incarnation;
+  }
+
+  /**
+   * Tells whether a connection to the agent is open.
+   *
+   * @return whether messages can be sent
+   */
+  public boolean isLinked() {
+    return linked;
+  }
+
+  /** Notes that the agent takes no new requests. */
+  public void leave() {
+    leaving = true;
+  }
+
+  /**
+   * Notes what the platform's list of hosts says of the agent's host.
+   *
+   * @param value whether the host is listed as leaving or not listed any more
+   */
+  public void suspect(boolean value) {
+    suspected = value;
+  }
+
+  /**
+   * Tells whether new requests may be offered to the agent.
+   *
+   * @return whether the agent is connected and neither leaving nor suspected to be
+   */
+  public boolean isAvailable() {
+    return linked && !leaving && !suspected;
+  }
+
+  /**
+   * Takes a report of the agent's load.
+   *
+   * @param report the report
+   */
+  public void report(LoadReport report) {
+    load = report;
+    workSinceReport = 0;
+  }
+
+  /**
+   * Returns the agent's last report of its load.
+   *
+   * @return the report
+   */
+  public LoadReport load() {
+    return load;
+  }
+
+  /**
+   * Notes that a request was offered to the agent.
+   *
+   * @param work the request's estimated work in output tokens
+   */
+  public void offered(long work) {
+    outstanding++;
+    outstandingWork += work;
+    workSinceReport += work;
+  }
+
+  /**
+   * Notes that an offered request has ended.
+   *
+   * @param work the work that {@link #offered} was given
+   */
+  public void ended(long work) {
+    outstanding--;
+    outstandingWork -= work;
+  }
+
+  /**
+   * Returns the number of this entry's requests at the agent.
+   *
+   * @return the number
+   */
+  public int outstanding() {
+    return outstanding;
+  }
+
+  /**
+   * Returns the work expected at the agent: as reported, and as offered since, but at least this
+   * entry's own.
+   *
+   * @return the work in output tokens
+   */
+  public long expectedWork() {
+    return Math.max(outstandingWork, load.work() + workSinceReport);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/standin/EngineAnswers.java
@@ -0,0 +1,82 @@
+package org.wigeonstage.standin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+
+/** The answers of an engine stand-in: words that depend on the prompt alone. */
+public final class EngineAnswers {
+
+  private EngineAnswers() {}
+
+  /**
+   * Returns a word of the answer to a prompt.
+   *
+   * @param prompt the prompt
+   * @param index the word's place, from 0
+   * @return the word, with a space behind it
+   */
+  public static String word(String prompt, int index) {
+    return digestOf(prompt) + "-" + index + " ";
+  }
+
+  /**
+   * Returns the whole answer to a prompt.
+   *
+   * @param prompt the prompt
+   * @param words the number of words
+   * @return the text
+   */
+  public static String text(String prompt, int words) {
+    String digest = digestOf(prompt);
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < words; i++) {
+      text.append(digest).append('-').append(i).append(' ');
+    }
+    return text.toString();
+  }
+
+  private static String digestOf(String prompt) {
+    return Hashing.farmHashFingerprint64().hashString(prompt, StandardCharsets.UTF_8).toString();
+  }
+
+  static byte[] event(String id, String model, String word) {
+    ObjectNode chunk = envelope(id, model, "chat.completion.chunk");
+    ObjectNode choice = choiceOf(chunk);
+    choice.putObject("delta").put("content", word);
+    choice.putNull("finish_reason");
+    return ("data: " + chunk + "\n\n").getBytes(StandardCharsets.UTF_8);
+  }
+
+  static byte[] lastEvent() {
+    return "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
+  }
+
+  static byte[] whole(String id, String model, String prompt, int promptTokens, int words) {
+    ObjectNode answer = envelope(id, model, "chat.completion");
+    ObjectNode choice = choiceOf(answer);
+    choice.putObject("message").put("role", "assistant").put("content", text(prompt, words));
+    choice.put("finish_reason", "length");
+    answer
+        .putObject("usage")
+        .put("prompt_tokens", promptTokens)
+        .put("completion_tokens", words)
+        .put("total_tokens", promptTokens + words);
+    return answer.toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static ObjectNode envelope(String id, String model, String type) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("id", id)
+        .put("object", type)
+        .put("model", model);
+  }
+
+  private static ObjectNode choiceOf(ObjectNode answer) {
+    ArrayNode choices = answer.putArray("choices");
+    return choices.addObject().put("index", 0);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/standin/EngineStandin.java
@@ -0,0 +1,302 @@
+package org.wigeonstage.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.Closeable;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.HttpServer;
+import org.wigeonstage.http.Problem;
+import org.wigeonstage.http.ServerExchange;
+
+/**
+ * Stands in for a model engine that batches continuously.
+ *
+ * <p>Each step gives one token to every request that is past its prompt and spends the rest of the
+ * step's tokens on prompts, in the order of arrival. A step takes a fixed time. The prefix cache
+ * holds a fixed number of prompt blocks. Streams can be resumed by identifier and offset, and
+ * cancelled; orders carry a fencing number that is checked or ignored. It has no sampling, no
+ * adapters, no export of the cache, and the load that it reports is the one of the last reports'
+ * interval.
+ */
+public final class EngineStandin implements Closeable {
+
+  private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+  private static final int DEFAULT_MAX_TOKENS = 16;
+  private static final int OK = 200;
+  private static final int MAX_KEPT_STREAMS = 2000;
+  private static final String JSON = "application/json";
+  private static final String STREAMS = "/v1/streams/";
+
+  private final EngineSpeed speed;
+  private final boolean checksFencing;
+  private final PrefixCache cache;
+  private final ConcurrentLinkedQueue<EngineStream> arrivals = new ConcurrentLinkedQueue<>();
+  private final Map<String, EngineStream> streams = new ConcurrentHashMap<>();
+  private final Map<String, AtomicInteger> dispatches = new ConcurrentHashMap<>();
+  private final List<EngineStream> batch = new ArrayList<>();
+  private final AtomicLong prefillComputed = new AtomicLong();
+  private final AtomicLong prefillSaved = new AtomicLong();
+  private final AtomicLong generated = new AtomicLong();
+  private final AtomicLong staleOrders = new AtomicLong();
+  private final HttpServer server;
+  private final Thread loop;
+  private long lastFencingNumber;
+  private volatile int slowdown = 1;
+  private volatile int running;
+  private volatile boolean closed;
+
+  private EngineStandin(Endpoint endpoint, EngineSpeed speed, boolean checksFencing) {
+    this.speed = speed;
+    this.checksFencing = checksFencing;
+    this.cache = new PrefixCache(speed.cacheBlocks());
+    this.loop = new Thread(this::runSteps, "engine");
+    this.server = HttpServer.start("engine", endpoint, MAX_BODY_BYTES, this::handle);
+  }
+
+  /**
+   * Starts a stand-in.
+   *
+   * @param endpoint where to listen
+   * @param speed how fast it works
+   * @param checksFencing whether orders with an old fencing number are refused
+   * @return the stand-in
+   */
+  public static EngineStandin start(Endpoint endpoint, EngineSpeed speed, boolean checksFencing) {
+    EngineStandin engine = new EngineStandin(endpoint, speed, checksFencing);
+    engine.loop.setDaemon(true);
+    engine.loop.start();
+    return engine;
+  }
+
+  /**
+   * Returns the address that the stand-in listens on.
+   *
+   * @return the address, with the port that the system chose
+   */
+  public Endpoint endpoint() {
+    return server.endpoint();
+  }
+
+  /**
+   * Makes each step take several times as long.
+   *
+   * @param factor 1 for the usual speed
+   */
+  public void slowdown(int factor) {
+    slowdown = factor;
+  }
+
+  /** Breaks the connections of all streams; they can be resumed. */
+  public void dropReaders() {
+    streams.values().forEach(EngineStream::dropReader);
+  }
+
+  /**
+   * Returns the prompt tokens that were processed.
+   *
+   * @return the number, without those found in the cache
+   */
+  public long prefillComputed() {
+    return prefillComputed.get();
+  }
+
+  /**
+   * Returns the prompt tokens that were found in the cache.
+   *
+   * @return the number
+   */
+  public long prefillSaved() {
+    return prefillSaved.get();
+  }
+
+  /**
+   * Returns the tokens that were generated.
+   *
+   * @return the number
+   */
+  public long generated() {
+    return generated.get();
+  }
+
+  /**
+   * Returns how many orders with an old fencing number were carried out.
+   *
+   * @return the number
+   */
+  public long staleOrders() {
+    return staleOrders.get();
+  }
+
+  /**
+   * Returns how often each request identifier was received.
+   *
+   * @return counts by identifier
+   */
+  public Map<String, Integer> dispatches() {
+    Map<String, Integer> copy = new ConcurrentHashMap<>();
+    dispatches.forEach((id, count) -> copy.put(id, count.get()));
+    return copy;
+  }
+
+  private void handle(ServerExchange exchange) {
+    String path = exchange.path();
+    if (path.startsWith("/v1/chat/completions") || path.startsWith("/v1/completions")) {
+      complete(exchange);
+    } else if (path.startsWith(STREAMS)) {
+      followOrCancel(exchange, path.substring(STREAMS.length()));
+    } else if (path.equals("/v1/load")) {
+      exchange.respond(OK, JSON, describeLoad().toString());
+    } else if (path.equals("/v1/orders")) {
+      order(exchange);
+    } else if (path.equals("/standin/slowdown")) {
+      slowdown(Integer.parseInt(exchange.text()));
+      exchange.respond(OK, JSON, "{}");
+    } else {
+      Problem.respond(exchange, ErrorCode.NOT_FOUND, "nothing at " + path, Map.of());
+    }
+  }
+
+  private ObjectNode describeLoad() {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("running", running)
+        .put("prefillComputed", prefillComputed())
+        .put("prefillSaved", prefillSaved())
+        .put("generated", generated());
+  }
+
+  private void complete(ServerExchange exchange) {
+    JsonNode body = Json.parse(exchange.text());
+    String id = Objects.requireNonNullElse(exchange.header("X-Request-Id"), "anonymous");
+    dispatches.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
+    EngineStream stream =
+        new EngineStream(
+            id,
+            promptOf(body),
+            body.path("max_tokens").asInt(DEFAULT_MAX_TOKENS),
+            body.path("stream").asBoolean());
+    if (streams.size() > MAX_KEPT_STREAMS) {
+      streams.values().removeIf(EngineStream::isEnded);
+    }
+    streams.put(id, stream);
+    exchange.begin(OK, stream.isStreaming() ? "text/event-stream" : JSON, Map.of());
+    stream.attach(exchange, 0);
+    arrivals.add(stream);
+  }
+
+  private static String promptOf(JsonNode body) {
+    StringBuilder prompt = new StringBuilder(body.path("prompt").asText(""));
+    for (JsonNode message : body.path("messages")) {
+      prompt.append(message.path("content").asText(""));
+    }
+    return prompt.toString();
+  }
+
+  private void followOrCancel(ServerExchange exchange, String id) {
+    EngineStream stream = streams.get(id);
+    if (stream == null) {
+      Problem.respond(exchange, ErrorCode.NOT_FOUND, "no stream " + id, Map.of());
+    } else if (exchange.method().equals("DELETE")) {
+      stream.cancel();
+      exchange.respond(OK, JSON, "{}");
+    } else {
+      String offset = Objects.requireNonNullElse(exchange.parameter("offset"), "0");
+      exchange.begin(OK, stream.isStreaming() ? "text/event-stream" : JSON, Map.of());
+      stream.attach(exchange, Long.parseLong(offset));
+    }
+  }
+
+  private synchronized void order(ServerExchange exchange) {
+    long number = Json.parse(exchange.text()).path("fencingNumber").asLong();
+    boolean stale = number < lastFencingNumber;
+    if (stale && checksFencing) {
+      Problem.respond(exchange, ErrorCode.STALE_INCARNATION, "fencing number " + number, Map.of());
+      return;
+    }
+    if (stale) {
+      staleOrders.incrementAndGet();
+    }
+    lastFencingNumber = Math.max(lastFencingNumber, number);
+    exchange.respond(OK, JSON, "{}");
+  }
+
+  private void runSteps() {
+    while (!closed) {
+      try {
+        Thread.sleep(speed.step().toMillis() * slowdown);
+      } catch (InterruptedException e) {
+        return;
+      }
+      step();
+    }
+  }
+
+  private void step() {
+    for (EngineStream next = arrivals.poll(); next != null; next = arrivals.poll()) {
+      int saved = cache.use(next.prompt());
+      prefillSaved.addAndGet(saved);
+      next.prefillLeft(next.promptTokens() - saved);
+      batch.add(next);
+    }
+    int budget = speed.tokensPerStep();
+    for (EngineStream stream : batch) {
+      if (stream.isPrefilled() && budget > 0 && !stream.isStalled()) {
+        generate(stream);
+        budget--;
+      }
+    }
+    for (EngineStream stream : batch) {
+      int done = stream.prefill(budget);
+      prefillComputed.addAndGet(done);
+      budget -= done;
+    }
+    batch.removeIf(EngineStream::isEnded);
+    running = batch.size();
+  }
+
+  private void generate(EngineStream stream) {
+    if (stream.isCancelled()) {
+      return;
+    }
+    if (!stream.isGenerated()) {
+      int index = stream.nextToken();
+      generated.incrementAndGet();
+      if (stream.isStreaming()) {
+        stream.produce(
+            EngineAnswers.event(
+                stream.id(), "standin", EngineAnswers.word(stream.prompt(), index)));
+      }
+    }
+    if (stream.isGenerated()) {
+      byte[] last =
+          stream.isStreaming()
+              ? EngineAnswers.lastEvent()
+              : EngineAnswers.whole(
+                  stream.id(),
+                  "standin",
+                  stream.prompt(),
+                  stream.promptTokens(),
+                  stream.generated());
+      stream.produce(last);
+      stream.end();
+    }
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    loop.interrupt();
+    server.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/standin/EngineStream.java
@@ -0,0 +1,133 @@
+package org.wigeonstage.standin;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.http.ServerExchange;
+
+/** One request in an engine: its prompt, its progress and the bytes of its answer. */
+final class EngineStream {
+
+  /** How far the reader may fall behind before generation waits. */
+  private static final long MAX_UNREAD_BYTES = 64 * 1024;
+
+  private final String id;
+  private final String prompt;
+  private final int maxTokens;
+  private final boolean streaming;
+  private final ByteArrayOutputStream produced = new ByteArrayOutputStream();
+  private @Nullable ServerExchange reader;
+  private long readerOffset;
+  private volatile long consumed;
+  private int prefillLeft;
+  private int generated;
+  private boolean ended;
+  private boolean cancelled;
+
+  EngineStream(String id, String prompt, int maxTokens, boolean streaming) {
+    this.id = id;
+    this.prompt = prompt;
+    this.maxTokens = maxTokens;
+    this.streaming = streaming;
+  }
+
+  String id() {
+    return id;
+  }
+
+  String prompt() {
+    return prompt;
+  }
+
+  int promptTokens() {
+    return prompt.length() / PrefixCache.CHARACTERS_PER_TOKEN;
+  }
+
+  boolean isStreaming() {
+    return streaming;
+  }
+
+  void prefillLeft(int tokens) {
+    prefillLeft = tokens;
+  }
+
+  /** Processes up to a number of prompt tokens; returns how many. */
+  int prefill(int budget) {
+    int done = Math.min(budget, prefillLeft);
+    prefillLeft -= done;
+    return done;
+  }
+
+  boolean isPrefilled() {
+    return prefillLeft == 0;
+  }
+
+  int nextToken() {
+    return generated++;
+  }
+
+  boolean isGenerated() {
+    return generated >= maxTokens;
+  }
+
+  int generated() {
+    return generated;
+  }
+
+  synchronized boolean isStalled() {
+    return reader != null && produced.size() - readerOffset - consumed > MAX_UNREAD_BYTES;
+  }
+
+  synchronized void produce(byte[] data) {
+    produced.writeBytes(data);
+    ServerExchange current = reader;
+    if (current != null) {
+      current.write(data);
+    }
+  }
+
+  synchronized void end() {
+    ended = true;
+    ServerExchange current = reader;
+    if (current != null) {
+      current.end();
+    }
+  }
+
+  synchronized void cancel() {
+    cancelled = true;
+    end();
+  }
+
+  synchronized boolean isCancelled() {
+    return cancelled;
+  }
+
+  synchronized boolean isEnded() {
+    return ended;
+  }
+
+  /** Gives a reader the bytes from an offset on, and all that follow. */
+  synchronized void attach(ServerExchange exchange, long offset) {
+    reader = exchange;
+    readerOffset = offset;
+    consumed = 0;
+    exchange.onConsumed(count -> consumed = count);
+    byte[] all = produced.toByteArray();
+    if (offset < all.length) {
+      exchange.write(Arrays.copyOfRange(all, (int) offset, all.length));
+    }
+    if (ended) {
+      exchange.end();
+    }
+  }
+
+  /** Breaks the reader's connection, as a failing network would; generation goes on. */
+  synchronized void dropReader() {
+    ServerExchange current = reader;
+    reader = null;
+    if (current != null) {
+      current.abort();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/standin/ObjectTable.java
@@ -0,0 +1,72 @@
+package org.wigeonstage.standin;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import org.wigeonstage.platform.ObjectList;
+import org.wigeonstage.platform.StoredObject;
+
+/** Versioned objects in memory, and those who wait for a write. Safe for use by several threads. */
+final class ObjectTable {
+
+  /** Learns of the next write to a kind. */
+  @FunctionalInterface
+  interface Waiter {
+    void written(ObjectList list);
+  }
+
+  private final Map<String, TreeMap<String, StoredObject>> kinds = new HashMap<>();
+  private final Map<String, Long> revisions = new HashMap<>();
+  private final Map<String, List<Waiter>> waiters = new HashMap<>();
+  private long lastRevision;
+
+  synchronized Optional<StoredObject> get(String kind, String name) {
+    return Optional.ofNullable(objects(kind).get(name));
+  }
+
+  synchronized ObjectList list(String kind) {
+    return new ObjectList(revisions.getOrDefault(kind, 0L), List.copyOf(objects(kind).values()));
+  }
+
+  /** Writes an object; returns its new version, or empty where the expected one is not there. */
+  OptionalLong put(String kind, String name, long expectedVersion, String value) {
+    List<Waiter> woken;
+    long version;
+    synchronized (this) {
+      StoredObject existing = objects(kind).get(name);
+      long current = existing == null ? 0 : existing.version();
+      if (current != expectedVersion) {
+        return OptionalLong.empty();
+      }
+      lastRevision++;
+      version = lastRevision;
+      objects(kind).put(name, new StoredObject(name, version, value));
+      revisions.put(kind, version);
+      woken = Optional.ofNullable(waiters.remove(kind)).orElse(List.of());
+    }
+    ObjectList list = list(kind);
+    woken.forEach(waiter -> waiter.written(list));
+    return OptionalLong.of(version);
+  }
+
+  /** Adds a waiter, unless there was a write already; then returns the objects. */
+  synchronized Optional<ObjectList> await(String kind, long afterRevision, Waiter waiter) {
+    if (revisions.getOrDefault(kind, 0L) > afterRevision) {
+      return Optional.of(list(kind));
+    }
+    waiters.computeIfAbsent(kind, key -> new ArrayList<>()).add(waiter);
+    return Optional.empty();
+  }
+
+  synchronized void remove(String kind, Waiter waiter) {
+    waiters.getOrDefault(kind, new ArrayList<>()).remove(waiter);
+  }
+
+  private TreeMap<String, StoredObject> objects(String kind) {
+    return kinds.computeIfAbsent(kind, key -> new TreeMap<>());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/standin/PrefixCache.java
@@ -0,0 +1,47 @@
+package org.wigeonstage.standin;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The least recently used cache of an engine's prompt blocks. Not safe for several threads. */
+final class PrefixCache {
+
+  static final int CHARACTERS_PER_TOKEN = 4;
+  static final int BLOCK_TOKENS = 64;
+  private static final int BLOCK_CHARACTERS = BLOCK_TOKENS * CHARACTERS_PER_TOKEN;
+
+  private final LinkedHashMap<Long, Boolean> blocks;
+
+  PrefixCache(int capacity) {
+    this.blocks =
+        new LinkedHashMap<>(16, 0.75f, true) {
+          private static final long serialVersionUID = 1L;
+
+          @Override
+          protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+            return size() > capacity;
+          }
+        };
+  }
+
+  /** Returns the prompt's tokens that need no prefill, and keeps all of its blocks. */
+  int use(String prompt) {
+    int cachedBlocks = 0;
+    boolean hit = true;
+    long chain = 0;
+    for (int end = BLOCK_CHARACTERS; end <= prompt.length(); end += BLOCK_CHARACTERS) {
+      String block = prompt.substring(end - BLOCK_CHARACTERS, end);
+      chain =
+          31 * chain
+              + Hashing.farmHashFingerprint64().hashString(block, StandardCharsets.UTF_8).asLong();
+      hit &= blocks.get(chain) != null;
+      blocks.put(chain, true);
+      if (hit) {
+        cachedBlocks++;
+      }
+    }
+    return cachedBlocks * BLOCK_TOKENS;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/telemetry/Tracing.java
@@ -0,0 +1,117 @@
+package org.wigeonstage.telemetry;
+
+import io.opentelemetry.api.common.AttributeKey;
+import io.opentelemetry.api.common.Attributes;
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanContext;
+import io.opentelemetry.api.trace.Tracer;
+import io.opentelemetry.api.trace.propagation.W3CTraceContextPropagator;
+import io.opentelemetry.context.Context;
+import io.opentelemetry.context.propagation.TextMapGetter;
+import io.opentelemetry.exporter.otlp.http.trace.OtlpHttpSpanExporter;
+import io.opentelemetry.sdk.resources.Resource;
+import io.opentelemetry.sdk.trace.SdkTracerProvider;
+import io.opentelemetry.sdk.trace.export.BatchSpanProcessor;
+import io.opentelemetry.sdk.trace.export.SimpleSpanProcessor;
+import java.io.Closeable;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.settings.TelemetrySettings;
+
+/** Makes the spans of this process and passes trace contexts on. */
+public final class Tracing implements Closeable {
+
+  private static final String HEADER = "traceparent";
+
+  private final SdkTracerProvider provider;
+  private final Tracer tracer;
+
+  private Tracing(SdkTracerProvider provider) {
+    this.provider = provider;
+    this.tracer = provider.get("wigeonstage");
+  }
+
+  /**
+   * Starts tracing.
+   *
+   * @param process the name of the process
+   * @param settings which exporter to use
+   * @return the tracing
+   */
+  public static Tracing start(String process, TelemetrySettings settings) {
+    Resource resource =
+        Resource.create(Attributes.of(AttributeKey.stringKey("service.name"), process));
+    var builder = SdkTracerProvider.builder().setResource(resource);
+    if (settings.traces().equals("json")) {
+      builder.addSpanProcessor(SimpleSpanProcessor.create(new JsonSpanExporter(System.err)));
+    } else if (settings.traces().equals("otlp")) {
+      var exporter = OtlpHttpSpanExporter.builder().setEndpoint(settings.otlpEndpoint()).build();
+      builder.addSpanProcessor(BatchSpanProcessor.builder(exporter).build());
+    }
+    return new Tracing(builder.build());
+  }
+
+  /**
+   * Starts a span.
+   *
+   * @param name the hop's name
+   * @param traceParent the W3C trace context of the parent, or null
+   * @return the span, to be ended by the caller
+   */
+  public Span startSpan(String name, @Nullable String traceParent) {
+    return tracer.spanBuilder(name).setParent(contextOf(traceParent)).startSpan();
+  }
+
+  private static Context contextOf(@Nullable String traceParent) {
+    if (traceParent == null) {
+      return Context.root();
+    }
+    return W3CTraceContextPropagator.getInstance()
+        .extract(Context.root(), Map.of(HEADER, traceParent), new MapGetter());
+  }
+
+  /**
+   * Returns the trace context that makes other spans children of a span.
+   *
+   * @param span the parent
+   * @return the value of a {@code traceparent} field, or null where the span has no context
+   */
+  public static @Nullable String traceParentOf(Span span) {
+    SpanContext context = span.getSpanContext();
+    if (!context.isValid()) {
+      return null;
+    }
+    Map<String, String> carrier = new HashMap<>();
+    W3CTraceContextPropagator.getInstance()
+        .inject(
+            Context.root().with(span),
+            carrier,
+            (map, key, value) -> {
+              if (map != null) {
+                map.put(key, value);
+              }
+            });
+    return carrier.get(HEADER);
+  }
+
+  @Override
+  public void close() {
+    provider.close();
+  }
+
+  /** Reads fields from a map. */
+  private static final class MapGetter implements TextMapGetter<Map<String, String>> {
+
+    @Override
+    public Iterable<String> keys(Map<String, String> carrier) {
+      return List.copyOf(carrier.keySet());
+    }
+
+    @Override
+    public @Nullable String get(@Nullable Map<String, String> carrier, String key) {
+      return carrier == null ? null : carrier.get(key);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/wire/FrameFilter.java
@@ -0,0 +1,53 @@
+package org.wigeonstage.wire;
+
+import java.nio.ByteBuffer;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.memory.Buffers;
+import org.wigeonstage.handover.Message;
+
+/** Turns bytes into messages and back: each frame is a length of four bytes and a message. */
+final class FrameFilter extends BaseFilter {
+
+  private static final int LENGTH_BYTES = 4;
+
+  private final int maxFrameBytes;
+
+  FrameFilter(int maxFrameBytes) {
+    this.maxFrameBytes = maxFrameBytes;
+  }
+
+  @Override
+  public NextAction handleRead(FilterChainContext context) {
+    Buffer input = context.getMessage();
+    if (input.remaining() < LENGTH_BYTES) {
+      return context.getStopAction(input);
+    }
+    int length = input.getInt(input.position());
+    if (length <= 0 || length > maxFrameBytes) {
+      throw new BadFrameException("frame length " + length + " is out of bounds", null);
+    }
+    int frameEnd = input.position() + LENGTH_BYTES + length;
+    if (input.limit() < frameEnd) {
+      return context.getStopAction(input);
+    }
+    Buffer remainder = input.limit() > frameEnd ? input.split(frameEnd) : null;
+    input.position(input.position() + LENGTH_BYTES);
+    byte[] frame = new byte[length];
+    input.get(frame);
+    input.tryDispose();
+    context.setMessage(MessageDecoder.decode(frame));
+    return context.getInvokeAction(remainder);
+  }
+
+  @Override
+  public NextAction handleWrite(FilterChainContext context) {
+    byte[] frame = MessageEncoder.encode(context.<Message>getMessage());
+    ByteBuffer buffer = ByteBuffer.allocate(LENGTH_BYTES + frame.length);
+    buffer.putInt(frame.length).put(frame).flip();
+    context.setMessage(Buffers.wrap(null, buffer));
+    return context.getInvokeAction();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/wire/LinkFilter.java
@@ -0,0 +1,97 @@
+package org.wigeonstage.wire;
+
+import com.codahale.metrics.Counter;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.handover.Message;
+
+/** Greets each peer and passes messages to a {@link LinkListener}. */
+final class LinkFilter extends BaseFilter {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final Supplier<Message.Hello> greeting;
+  private final LinkListener listener;
+  private final MonotonicClock clock;
+  private final Counter badFrames;
+
+  LinkFilter(
+      Supplier<Message.Hello> greeting,
+      LinkListener listener,
+      MonotonicClock clock,
+      Counter badFrames) {
+    this.greeting = greeting;
+    this.listener = listener;
+    this.clock = clock;
+    this.badFrames = badFrames;
+  }
+
+  @Override
+  public NextAction handleAccept(FilterChainContext context) {
+    greet(context.getConnection());
+    return context.getInvokeAction();
+  }
+
+  @Override
+  public NextAction handleConnect(FilterChainContext context) {
+    greet(context.getConnection());
+    return context.getInvokeAction();
+  }
+
+  private void greet(Connection<?> connection) {
+    Link link = new Link(connection, clock);
+    Link.ATTRIBUTE.set(connection, link);
+    link.send(greeting.get());
+  }
+
+  @Override
+  public NextAction handleRead(FilterChainContext context) {
+    Link link = Link.ATTRIBUTE.get(context.getConnection());
+    Message message = context.getMessage();
+    link.received();
+    if (link.isGreeted()) {
+      listener.received(link, message);
+    } else {
+      open(link, message);
+    }
+    return context.getStopAction();
+  }
+
+  private void open(Link link, Message message) {
+    if (!(message instanceof Message.Hello hello)) {
+      throw new BadFrameException("the first message must be a hello", null);
+    }
+    if (hello.protocolVersion() != Message.PROTOCOL_VERSION) {
+      throw new BadFrameException(
+          "the peer speaks protocol version " + hello.protocolVersion(), null);
+    }
+    link.greeted(hello);
+    listener.opened(link);
+  }
+
+  @Override
+  public NextAction handleClose(FilterChainContext context) {
+    Link link = Link.ATTRIBUTE.get(context.getConnection());
+    if (link != null && link.isGreeted() && link.markClosed()) {
+      listener.closed(link);
+    }
+    return context.getInvokeAction();
+  }
+
+  @Override
+  public void exceptionOccurred(FilterChainContext context, Throwable error) {
+    if (error instanceof BadFrameException) {
+      badFrames.inc();
+    } else if (!(error instanceof IOException)) {
+      logger.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(error).log("link failed");
+    }
+    context.getConnection().terminateSilently();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/wire/Links.java
@@ -0,0 +1,29 @@
+package org.wigeonstage.wire;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.handover.Message;
+
+/** Assembles the filters of connections. */
+final class Links {
+
+  /** The largest frame; a request's body and its other fields must fit. */
+  static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
+
+  private Links() {}
+
+  static FilterChain chain(
+      Supplier<Message.Hello> greeting, LinkListener listener, MetricRegistry metrics) {
+    return FilterChainBuilder.stateless()
+        .add(new TransportFilter())
+        .add(new FrameFilter(MAX_FRAME_BYTES))
+        .add(
+            new LinkFilter(
+                greeting, listener, MonotonicClock.system(), metrics.counter("links.badFrames")))
+        .build();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -0,0 +1,132 @@
+package org.wigeonstage.wire;
+
+import java.io.IOException;
+import java.time.Instant;
+import org.jspecify.annotations.Nullable;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.handover.LoadReport;
+import org.wigeonstage.handover.Message;
+import org.wigeonstage.request.HttpCall;
+import org.wigeonstage.request.IdempotencyKey;
+import org.wigeonstage.request.Outcome;
+import org.wigeonstage.request.RequestCost;
+import org.wigeonstage.request.RequestId;
+import org.wigeonstage.request.RequestSpec;
+import org.wigeonstage.request.Tier;
+
+/** Reads what {@link MessageEncoder} writes. */
+public final class MessageDecoder {
+
+  private MessageDecoder() {}
+
+  /**
+   * Decodes a message.
+   *
+   * @param frame the bytes of one frame, without its length
+   * @return the message
+   * @throws BadFrameException where the bytes hold no message of the protocol
+   */
+  public static Message decode(byte[] frame) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(frame)) {
+      Message message = read(unpacker);
+      if (unpacker.hasNext()) {
+        throw new BadFrameException("frame has bytes behind its message", null);
+      }
+      return message;
+    } catch (IOException | MessagePackException | IllegalArgumentException e) {
+      throw new BadFrameException("frame holds no message", e);
+    }
+  }
+
+  private static Message read(MessageUnpacker in) throws IOException {
+    MessageType type = constant(MessageType.values(), in.unpackInt());
+    return switch (type) {
+      case HELLO -> readHello(in);
+      case PING -> new Message.Ping(in.unpackLong(), in.unpackLong());
+      case PONG -> readPong(in);
+      case LEAVING -> new Message.Leaving();
+      case CONFIG_SNAPSHOT -> new Message.ConfigSnapshot(in.unpackLong(), in.unpackString());
+      default -> readAbout(type, RequestId.of(in.unpackString()), in);
+    };
+  }
+
+  private static Message readAbout(MessageType type, RequestId id, MessageUnpacker in)
+      throws IOException {
+    return switch (type) {
+      case OFFER ->
+          new Message.Offer(
+              id, in.unpackLong(), Instant.ofEpochMilli(in.unpackLong()), readSpec(in));
+      case ACCEPTED -> new Message.Accepted(id);
+      case REFUSED -> new Message.Refused(id, constant(ErrorCode.values(), in.unpackInt()));
+      case REJECTED ->
+          new Message.Rejected(
+              id,
+              constant(ErrorCode.values(), in.unpackInt()),
+              constant(Outcome.values(), in.unpackInt()));
+      case WITHDRAW -> new Message.Withdraw(id, in.unpackLong());
+      case DISPATCHED -> new Message.Dispatched(id);
+      case HEAD -> new Message.Head(id, in.unpackInt(), readOptional(in));
+      case CHUNK -> new Message.Chunk(id, in.unpackLong(), readBytes(in));
+      case END -> new Message.End(id, in.unpackLong(), constant(Outcome.values(), in.unpackInt()));
+      case ACKNOWLEDGE -> new Message.Acknowledge(id, in.unpackLong());
+      case RESUME -> new Message.Resume(id, in.unpackLong(), in.unpackLong());
+      case CANCEL -> new Message.Cancel(id);
+      default -> throw new BadFrameException("message type " + type + " has no request", null);
+    };
+  }
+
+  private static Message.Hello readHello(MessageUnpacker in) throws IOException {
+    return new Message.Hello(
+        in.unpackInt(), in.unpackString(), in.unpackString(), in.unpackLong(), in.unpackLong());
+  }
+
+  private static Message.Pong readPong(MessageUnpacker in) throws IOException {
+    long sequence = in.unpackLong();
+    long configVersion = in.unpackLong();
+    LoadReport load =
+        new LoadReport(
+            in.unpackInt(),
+            in.unpackInt(),
+            in.unpackInt(),
+            in.unpackLong(),
+            in.unpackFloat(),
+            in.unpackInt());
+    return new Message.Pong(sequence, configVersion, load);
+  }
+
+  private static RequestSpec readSpec(MessageUnpacker in) throws IOException {
+    String account = in.unpackString();
+    Tier tier = Tier.of(in.unpackInt());
+    String pool = in.unpackString();
+    boolean nonIdempotent = in.unpackBoolean();
+    IdempotencyKey key = readKey(account, in);
+    RequestCost cost = new RequestCost(in.unpackInt(), in.unpackInt(), in.unpackLong());
+    HttpCall call =
+        new HttpCall(in.unpackString(), in.unpackString(), readOptional(in), readBytes(in));
+    return new RequestSpec(account, tier, pool, nonIdempotent, key, cost, call, readOptional(in));
+  }
+
+  private static @Nullable IdempotencyKey readKey(String account, MessageUnpacker in)
+      throws IOException {
+    String value = readOptional(in);
+    return value == null ? null : new IdempotencyKey(account, value, in.unpackString());
+  }
+
+  private static byte[] readBytes(MessageUnpacker in) throws IOException {
+    return in.readPayload(in.unpackBinaryHeader());
+  }
+
+  private static @Nullable String readOptional(MessageUnpacker in) throws IOException {
+    return in.tryUnpackNil() ? null : in.unpackString();
+  }
+
+  private static <T> T constant(T[] constants, int ordinal) {
+    if (ordinal < 0 || ordinal >= constants.length) {
+      throw new BadFrameException("number " + ordinal + " names no constant", null);
+    }
+    return constants[ordinal];
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -0,0 +1,157 @@
+package org.wigeonstage.wire;
+
+import java.io.IOException;
+import org.jspecify.annotations.Nullable;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.wigeonstage.handover.LoadReport;
+import org.wigeonstage.handover.Message;
+import org.wigeonstage.request.HttpCall;
+import org.wigeonstage.request.IdempotencyKey;
+import org.wigeonstage.request.RequestCost;
+import org.wigeonstage.request.RequestSpec;
+
+/** Writes messages as MessagePack: the type's number, then the fields in the record's order. */
+public final class MessageEncoder {
+
+  private MessageEncoder() {}
+
+  /**
+   * Encodes a message.
+   *
+   * @param message the message
+   * @return the bytes of one frame, without its length
+   */
+  public static byte[] encode(Message message) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      write(packer, message);
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new BadFrameException("can't encode " + message.getClass().getSimpleName(), e);
+    }
+  }
+
+  private static void write(MessageBufferPacker packer, Message message) throws IOException {
+    if (message instanceof Message.AboutRequest about) {
+      writeAbout(packer, about);
+    } else if (message instanceof Message.Hello hello) {
+      writeHello(type(packer, MessageType.HELLO), hello);
+    } else if (message instanceof Message.Ping ping) {
+      type(packer, MessageType.PING).packLong(ping.sequence()).packLong(ping.configVersion());
+    } else if (message instanceof Message.Pong pong) {
+      writePong(type(packer, MessageType.PONG), pong);
+    } else if (message instanceof Message.Leaving) {
+      type(packer, MessageType.LEAVING);
+    } else if (message instanceof Message.ConfigSnapshot snapshot) {
+      type(packer, MessageType.CONFIG_SNAPSHOT)
+          .packLong(snapshot.version())
+          .packString(snapshot.document());
+    }
+  }
+
+  private static void writeAbout(MessageBufferPacker packer, Message.AboutRequest message)
+      throws IOException {
+    if (message instanceof Message.Chunk chunk) {
+      about(packer, MessageType.CHUNK, chunk).packLong(chunk.offset());
+      packer.packBinaryHeader(chunk.data().length).addPayload(chunk.data());
+    } else if (message instanceof Message.Acknowledge acknowledge) {
+      about(packer, MessageType.ACKNOWLEDGE, acknowledge).packLong(acknowledge.offset());
+    } else if (message instanceof Message.Offer offer) {
+      about(packer, MessageType.OFFER, offer).packLong(offer.incarnation());
+      packer.packLong(offer.startBy().toEpochMilli());
+      writeSpec(packer, offer.spec());
+    } else if (message instanceof Message.Accepted) {
+      about(packer, MessageType.ACCEPTED, message);
+    } else if (message instanceof Message.Refused refused) {
+      about(packer, MessageType.REFUSED, refused).packInt(refused.reason().ordinal());
+    } else if (message instanceof Message.Rejected rejected) {
+      about(packer, MessageType.REJECTED, rejected)
+          .packInt(rejected.reason().ordinal())
+          .packInt(rejected.outcome().ordinal());
+    } else if (message instanceof Message.Withdraw withdraw) {
+      about(packer, MessageType.WITHDRAW, withdraw).packLong(withdraw.incarnation());
+    } else if (message instanceof Message.Dispatched) {
+      about(packer, MessageType.DISPATCHED, message);
+    } else if (message instanceof Message.Head head) {
+      about(packer, MessageType.HEAD, head).packInt(head.status());
+      writeOptional(packer, head.contentType());
+    } else if (message instanceof Message.End end) {
+      about(packer, MessageType.END, end).packLong(end.length()).packInt(end.outcome().ordinal());
+    } else if (message instanceof Message.Resume resume) {
+      about(packer, MessageType.RESUME, resume)
+          .packLong(resume.incarnation())
+          .packLong(resume.offset());
+    } else if (message instanceof Message.Cancel) {
+      about(packer, MessageType.CANCEL, message);
+    }
+  }
+
+  private static MessageBufferPacker type(MessageBufferPacker packer, MessageType type)
+      throws IOException {
+    packer.packInt(type.ordinal());
+    return packer;
+  }
+
+  private static MessageBufferPacker about(
+      MessageBufferPacker packer, MessageType type, Message.AboutRequest message)
+      throws IOException {
+    packer.packInt(type.ordinal()).packString(message.id().value());
+    return packer;
+  }
+
+  private static void writeHello(MessageBufferPacker packer, Message.Hello hello)
+      throws IOException {
+    packer
+        .packInt(hello.protocolVersion())
+        .packString(hello.role())
+        .packString(hello.name())
+        .packLong(hello.incarnation())
+        .packLong(hello.configVersion());
+  }
+
+  private static void writePong(MessageBufferPacker packer, Message.Pong pong) throws IOException {
+    LoadReport load = pong.load();
+    packer
+        .packLong(pong.sequence())
+        .packLong(pong.configVersion())
+        .packInt(load.running())
+        .packInt(load.window())
+        .packInt(load.waiting())
+        .packLong(load.work())
+        .packFloat((float) load.workPerSecond())
+        .packInt(load.lowestWaitingRank());
+  }
+
+  private static void writeSpec(MessageBufferPacker packer, RequestSpec spec) throws IOException {
+    packer
+        .packString(spec.account())
+        .packInt(spec.tier().rank())
+        .packString(spec.pool())
+        .packBoolean(spec.nonIdempotent());
+    writeKey(packer, spec.key());
+    RequestCost cost = spec.cost();
+    packer.packInt(cost.promptTokens()).packInt(cost.outputTokens()).packLong(cost.prefixHash());
+    HttpCall call = spec.call();
+    packer.packString(call.method()).packString(call.path());
+    writeOptional(packer, call.contentType());
+    packer.packBinaryHeader(call.body().length).addPayload(call.body());
+    writeOptional(packer, spec.traceParent());
+  }
+
+  private static void writeKey(MessageBufferPacker packer, @Nullable IdempotencyKey key)
+      throws IOException {
+    writeOptional(packer, key == null ? null : key.value());
+    if (key != null) {
+      packer.packString(key.bodyDigest());
+    }
+  }
+
+  private static void writeOptional(MessageBufferPacker packer, @Nullable String text)
+      throws IOException {
+    if (text == null) {
+      packer.packNil();
+    } else {
+      packer.packString(text);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/wire/package-info.java
@@ -0,0 +1,5 @@
+/** Framed MessagePack connections between entries and agents. */
+@NullMarked
+package org.wigeonstage.wire;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/test/java/org/wigeonstage/LayeringTest.java
@@ -0,0 +1,60 @@
+package org.wigeonstage;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** Layering rules. */
+@AnalyzeClasses(packages = "org.wigeonstage", importOptions = ImportOption.DoNotIncludeTests.class)
+class LayeringTest {
+
+  private static final String[] DECISIONS = {
+    "org.wigeonstage.request..",
+    "org.wigeonstage.handover..",
+    "org.wigeonstage.queue..",
+    "org.wigeonstage.ledger..",
+    "org.wigeonstage.dispatch..",
+    "org.wigeonstage.routing.."
+  };
+
+  @ArchTest
+  static final ArchRule decisionsDoNoInputOrOutput =
+      noClasses()
+          .that()
+          .resideInAnyPackage(DECISIONS)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.glassfish.grizzly..",
+              "java.net..",
+              "java.nio.channels..",
+              "java.util.concurrent.locks..",
+              "org.wigeonstage.http..",
+              "org.wigeonstage.wire..",
+              "org.wigeonstage.platform..");
+
+  @ArchTest
+  static final ArchRule decisionsStartNoThreads =
+      noClasses()
+          .that()
+          .resideInAnyPackage(DECISIONS)
+          .should()
+          .dependOnClassesThat()
+          .haveFullyQualifiedName("java.lang.Thread")
+          .orShould()
+          .callMethod(System.class, "nanoTime")
+          .orShould()
+          .callMethod(System.class, "currentTimeMillis");
+
+  @ArchTest
+  static final ArchRule noProcessIsStarted =
+      noClasses().should().dependOnClassesThat().haveFullyQualifiedName("java.lang.ProcessBuilder");
+
+  @ArchTest
+  static final ArchRule packagesFormNoCycles =
+      slices().matching("org.wigeonstage.(*)..").should().beFreeOfCycles();
+}
--- /dev/null
+++ b/src/test/java/org/wigeonstage/settings/SettingsLoaderTest.java
@@ -0,0 +1,47 @@
+package org.wigeonstage.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import org.junit.jupiter.api.Test;
+import org.wigeonstage.common.InvalidDocumentException;
+
+class SettingsLoaderTest {
+
+  private static final String ENTRY =
+      """
+      {"name": "entry-1", "failureDomain": "fd-a", "callers": "127.0.0.1:8080",
+       "operators": "127.0.0.1:8081", "platform": "127.0.0.1:7000"}
+      """;
+
+  @Test
+  void missingSettingsTakeTheirDefaults() {
+    EntrySettings settings = SettingsLoader.entryOf(ENTRY);
+    assertThat(settings.routing()).isEqualTo("prefix-affinity");
+    assertThat(settings.telemetry()).isEqualTo(TelemetrySettings.DEFAULTS);
+  }
+
+  @Test
+  void allFaultsAreNamedWithTheirPointers() {
+    String faulty = ENTRY.replace("127.0.0.1:8080", "localhost").replace("fd-a", "");
+    assertThatThrownBy(() -> SettingsLoader.entryOf(faulty))
+        .isInstanceOfSatisfying(
+            InvalidDocumentException.class,
+            e ->
+                assertThat(e.faults())
+                    .extracting(fault -> fault.pointer())
+                    .containsExactly("/callers", "/failureDomain"));
+  }
+
+  @Test
+  void aPortAboveTheRangeIsRefused() {
+    assertThatThrownBy(() -> SettingsLoader.entryOf(ENTRY.replace("8081", "70000")))
+        .hasMessageContaining("/operators: port 70000 is above 65535");
+  }
+
+  @Test
+  void anUnknownSettingIsRefused() {
+    assertThatThrownBy(() -> SettingsLoader.entryOf(ENTRY.replace("}", ", \"rooting\": 1}")))
+        .hasMessageContaining("rooting");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -0,0 +1,92 @@
+package org.wigeonstage.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.handover.LoadReport;
+import org.wigeonstage.handover.Message;
+import org.wigeonstage.request.HttpCall;
+import org.wigeonstage.request.IdempotencyKey;
+import org.wigeonstage.request.Outcome;
+import org.wigeonstage.request.RequestCost;
+import org.wigeonstage.request.RequestId;
+import org.wigeonstage.request.RequestSpec;
+import org.wigeonstage.request.Tier;
+
+class MessageCodecTest {
+
+  private static final RequestId ID = RequestId.of("r-1");
+  private static final HttpCall CALL =
+      new HttpCall("POST", "/confirm?x=1", null, "body".getBytes(StandardCharsets.UTF_8));
+
+  private static RequestSpec spec(IdempotencyKey key) {
+    return new RequestSpec(
+        "portal",
+        Tier.of(2),
+        "runners",
+        true,
+        key,
+        new RequestCost(100, 20, -5),
+        CALL,
+        "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01");
+  }
+
+  @Test
+  void everyMessageSurvivesEncodingAndDecoding() {
+    List<Message> messages =
+        List.of(
+            new Message.Hello(1, "entry", "entry-1", 5, 7),
+            new Message.Offer(ID, 3, Instant.ofEpochMilli(12345), spec(null)),
+            new Message.Offer(ID, 3, Instant.EPOCH, spec(IdempotencyKey.of("portal", "k", CALL))),
+            new Message.Accepted(ID),
+            new Message.Refused(ID, ErrorCode.OVERLOADED),
+            new Message.Rejected(ID, ErrorCode.KEY_CONFLICT, Outcome.NOT_RUN),
+            new Message.Withdraw(ID, 9),
+            new Message.Dispatched(ID),
+            new Message.Head(ID, 200, null),
+            new Message.Head(ID, 503, "text/plain"),
+            new Message.End(ID, 1L << 40, Outcome.UNKNOWN),
+            new Message.Acknowledge(ID, 17),
+            new Message.Resume(ID, 3, 17),
+            new Message.Cancel(ID),
+            new Message.Ping(1, 2),
+            new Message.Pong(1, 2, new LoadReport(1, 2, 3, 4, 5, -1)),
+            new Message.Leaving(),
+            new Message.ConfigSnapshot(8, "{}"));
+    for (Message message : messages) {
+      assertThat(MessageDecoder.decode(MessageEncoder.encode(message))).isEqualTo(message);
+    }
+  }
+
+  @Test
+  void aChunkKeepsItsBytes() {
+    byte[] data = {1, 2, 3};
+    Message decoded = MessageDecoder.decode(MessageEncoder.encode(new Message.Chunk(ID, 4, data)));
+    assertThat(((Message.Chunk) decoded).data()).isEqualTo(data);
+  }
+
+  @Property(tries = 2000, seed = "42")
+  void arbitraryBytesAreRefusedOrDecoded(@ForAll byte[] frame) {
+    try {
+      MessageDecoder.decode(frame);
+    } catch (BadFrameException e) {
+      assertThat(e.code()).isEqualTo(ErrorCode.BAD_FRAME);
+    }
+  }
+
+  @Test
+  void bytesBehindAMessageAreRefused() {
+    byte[] frame = MessageEncoder.encode(new Message.Leaving());
+    byte[] longer = java.util.Arrays.copyOf(frame, frame.length + 1);
+    assertThatThrownBy(() -> MessageDecoder.decode(longer))
+        .isInstanceOf(BadFrameException.class)
+        .hasMessage("frame has bytes behind its message");
+  }
+}
