--- a/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
+++ b/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
@@ -262,11 +262,17 @@
     if (submission.incarnation() != agent.incarnation()) {
       finish(submission, DispatchResult.unknown(ErrorCode.ANSWER_LOST));
     } else if (submission.withdrawnAt() != null) {
-      effects.send(agent.name(), new Message.Withdraw(submission.id(), submission.incarnation()));
+      effects.send(
+          agent.name(),
+          new Message.Withdraw(submission.id(), submission.incarnation(), submission.startBy()));
     } else {
       effects.send(
           agent.name(),
-          new Message.Resume(submission.id(), submission.incarnation(), submission.received()));
+          new Message.Resume(
+              submission.id(),
+              submission.incarnation(),
+              submission.startBy(),
+              submission.received()));
     }
   }
 
@@ -345,7 +351,9 @@
     submission.withdrawnAt(now);
     AgentState agent = submission.agent();
     if (agent != null) {
-      effects.send(agent.name(), new Message.Withdraw(submission.id(), submission.incarnation()));
+      effects.send(
+          agent.name(),
+          new Message.Withdraw(submission.id(), submission.incarnation(), submission.startBy()));
     }
   }
 
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -75,8 +75,9 @@
    *
    * @param id the request
    * @param incarnation the agent's incarnation that the request was offered to
+   * @param startBy the time in the offer
    */
-  record Withdraw(RequestId id, long incarnation) implements AboutRequest {}
+  record Withdraw(RequestId id, long incarnation, Instant startBy) implements AboutRequest {}
 
   /**
    * Says that the request may have been sent to the backend server.
@@ -125,9 +126,11 @@
    *
    * @param id the request
    * @param incarnation the agent's incarnation that the request was offered to
+   * @param startBy the time in the offer
    * @param offset the number of bytes that the entry has
    */
-  record Resume(RequestId id, long incarnation, long offset) implements AboutRequest {}
+  record Resume(RequestId id, long incarnation, Instant startBy, long offset)
+      implements AboutRequest {}
 
   /**
    * Says that nobody waits for the answer any more.
--- a/src/main/java/org/wigeonstage/ledger/Attachment.java
+++ b/src/main/java/org/wigeonstage/ledger/Attachment.java
@@ -1,5 +1,6 @@
 package org.wigeonstage.ledger;
 
+import java.time.Instant;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.handover.LinkId;
 import org.wigeonstage.request.RequestId;
@@ -9,12 +10,14 @@
 
   private final RequestId id;
   private final Execution execution;
+  private final Instant startBy;
   private @Nullable LinkId link;
   private long acknowledged;
 
-  Attachment(RequestId id, Execution execution, LinkId link) {
+  Attachment(RequestId id, Execution execution, Instant startBy, LinkId link) {
     this.id = id;
     this.execution = execution;
+    this.startBy = startBy;
     this.link = link;
   }
 
@@ -26,6 +29,11 @@
     return execution;
   }
 
+  /** Returns the time in the submission's offer. */
+  Instant startBy() {
+    return startBy;
+  }
+
   @Nullable LinkId link() {
     return link;
   }
--- a/src/main/java/org/wigeonstage/ledger/Execution.java
+++ b/src/main/java/org/wigeonstage/ledger/Execution.java
@@ -8,6 +8,7 @@
 import org.wigeonstage.request.Outcome;
 import org.wigeonstage.request.RequestId;
 import org.wigeonstage.request.RequestSpec;
+import org.wigeonstage.request.Tier;
 
 /** A request that the agent has taken, with the submissions that wait for its answer. */
 final class Execution {
@@ -68,6 +69,11 @@
     lastPartAt = now;
   }
 
+  /** Gives the request a higher tier. */
+  void raiseTo(Tier tier) {
+    spec = spec.withTier(tier);
+  }
+
   /** Drops the body, which the backend server has. */
   void dropBody() {
     spec = spec.withoutBody();
--- a/src/main/java/org/wigeonstage/ledger/ExecutionAge.java
+++ b/src/main/java/org/wigeonstage/ledger/ExecutionAge.java
@@ -26,7 +26,7 @@
 
   /** Tells whether a finished request can be forgotten, because no message about it can come. */
   boolean isForgettable(Execution execution, Instant now) {
-    Duration age = answerAge(execution).plus(limits.tombstoneAge());
+    Duration age = answerAge(execution).plus(limits.recordAge());
     return hasPassed(execution.changedAt(), age, now);
   }
 
--- a/src/main/java/org/wigeonstage/ledger/ExecutionTable.java
+++ b/src/main/java/org/wigeonstage/ledger/ExecutionTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.handover.LinkId;
+import org.wigeonstage.handover.Message;
 import org.wigeonstage.ledger.Execution.State;
 import org.wigeonstage.request.IdempotencyKey;
 import org.wigeonstage.request.RequestId;
@@ -42,10 +43,10 @@
     }
   }
 
-  Attachment attach(LinkId link, RequestId id, Execution execution) {
-    Attachment attachment = new Attachment(id, execution, link);
-    attachments.put(id, attachment);
-    execution.attachments().put(id, attachment);
+  Attachment attach(LinkId link, Message.Offer offer, Execution execution) {
+    Attachment attachment = new Attachment(offer.id(), execution, offer.startBy(), link);
+    attachments.put(offer.id(), attachment);
+    execution.attachments().put(offer.id(), attachment);
     execution.orphanedAt(null);
     return attachment;
   }
--- a/src/main/java/org/wigeonstage/ledger/KeyHistory.java
+++ b/src/main/java/org/wigeonstage/ledger/KeyHistory.java
@@ -1,6 +1,5 @@
 package org.wigeonstage.ledger;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
@@ -16,14 +15,12 @@
 final class KeyHistory {
 
   private Instant begin;
-  private final Duration retryHorizon;
-  private final Duration clockSkew;
+  private final LedgerLimits limits;
   private final Map<String, Execution> executions = new HashMap<>();
 
-  KeyHistory(Instant begin, Duration retryHorizon, Duration clockSkew) {
+  KeyHistory(Instant begin, LedgerLimits limits) {
     this.begin = begin;
-    this.retryHorizon = retryHorizon;
-    this.clockSkew = clockSkew;
+    this.limits = limits;
   }
 
   /** Notes that no earlier incarnation can have used any key. */
@@ -39,17 +36,23 @@
    * Tells whether a key without an entry is certainly unused.
    *
    * <p>A key that carries its time of creation is new if it was made after this history began and
-   * within the retry horizon. Any other key is new once the history covers the whole horizon.
+   * within the retry horizon. Any other key is new once the history covers the whole horizon and
+   * the time that an offer may have been on its way.
    */
   boolean isKnownNew(IdempotencyKey key, Instant now) {
     return key.createdAt()
         .map(created -> isCovered(created, now))
-        .orElse(now.isAfter(begin.plus(retryHorizon)));
+        .orElse(now.isAfter(coveredFrom()));
+  }
+
+  private Instant coveredFrom() {
+    return begin.plus(limits.retryHorizon()).plus(limits.recordAge());
   }
 
   private boolean isCovered(Instant created, Instant now) {
-    boolean afterBegin = created.isAfter(begin.plus(clockSkew));
-    boolean withinHorizon = created.plus(retryHorizon).isAfter(now.plus(clockSkew));
+    boolean afterBegin = created.isAfter(begin.plus(limits.clockSkew()));
+    boolean withinHorizon =
+        created.plus(limits.retryHorizon()).isAfter(now.plus(limits.clockSkew()));
     return afterBegin && withinHorizon;
   }
 
--- a/src/main/java/org/wigeonstage/ledger/LedgerLimits.java
+++ b/src/main/java/org/wigeonstage/ledger/LedgerLimits.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import java.time.Duration;
+import java.time.Instant;
 
 /**
  * Bounds of a {@link RequestLedger}.
@@ -45,11 +46,32 @@
   }
 
   /**
-   * Returns how long a refusal must be remembered so that no late offer can pass it.
+   * Returns how long a finished request must be remembered, beside its answer, so that no late
+   * message can find it unknown within {@link #certainUntil}.
    *
    * @return the longest start delay and twice the clock skew
    */
-  public Duration tombstoneAge() {
+  public Duration recordAge() {
     return maxStartDelay.plus(clockSkew.multipliedBy(2));
   }
+
+  /**
+   * Returns until when a refusal must be remembered so that no late offer can pass it.
+   *
+   * @param startBy the time in the offer
+   * @return the time after which the offer would be refused in any case
+   */
+  public Instant tombstoneExpiry(Instant startBy) {
+    return startBy.plus(clockSkew.multipliedBy(2));
+  }
+
+  /**
+   * Returns until when a request that is not in the ledger is certain never to have been in it.
+   *
+   * @param startBy the time in the offer
+   * @return the time after which it may have been forgotten
+   */
+  public Instant certainUntil(Instant startBy) {
+    return startBy.plus(answerRetention).minus(clockSkew.multipliedBy(2));
+  }
 }
--- a/src/main/java/org/wigeonstage/ledger/RequestLedger.java
+++ b/src/main/java/org/wigeonstage/ledger/RequestLedger.java
@@ -18,6 +18,7 @@
 import org.wigeonstage.request.IdempotencyKey;
 import org.wigeonstage.request.Outcome;
 import org.wigeonstage.request.RequestId;
+import org.wigeonstage.request.Tier;
 
 /**
  * Decides what one agent does with the requests that entries offer to it.
@@ -41,6 +42,7 @@
   private final ExecutionAge ages;
   private final Tombstones tombstones;
   private final ExecutionTable table;
+  private final OfferRules rules;
   private final RunningLoad load = new RunningLoad();
   private Instant lastAging = Instant.EPOCH;
   private boolean leaving;
@@ -72,9 +74,8 @@
     this.ages = new ExecutionAge(limits);
     this.relay = new AnswerRelay(limits, effects);
     this.tombstones = new Tombstones(limits.maxRecords());
-    this.table =
-        new ExecutionTable(
-            new KeyHistory(clock.instant(), limits.retryHorizon(), limits.clockSkew()));
+    this.table = new ExecutionTable(new KeyHistory(clock.instant(), limits));
+    this.rules = new OfferRules(incarnation, limits, clock, tombstones, table);
   }
 
   /**
@@ -101,71 +102,50 @@
     if (table.attachment(offer.id()) != null) {
       return;
     }
-    if (offer.incarnation() != incarnation) {
-      effects.send(link, new Message.Refused(offer.id(), ErrorCode.STALE_INCARNATION));
-      return;
-    }
-    if (tombstones.contains(offer.id())) {
-      effects.send(link, new Message.Refused(offer.id(), ErrorCode.OFFER_UNSEEN));
+    Optional<Message> answer = rules.answerToInvalid(offer);
+    if (answer.isPresent()) {
+      effects.send(link, answer.get());
       return;
     }
     IdempotencyKey key = offer.spec().key();
-    if (key == null) {
-      enqueue(link, offer);
+    Execution earlier = key == null ? null : table.keys().find(key);
+    if (key != null && earlier != null) {
+      join(link, offer, key, earlier);
     } else {
-      offerKeyed(link, offer, key);
-    }
-  }
-
-  /** Decides by the key's history first, so that a refusal is true of the key as well. */
-  private void offerKeyed(LinkId link, Message.Offer offer, IdempotencyKey key) {
-    Execution earlier = table.keys().find(key);
-    if (earlier != null) {
-      join(link, offer.id(), key, earlier);
-    } else if (table.keys().isKnownNew(key, clock.instant())) {
       enqueue(link, offer);
-    } else {
-      reject(link, offer.id(), ErrorCode.KEY_HISTORY_LOST, Outcome.UNKNOWN);
     }
   }
 
-  private Optional<ErrorCode> refusalOf(Message.Offer offer) {
-    Instant now = clock.instant();
-    if (leaving) {
-      return Optional.of(ErrorCode.LEAVING);
-    }
-    if (offer.startBy().isBefore(now)) {
-      return Optional.of(ErrorCode.DEADLINE);
-    }
-    if (offer.startBy().isAfter(now.plus(limits.maxStartDelay()).plus(limits.clockSkew()))) {
-      return Optional.of(ErrorCode.DEADLINE);
-    }
-    if (table.size() >= limits.maxRecords()) {
-      return Optional.of(ErrorCode.OVERLOADED);
-    }
-    return Optional.empty();
-  }
-
-  private void join(LinkId link, RequestId id, IdempotencyKey key, Execution earlier) {
+  private void join(LinkId link, Message.Offer offer, IdempotencyKey key, Execution earlier) {
+    RequestId id = offer.id();
     IdempotencyKey earlierKey = earlier.spec().key();
     if (earlierKey != null && !earlierKey.bodyDigest().equals(key.bodyDigest())) {
       reject(link, id, ErrorCode.KEY_CONFLICT, Outcome.NOT_RUN);
     } else if (!earlier.answer().holdsFrom(0)) {
       reject(link, id, ErrorCode.ANSWER_NOT_HELD, earlier.outcome());
     } else {
-      Attachment attachment = table.attach(link, id, earlier);
+      Attachment attachment = table.attach(link, offer, earlier);
+      promote(earlier, offer.spec().tier());
       relay.replay(attachment, 0);
     }
   }
 
+  /** Moves a waiting request to the highest tier among its submissions. */
+  private void promote(Execution execution, Tier tier) {
+    if (execution.state() == State.QUEUED && tier.isAbove(execution.spec().tier())) {
+      execution.raiseTo(tier);
+      queue.raise(execution.id(), tier);
+    }
+  }
+
   private void reject(LinkId link, RequestId id, ErrorCode reason, Outcome outcome) {
     effects.send(link, new Message.Rejected(id, reason, outcome));
   }
 
   private void enqueue(LinkId link, Message.Offer offer) {
-    Optional<ErrorCode> refusal = refusalOf(offer);
-    if (refusal.isPresent()) {
-      effects.send(link, new Message.Refused(offer.id(), refusal.get()));
+    Optional<Message> answer = rules.answerToInadmissible(offer, leaving);
+    if (answer.isPresent()) {
+      effects.send(link, answer.get());
       return;
     }
     WaitingRequest waiting =
@@ -186,7 +166,7 @@
     }
     Execution execution = new Execution(offer.id(), offer.spec(), clock.instant());
     table.add(execution);
-    table.attach(link, offer.id(), execution);
+    table.attach(link, offer, execution);
     effects.send(link, new Message.Accepted(offer.id()));
     dispatchWaiting();
   }
@@ -200,7 +180,7 @@
     for (Attachment attachment : List.copyOf(execution.attachments().values())) {
       LinkId link = attachment.link();
       if (link == null) {
-        tombstones.add(attachment.id(), clock.instant().plus(limits.tombstoneAge()));
+        tombstones.add(attachment.id(), limits.tombstoneExpiry(attachment.startBy()));
       } else {
         effects.send(link, new Message.Refused(attachment.id(), reason));
       }
@@ -214,7 +194,7 @@
     }
     Attachment attachment = table.attachment(withdraw.id());
     if (attachment == null) {
-      promiseNever(link, withdraw.id(), ErrorCode.OFFER_UNSEEN);
+      answerUnseen(link, withdraw.id(), withdraw.startBy());
       return;
     }
     Execution execution = attachment.execution();
@@ -223,15 +203,24 @@
       effects.send(link, new Message.Dispatched(withdraw.id()));
       return;
     }
-    if (promiseNever(link, withdraw.id(), ErrorCode.WITHDRAWN)) {
+    if (promiseNever(link, withdraw.id(), withdraw.startBy(), ErrorCode.WITHDRAWN)) {
       queue.remove(execution.id());
       table.remove(execution);
     }
   }
 
-  /** Promises that an unknown or waiting request will never be dispatched, if there is room. */
-  private boolean promiseNever(LinkId link, RequestId id, ErrorCode reason) {
-    boolean promised = tombstones.add(id, clock.instant().plus(limits.tombstoneAge()));
+  /** Answers about a request that is not in the ledger, and may have been forgotten. */
+  private void answerUnseen(LinkId link, RequestId id, Instant startBy) {
+    if (clock.instant().isAfter(limits.certainUntil(startBy))) {
+      reject(link, id, ErrorCode.ANSWER_LOST, Outcome.UNKNOWN);
+    } else {
+      promiseNever(link, id, startBy, ErrorCode.OFFER_UNSEEN);
+    }
+  }
+
+  /** Promises that a request will never be dispatched, if there is room to remember that. */
+  private boolean promiseNever(LinkId link, RequestId id, Instant startBy, ErrorCode reason) {
+    boolean promised = tombstones.add(id, limits.tombstoneExpiry(startBy));
     if (promised) {
       effects.send(link, new Message.Refused(id, reason));
     }
@@ -245,7 +234,7 @@
     }
     Attachment attachment = table.attachment(resume.id());
     if (attachment == null) {
-      promiseNever(link, resume.id(), ErrorCode.OFFER_UNSEEN);
+      answerUnseen(link, resume.id(), resume.startBy());
       return;
     }
     attachment.attach(link);
@@ -274,7 +263,7 @@
     }
     if (execution.state() == State.QUEUED) {
       queue.remove(execution.id());
-      tombstones.add(id, clock.instant().plus(limits.tombstoneAge()));
+      tombstones.add(id, limits.tombstoneExpiry(attachment.startBy()));
       table.remove(execution);
     } else {
       abandon(execution);
--- a/src/main/java/org/wigeonstage/queue/FairTierQueue.java
+++ b/src/main/java/org/wigeonstage/queue/FairTierQueue.java
@@ -74,6 +74,16 @@
     return true;
   }
 
+  @Override
+  public void raise(RequestId id, Tier tier) {
+    Slot slot = slots.get(id);
+    if (slot == null) {
+      throw new IllegalArgumentException("request " + id + " does not wait");
+    }
+    remove(id);
+    insert(slot.request().withTier(tier));
+  }
+
   @Override
   public List<WaitingRequest> removeExpired(Instant now) {
     List<WaitingRequest> expired = new ArrayList<>();
--- a/src/main/java/org/wigeonstage/queue/TierQueue.java
+++ b/src/main/java/org/wigeonstage/queue/TierQueue.java
@@ -36,6 +36,14 @@
    */
   boolean remove(RequestId id);
 
+  /**
+   * Gives a waiting request another tier; it becomes the newest one there.
+   *
+   * @param id the request, which must be waiting
+   * @param tier the tier
+   */
+  void raise(RequestId id, Tier tier);
+
   /**
    * Removes the requests whose time to start has passed.
    *
--- a/src/main/java/org/wigeonstage/queue/WaitingRequest.java
+++ b/src/main/java/org/wigeonstage/queue/WaitingRequest.java
@@ -15,4 +15,15 @@
  * @param startBy the time after which the request must not be dispatched
  */
 public record WaitingRequest(
-    RequestId id, String account, Tier tier, RequestCost cost, Instant startBy) {}
+    RequestId id, String account, Tier tier, RequestCost cost, Instant startBy) {
+
+  /**
+   * Returns this request with another tier.
+   *
+   * @param other the tier
+   * @return the request
+   */
+  public WaitingRequest withTier(Tier other) {
+    return new WaitingRequest(id, account, other, cost, startBy);
+  }
+}
--- a/src/main/java/org/wigeonstage/request/RequestSpec.java
+++ b/src/main/java/org/wigeonstage/request/RequestSpec.java
@@ -26,6 +26,16 @@
 
   private static final byte[] NO_BODY = {};
 
+  /**
+   * Returns this request with another tier.
+   *
+   * @param other the tier
+   * @return the request
+   */
+  public RequestSpec withTier(Tier other) {
+    return new RequestSpec(account, other, pool, nonIdempotent, key, cost, call, traceParent);
+  }
+
   /**
    * Returns this request without its body, for records of requests that have been sent.
    *
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -56,9 +56,7 @@
   private static Message readAbout(MessageType type, RequestId id, MessageUnpacker in)
       throws IOException {
     return switch (type) {
-      case OFFER ->
-          new Message.Offer(
-              id, in.unpackLong(), Instant.ofEpochMilli(in.unpackLong()), readSpec(in));
+      case OFFER -> new Message.Offer(id, in.unpackLong(), readTime(in), readSpec(in));
       case ACCEPTED -> new Message.Accepted(id);
       case REFUSED -> new Message.Refused(id, constant(ErrorCode.values(), in.unpackInt()));
       case REJECTED ->
@@ -66,13 +64,13 @@
               id,
               constant(ErrorCode.values(), in.unpackInt()),
               constant(Outcome.values(), in.unpackInt()));
-      case WITHDRAW -> new Message.Withdraw(id, in.unpackLong());
+      case WITHDRAW -> new Message.Withdraw(id, in.unpackLong(), readTime(in));
       case DISPATCHED -> new Message.Dispatched(id);
       case HEAD -> new Message.Head(id, in.unpackInt(), readOptional(in));
       case CHUNK -> new Message.Chunk(id, in.unpackLong(), readBytes(in));
       case END -> new Message.End(id, in.unpackLong(), constant(Outcome.values(), in.unpackInt()));
       case ACKNOWLEDGE -> new Message.Acknowledge(id, in.unpackLong());
-      case RESUME -> new Message.Resume(id, in.unpackLong(), in.unpackLong());
+      case RESUME -> new Message.Resume(id, in.unpackLong(), readTime(in), in.unpackLong());
       case CANCEL -> new Message.Cancel(id);
       default -> throw new BadFrameException("message type " + type + " has no request", null);
     };
@@ -115,6 +113,10 @@
     return value == null ? null : new IdempotencyKey(account, value, in.unpackString());
   }
 
+  private static Instant readTime(MessageUnpacker in) throws IOException {
+    return Instant.ofEpochMilli(in.unpackLong());
+  }
+
   private static byte[] readBytes(MessageUnpacker in) throws IOException {
     return in.readPayload(in.unpackBinaryHeader());
   }
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -69,7 +69,9 @@
           .packInt(rejected.reason().ordinal())
           .packInt(rejected.outcome().ordinal());
     } else if (message instanceof Message.Withdraw withdraw) {
-      about(packer, MessageType.WITHDRAW, withdraw).packLong(withdraw.incarnation());
+      about(packer, MessageType.WITHDRAW, withdraw)
+          .packLong(withdraw.incarnation())
+          .packLong(withdraw.startBy().toEpochMilli());
     } else if (message instanceof Message.Dispatched) {
       about(packer, MessageType.DISPATCHED, message);
     } else if (message instanceof Message.Head head) {
@@ -80,6 +82,7 @@
     } else if (message instanceof Message.Resume resume) {
       about(packer, MessageType.RESUME, resume)
           .packLong(resume.incarnation())
+          .packLong(resume.startBy().toEpochMilli())
           .packLong(resume.offset());
     } else if (message instanceof Message.Cancel) {
       about(packer, MessageType.CANCEL, message);
