Take configuration by form and API, start from peers, and prove it on processes

Cause: operators had no way in, an entry that started during a platform outage knew nothing, and the promises had been tested without sockets only.

The platform keeps one document with its history; a form or call yields one validated document, written with a conditional update, repeated under its submission's id where the answer is lost. Entries that start while the platform is down ask their peers.

Tests run entry, agents, engines, services and the platform as separate processes: SIGTERM of an entry and of an agent under load (exit 0, no cut answer), SIGSTOP of an agent for 5 s, SIGKILL of an agent, of the platform and of an entry.

--- a/src/main/java/org/wigeonstage/agent/AgentProcess.java
+++ b/src/main/java/org/wigeonstage/agent/AgentProcess.java
@@ -21,6 +21,8 @@
 import org.wigeonstage.http.HttpServer;
 import org.wigeonstage.ledger.LedgerLimits;
 import org.wigeonstage.ledger.RequestLedger;
+import org.wigeonstage.membership.AgentRegistration;
+import org.wigeonstage.membership.Registrar;
 import org.wigeonstage.platform.HttpObjectStore;
 import org.wigeonstage.queue.AdaptiveDispatchWindow;
 import org.wigeonstage.queue.FairTierQueue;
--- a/src/main/java/org/wigeonstage/config/AcceptedChange.java
+++ b/src/main/java/org/wigeonstage/config/AcceptedChange.java
@@ -1,5 +1,7 @@
 package org.wigeonstage.config;
 
+import java.util.List;
+
 /**
  * A change of the configuration that has taken effect.
  *
@@ -8,6 +10,18 @@
  * @param summary what it changes, in the author's words
  * @param atMillis when it was submitted, in milliseconds since the epoch
  * @param baseVersion the version that it was built on
+ * @param differences what it changed, a line each
  */
 public record AcceptedChange(
-    String submissionId, String author, String summary, long atMillis, long baseVersion) {}
+    String submissionId,
+    String author,
+    String summary,
+    long atMillis,
+    long baseVersion,
+    List<String> differences) {
+
+  /** Makes the list immutable. */
+  public AcceptedChange {
+    differences = List.copyOf(differences);
+  }
+}
--- a/src/main/java/org/wigeonstage/config/ConfigurationWriter.java
+++ b/src/main/java/org/wigeonstage/config/ConfigurationWriter.java
@@ -97,7 +97,8 @@
             request.author(),
             request.summary(),
             clock.millis(),
-            request.baseVersion()));
+            request.baseVersion(),
+            DocumentDiff.between(current.document(), request.document())));
     int excess = Math.max(0, history.size() - ConfigurationRecord.MAX_HISTORY);
     return new ConfigurationRecord(request.document(), history.subList(excess, history.size()));
   }
--- /dev/null
+++ b/src/main/java/org/wigeonstage/console/EditPages.java
@@ -0,0 +1,221 @@
+package org.wigeonstage.console;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.InstantSource;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.InvalidDocumentException;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.config.ChangeRequest;
+import org.wigeonstage.config.ChangeResult;
+import org.wigeonstage.config.ConfigurationDocument;
+import org.wigeonstage.config.ConfigurationRecord;
+import org.wigeonstage.config.ConfigurationWriter;
+import org.wigeonstage.platform.ObjectStore;
+import org.wigeonstage.platform.StoreException;
+import org.wigeonstage.platform.StoredObject;
+import org.wigeonstage.request.RequestId;
+
+/** The pages that list and edit the objects of the configuration document. */
+final class EditPages {
+
+  private static final String NEW = "new";
+  private static final int OK = 200;
+  private static final Field AUTHOR =
+      new Field("author", "Your name", Field.Type.TEXT, "stands in the history");
+  private static final Field SUMMARY =
+      new Field("summary", "Reason", Field.Type.TEXT, "stands in the history");
+
+  private final ObjectStore store;
+  private final ConfigurationWriter writer;
+  private final InstantSource clock;
+
+  /** The document that a form is built on. */
+  private record Base(long version, JsonNode document) {}
+
+  EditPages(ObjectStore store, ConfigurationWriter writer, InstantSource clock) {
+    this.store = store;
+    this.writer = writer;
+    this.clock = clock;
+  }
+
+  private Base base() {
+    Optional<StoredObject> stored = store.get(ConfigurationRecord.KIND, ConfigurationRecord.NAME);
+    if (stored.isEmpty()) {
+      return new Base(0, Json.tree(ConfigurationDocument.EMPTY));
+    }
+    StoredObject object = stored.get();
+    JsonNode document = Json.read(object.value(), ConfigurationRecord.class).document();
+    return new Base(object.version(), document);
+  }
+
+  /** Returns the page that lists all objects of a kind. */
+  String list(FormKind kind) {
+    JsonNode objects = base().document().path(kind.path());
+    Html page = new Html().raw("<table><thead><tr>");
+    kind.fields().stream()
+        .filter(field -> field.type() != Field.Type.NEW_KEY)
+        .forEach(field -> page.element("th", field.label()));
+    page.raw("<th></th></tr></thead><tbody>");
+    for (int i = 0; i < objects.size(); i++) {
+      addRow(page, kind, objects.path(i), i);
+    }
+    page.raw("</tbody></table><p>");
+    page.link(editPath(kind, NEW), "Add a " + kind.noun()).raw("</p>");
+    return page.page(kind.title());
+  }
+
+  private static void addRow(Html page, FormKind kind, JsonNode object, int index) {
+    FormData values = FormMapper.toForm(kind, object);
+    page.raw("<tr>");
+    for (Field field : kind.fields()) {
+      switch (field.type()) {
+        case NEW_KEY -> {}
+        case BOOLEAN -> page.element("td", values.get(field.name()).equals("on") ? "yes" : "no");
+        case LINES ->
+            page.element(
+                "td",
+                field.name().equals("keyHashes")
+                    ? object.path("keyHashes").size() + " stored"
+                    : values.get(field.name()));
+        default -> page.element("td", values.get(field.name()));
+      }
+    }
+    page.raw("<td>").link(editPath(kind, Integer.toString(index)), "Edit").raw("</td></tr>");
+  }
+
+  private static String editPath(FormKind kind, String index) {
+    return ConsoleHandler.ROOT + "/" + kind.path() + "/edit?index=" + index;
+  }
+
+  /** Returns the form for one object, or for a new one. */
+  String form(FormKind kind, String index, String formToken) {
+    Base base = base();
+    JsonNode object =
+        index.equals(NEW)
+            ? MissingNode.getInstance()
+            : base.document().path(kind.path()).path(parseIndex(index));
+    Map<String, String> values = new LinkedHashMap<>(FormMapper.toForm(kind, object).values());
+    values.put("index", index);
+    values.put("base", Long.toString(base.version()));
+    values.put("submission", RequestId.create(clock.instant()).value());
+    return formPage(new Html(), kind, new FormData(values), formToken);
+  }
+
+  private static int parseIndex(String index) {
+    try {
+      return Integer.parseInt(index);
+    } catch (NumberFormatException e) {
+      return -1;
+    }
+  }
+
+  private static String formPage(Html page, FormKind kind, FormData values, String formToken) {
+    page.raw("<form method=\"post\" action=\"/console/" + kind.path() + "/edit\">");
+    page.hidden("formToken", formToken)
+        .hidden("index", values.get("index"))
+        .hidden("base", values.get("base"))
+        .hidden("submission", values.get("submission"));
+    for (Field field : kind.fields()) {
+      page.field(field, values.get(field.name()));
+    }
+    page.field(AUTHOR, values.get(AUTHOR.name()));
+    page.field(SUMMARY, values.get(SUMMARY.name()));
+    page.raw("<button name=\"action\" value=\"save\">Save</button> ");
+    if (!values.get("index").equals(NEW)) {
+      page.raw("<button name=\"action\" value=\"remove\">Remove</button>");
+    }
+    page.raw("</form>");
+    boolean isNew = values.get("index").equals(NEW);
+    return page.page((isNew ? "Add a " : "Edit a ") + kind.noun());
+  }
+
+  /** Submits a form; a page that refuses it keeps what the operator has typed. */
+  EditResult submit(FormKind kind, FormData form, String formToken) {
+    try {
+      Base base = base();
+      long formBase = Long.parseLong(form.get("base"));
+      JsonNode document = edited(kind, form, base.document());
+      ChangeResult result = writer.submit(requestOf(form, formBase, document));
+      return pageOf(kind, form, formToken, result);
+    } catch (InvalidDocumentException e) {
+      Html page = new Html().message("error", "Refused; nothing has taken effect.");
+      page.raw("<ul>");
+      e.faults().forEach(fault -> page.element("li", fault.toString()));
+      page.raw("</ul>");
+      return new EditResult(e.code().httpStatus(), formPage(page, kind, form, formToken));
+    } catch (StoreException e) {
+      Html page =
+          new Html().message("error", "The platform can't be reached; nothing has taken effect.");
+      return new EditResult(e.code().httpStatus(), formPage(page, kind, form, formToken));
+    }
+  }
+
+  private static JsonNode edited(FormKind kind, FormData form, JsonNode document) {
+    ObjectNode copy = document.deepCopy();
+    ArrayNode objects = copy.withArray(kind.path());
+    int index = parseIndex(form.get("index"));
+    boolean exists = index >= 0 && index < objects.size();
+    if (form.get("action").equals("remove")) {
+      if (exists) {
+        objects.remove(index);
+      }
+    } else if (exists) {
+      objects.set(index, FormMapper.toObject(kind, form));
+    } else {
+      objects.add(FormMapper.toObject(kind, form));
+    }
+    return copy;
+  }
+
+  private static ChangeRequest requestOf(FormData form, long base, JsonNode document) {
+    return new ChangeRequest(
+        form.get("submission"), form.get("author"), form.get("summary"), base, document);
+  }
+
+  private EditResult pageOf(FormKind kind, FormData form, String formToken, ChangeResult result) {
+    return switch (result.decision()) {
+      case ACCEPTED -> {
+        Html page = new Html().message("done", "Accepted as version " + result.version() + ".");
+        page.raw("<p>").link(ConsoleHandler.ROOT + "/" + kind.path(), "Back").raw("</p>");
+        yield new EditResult(OK, page.page(kind.title()));
+      }
+      case REFUSED -> conflictPage(kind, form, formToken, result);
+      case UNDECIDED -> {
+        Html page =
+            new Html()
+                .message(
+                    "error",
+                    "Not yet known whether this has taken effect. Save again to ask;"
+                        + " it takes effect at most once.");
+        yield new EditResult(
+            ErrorCode.WRITE_UNDECIDED.httpStatus(), formPage(page, kind, form, formToken));
+      }
+    };
+  }
+
+  private EditResult conflictPage(
+      FormKind kind, FormData form, String formToken, ChangeResult result) {
+    Html page =
+        new Html()
+            .message(
+                "error",
+                "Someone else changed the configuration meanwhile; nothing of yours has taken"
+                    + " effect. Your input is kept below. These changes came between:");
+    page.raw("<table><tbody>");
+    List.copyOf(result.between()).forEach(change -> ConsoleHandler.addChange(page, change));
+    page.raw("</tbody></table>");
+    Map<String, String> values = new LinkedHashMap<>(form.values());
+    values.put("base", Long.toString(result.version()));
+    values.put("submission", RequestId.create(clock.instant()).value());
+    return new EditResult(
+        ErrorCode.VERSION_CONFLICT.httpStatus(),
+        formPage(page, kind, new FormData(values), formToken));
+  }
+}
--- a/src/main/java/org/wigeonstage/entry/EntryOperatorsHandler.java
+++ b/src/main/java/org/wigeonstage/entry/EntryOperatorsHandler.java
@@ -7,6 +7,10 @@
 import java.time.InstantSource;
 import java.util.Map;
 import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.config.ConfigurationWriter;
+import org.wigeonstage.console.ConsoleHandler;
+import org.wigeonstage.console.OperatorKeys;
 import org.wigeonstage.http.Problem;
 import org.wigeonstage.http.RequestHandler;
 import org.wigeonstage.http.ServerExchange;
@@ -23,15 +27,51 @@
 
   private final EntryProcess entry;
   private final MetricsPage metrics;
+  private final OperatorKeys keys;
+  private final ConfigurationApi configuration;
+  private final ConsoleHandler console;
 
   EntryOperatorsHandler(
       EntryProcess entry, ObjectStore store, InstantSource clock, MetricRegistry registry) {
     this.entry = entry;
     this.metrics = new MetricsPage(registry);
+    this.keys = new OperatorKeys(entry.settings().operatorKeyHashes());
+    ConfigurationWriter writer = new ConfigurationWriter(store, clock);
+    this.configuration = new ConfigurationApi(entry.configuration(), store, writer);
+    this.console = new ConsoleHandler(keys, store, writer, this::status, clock);
   }
 
   @Override
   public void handle(ServerExchange exchange) {
+    String path = exchange.path();
+    if (path.startsWith(ConsoleHandler.ROOT)) {
+      console.handle(exchange);
+    } else if (path.startsWith("/v1/configuration") || path.equals("/v1/drain")) {
+      keys.require(exchange.header("Authorization"));
+      handleOperator(exchange);
+    } else {
+      handleOpen(exchange);
+    }
+  }
+
+  private void handleOperator(ServerExchange exchange) {
+    switch (exchange.method() + " " + exchange.path()) {
+      case "GET /v1/configuration" -> configuration.get(exchange);
+      case "GET /v1/configuration/history" -> configuration.history(exchange);
+      case "POST /v1/configuration" -> configuration.submit(exchange);
+      case "POST /v1/drain" -> {
+        entry.leave();
+        exchange.respond(OK, JSON, status().toString());
+      }
+      default -> notFound(exchange);
+    }
+  }
+
+  private static void notFound(ServerExchange exchange) {
+    Problem.respond(exchange, ErrorCode.NOT_FOUND, "nothing at " + exchange.path(), Map.of());
+  }
+
+  private void handleOpen(ServerExchange exchange) {
     switch (exchange.method() + " " + exchange.path()) {
       case "GET /healthz" -> exchange.respond(OK, "text/plain", "ok\n");
       case "GET /readyz" ->
@@ -42,12 +82,8 @@
       case "GET /metrics" -> exchange.respond(OK, MetricsPage.TEXT_TYPE, metrics.text());
       case "GET /metrics.json" -> exchange.respond(OK, JSON, metrics.json());
       case "GET /v1/status" -> exchange.respond(OK, JSON, status().toString());
-      case "POST /v1/drain" -> {
-        entry.leave();
-        exchange.respond(OK, JSON, status().toString());
-      }
-      default ->
-          Problem.respond(exchange, ErrorCode.NOT_FOUND, "nothing at " + exchange.path(), Map.of());
+      case "GET /v1/snapshot" -> exchange.respond(OK, JSON, Json.write(entry.snapshot()));
+      default -> notFound(exchange);
     }
   }
 
--- a/src/main/java/org/wigeonstage/entry/EntryProcess.java
+++ b/src/main/java/org/wigeonstage/entry/EntryProcess.java
@@ -16,12 +16,12 @@
 import org.wigeonstage.admission.AccountLimits;
 import org.wigeonstage.admission.AdmissionChain;
 import org.wigeonstage.admission.OutputEstimator;
-import org.wigeonstage.agent.AgentRegistration;
 import org.wigeonstage.common.ControlThreads;
 import org.wigeonstage.common.Json;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.config.ActiveConfiguration;
 import org.wigeonstage.config.ConfigurationRecord;
+import org.wigeonstage.config.ConfigurationVersion;
 import org.wigeonstage.dispatch.DispatcherLimits;
 import org.wigeonstage.dispatch.PoolDirectory;
 import org.wigeonstage.dispatch.RequestDispatcher;
@@ -29,6 +29,12 @@
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpClient;
 import org.wigeonstage.http.HttpServer;
+import org.wigeonstage.http.SafeHandler;
+import org.wigeonstage.membership.AgentRegistration;
+import org.wigeonstage.membership.PeerSnapshots;
+import org.wigeonstage.membership.Roster;
+import org.wigeonstage.membership.Snapshot;
+import org.wigeonstage.membership.StoreWatch;
 import org.wigeonstage.platform.HttpObjectStore;
 import org.wigeonstage.platform.ObjectList;
 import org.wigeonstage.routing.RoutingPolicy;
@@ -43,6 +49,7 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long TICK_MILLIS = 50;
+  private static final long PEER_INTERVAL_MILLIS = 500;
   private static final int CLIENT_THREADS = 1;
   private static final int MAX_OPERATOR_BODY = 2 * 1024 * 1024;
 
@@ -52,12 +59,14 @@
   private final ActiveConfiguration configuration = new ActiveConfiguration();
   private final Roster roster = new Roster();
   private final ScheduledExecutorService control = ControlThreads.single("control");
+  private final ScheduledExecutorService operatorCalls = ControlThreads.single("operator-calls");
   private final LinkKeeper links;
   private final LinkConnector connector;
   private final LockedDispatcher dispatcher;
   private final CallersHandler callersHandler;
   private final HttpServer callers;
   private final HttpServer operators;
+  private final PeerSnapshots peers;
   private final List<Thread> watches;
 
   private EntryProcess(EntrySettings settings, InstantSource clock) {
@@ -107,7 +116,9 @@
                 "operators",
                 Endpoint.of(settings.operators()),
                 MAX_OPERATOR_BODY,
-                new EntryOperatorsHandler(this, store, clock, metrics)));
+                new SafeHandler(
+                    new EntryOperatorsHandler(this, store, clock, metrics), operatorCalls)));
+    this.peers = new PeerSnapshots(client, settings.peers().stream().map(Endpoint::of).toList());
     this.watches = startWatches(store);
     metrics.registerAll("jvm.memory", new MemoryUsageGaugeSet());
     metrics.register("config.version", (Gauge<Long>) () -> configuration.current().version());
@@ -115,6 +126,20 @@
     metrics.register("callers.open", (Gauge<Integer>) callersHandler::openAnswers);
   }
 
+  /** Learns from peers while the platform has not given a configuration. */
+  private void askPeers() {
+    if (configuration.current().version() > 0) {
+      return;
+    }
+    for (Snapshot snapshot : peers.fetch()) {
+      snapshot.agents().forEach(roster::learn);
+      if (snapshot.version() > 0) {
+        configuration.offer(snapshot.version(), snapshot.document());
+      }
+    }
+    refreshLinks();
+  }
+
   /**
    * Starts an entry.
    *
@@ -126,6 +151,8 @@
     EntryProcess process = new EntryProcess(settings, clock);
     process.control.scheduleWithFixedDelay(
         process::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    process.operatorCalls.scheduleWithFixedDelay(
+        process::askPeers, PEER_INTERVAL_MILLIS, PEER_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     logger.atInfo().log(
         "entry %s listens on %s for callers and %s for operators",
         settings.name(), process.callers.endpoint(), process.operators.endpoint());
@@ -221,8 +248,10 @@
     return settings;
   }
 
-  Roster roster() {
-    return roster;
+  /** Returns what another process needs to start while the platform is down. */
+  Snapshot snapshot() {
+    ConfigurationVersion current = configuration.current();
+    return new Snapshot(current.version(), current.text(), roster.registrations());
   }
 
   LockedDispatcher dispatcher() {
@@ -263,6 +292,7 @@
   public void close() throws IOException {
     watches.forEach(Thread::interrupt);
     control.shutdownNow();
+    operatorCalls.shutdownNow();
     closer.close();
   }
 
--- a/src/main/java/org/wigeonstage/http/BodyReader.java
+++ b/src/main/java/org/wigeonstage/http/BodyReader.java
@@ -1,29 +1,24 @@
 package org.wigeonstage.http;
 
-import com.google.common.flogger.FluentLogger;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.ReadHandler;
 import org.glassfish.grizzly.http.io.NIOInputStream;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
 import org.wigeonstage.common.ErrorCode;
-import org.wigeonstage.common.WigeonstageException;
 
 /** Reads the whole body of each request without blocking, then calls the handler. */
 final class BodyReader extends HttpHandler {
 
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
   private final int maxBodyBytes;
   private final RequestHandler handler;
 
   BodyReader(int maxBodyBytes, RequestHandler handler) {
     this.maxBodyBytes = maxBodyBytes;
-    this.handler = handler;
+    this.handler = new SafeHandler(handler, Runnable::run);
   }
 
   @Override
@@ -46,19 +41,6 @@
         Map.of("Connection", "close", "Wigeonstage-Outcome", "not-run"));
   }
 
-  private void handle(ServerExchange exchange) {
-    try {
-      handler.handle(exchange);
-    } catch (WigeonstageException e) {
-      String detail = e.getMessage() == null ? e.code().text() : e.getMessage();
-      Problem.respond(exchange, e.code(), detail, Map.of());
-    } catch (RuntimeException e) {
-      logger.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(e).log(
-          "request handler failed");
-      Problem.respond(exchange, ErrorCode.INTERNAL, "internal error", Map.of());
-    }
-  }
-
   /** Gathers a body as it arrives. */
   private final class Accumulator implements ReadHandler {
 
@@ -89,7 +71,7 @@
       if (body.size() > maxBodyBytes) {
         refuseBody(request, response);
       } else {
-        handle(new ServerExchange(request, response, body.toByteArray()));
+        handler.handle(new ServerExchange(request, response, body.toByteArray()));
       }
     }
 
--- /dev/null
+++ b/src/main/java/org/wigeonstage/http/SafeHandler.java
@@ -0,0 +1,51 @@
+package org.wigeonstage.http;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.InvalidDocumentException;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.common.WigeonstageException;
+
+/** Calls a handler on an executor and turns its exceptions into problem answers. */
+public final class SafeHandler implements RequestHandler {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final RequestHandler handler;
+  private final Executor executor;
+
+  /**
+   * Creates a handler.
+   *
+   * @param handler the handler to call, which may block if the executor may
+   * @param executor runs the calls
+   */
+  public SafeHandler(RequestHandler handler, Executor executor) {
+    this.handler = handler;
+    this.executor = executor;
+  }
+
+  @Override
+  public void handle(ServerExchange exchange) {
+    executor.execute(() -> call(exchange));
+  }
+
+  private void call(ServerExchange exchange) {
+    try {
+      handler.handle(exchange);
+    } catch (InvalidDocumentException e) {
+      var body = Problem.object(e.code(), "nothing has taken effect");
+      body.set("faults", Json.tree(e.faults()));
+      exchange.respond(e.code().httpStatus(), Problem.MEDIA_TYPE, body.toString());
+    } catch (WigeonstageException e) {
+      String detail = e.getMessage() == null ? e.code().text() : e.getMessage();
+      Problem.respond(exchange, e.code(), detail, Map.of());
+    } catch (RuntimeException e) {
+      logger.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(e).log("handler failed");
+      Problem.respond(exchange, ErrorCode.INTERNAL, "internal error", Map.of());
+    }
+  }
+}
--- a/src/main/java/org/wigeonstage/agent/AgentRegistration.java
+++ b/src/main/java/org/wigeonstage/membership/AgentRegistration.java
@@ -1,4 +1,4 @@
-package org.wigeonstage.agent;
+package org.wigeonstage.membership;
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 
--- a/src/main/java/org/wigeonstage/agent/Registrar.java
+++ b/src/main/java/org/wigeonstage/membership/Registrar.java
@@ -1,4 +1,4 @@
-package org.wigeonstage.agent;
+package org.wigeonstage.membership;
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Optional;
@@ -16,10 +16,10 @@
  * <p>A registration never replaces one with a higher incarnation. An agent that finds such a
  * registration has been replaced, and its successor owns the backend server.
  */
-final class Registrar {
+public final class Registrar {
 
   /** Learns what the registration shows of other incarnations. */
-  interface Listener {
+  public interface Listener {
 
     /** Notes that a later incarnation owns the backend server. */
     void replaced();
@@ -37,7 +37,15 @@
   private final Listener listener;
   private volatile boolean registered;
 
-  Registrar(
+  /**
+   * Creates a registrar.
+   *
+   * @param store the platform's object API
+   * @param registration what to register
+   * @param executor runs the calls, which block
+   * @param listener learns of other incarnations
+   */
+  public Registrar(
       ObjectStore store,
       AgentRegistration registration,
       ScheduledExecutorService executor,
@@ -48,11 +56,17 @@
     this.listener = listener;
   }
 
-  void start() {
+  /** Begins to register. */
+  public void start() {
     executor.execute(this::attempt);
   }
 
-  boolean isRegistered() {
+  /**
+   * Tells whether the registration is in force.
+   *
+   * @return whether the platform has confirmed it
+   */
+  public boolean isRegistered() {
     return registered;
   }
 
--- a/src/main/java/org/wigeonstage/entry/Roster.java
+++ b/src/main/java/org/wigeonstage/membership/Roster.java
@@ -1,27 +1,35 @@
-package org.wigeonstage.entry;
+package org.wigeonstage.membership;
 
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import org.wigeonstage.agent.AgentRegistration;
 
 /**
  * The registrations of agents, each with the highest incarnation seen. Safe for several threads.
  */
-final class Roster {
+public final class Roster {
 
   private final Map<String, AgentRegistration> registrations = new ConcurrentHashMap<>();
 
-  /** Takes a registration unless a later incarnation is known. */
-  void learn(AgentRegistration registration) {
+  /**
+   * Takes a registration unless a later incarnation is known.
+   *
+   * @param registration the registration
+   */
+  public void learn(AgentRegistration registration) {
     registrations.merge(
         registration.name(),
         registration,
         (known, fresh) -> fresh.incarnation() >= known.incarnation() ? fresh : known);
   }
 
-  /** Takes the incarnation that an agent gave on a connection. */
-  void learnIncarnation(String name, long incarnation) {
+  /**
+   * Takes the incarnation that an agent gave on a connection.
+   *
+   * @param name the agent's name
+   * @param incarnation the incarnation
+   */
+  public void learnIncarnation(String name, long incarnation) {
     registrations.computeIfPresent(
         name,
         (key, known) ->
@@ -30,7 +38,12 @@
                 : known);
   }
 
-  List<AgentRegistration> registrations() {
+  /**
+   * Returns all registrations.
+   *
+   * @return the registrations, one for each agent
+   */
+  public List<AgentRegistration> registrations() {
     return List.copyOf(registrations.values());
   }
 }
--- a/src/main/java/org/wigeonstage/entry/StoreWatch.java
+++ b/src/main/java/org/wigeonstage/membership/StoreWatch.java
@@ -1,4 +1,4 @@
-package org.wigeonstage.entry;
+package org.wigeonstage.membership;
 
 import com.codahale.metrics.Counter;
 import java.time.Duration;
@@ -9,7 +9,7 @@
 import org.wigeonstage.platform.ObjectStore;
 
 /** Follows all objects of a kind in a thread of its own, with one waiting call at a time. */
-final class StoreWatch implements Runnable {
+public final class StoreWatch implements Runnable {
 
   private static final Duration WATCH_TIMEOUT = Duration.ofSeconds(20);
   private static final long RETRY_MILLIS = 1000;
@@ -19,15 +19,28 @@
   private final Consumer<ObjectList> listener;
   private final Counter failures;
 
-  StoreWatch(ObjectStore store, String kind, Consumer<ObjectList> listener, Counter failures) {
+  /**
+   * Creates a watch.
+   *
+   * @param store the platform's object API
+   * @param kind the kind of objects to follow
+   * @param listener takes all objects after each write to one of them
+   * @param failures counts failed calls
+   */
+  public StoreWatch(
+      ObjectStore store, String kind, Consumer<ObjectList> listener, Counter failures) {
     this.store = store;
     this.kind = kind;
     this.listener = listener;
     this.failures = failures;
   }
 
-  /** Starts following; the thread ends when it is interrupted. */
-  Thread start() {
+  /**
+   * Starts following.
+   *
+   * @return the thread, which ends when it is interrupted
+   */
+  public Thread start() {
     Thread thread = new Thread(this, "watch-" + kind);
     thread.setDaemon(true);
     thread.start();
--- /dev/null
+++ b/src/test/java/org/wigeonstage/system/Fleet.java
@@ -0,0 +1,291 @@
+package org.wigeonstage.system;
+
+import com.google.common.hash.Hashing;
+import com.google.common.io.Closer;
+import java.io.Closeable;
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.config.ChangeRequest;
+import org.wigeonstage.http.BlockingCall;
+import org.wigeonstage.http.CallFailedException;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.HttpAnswer;
+import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.request.HttpCall;
+
+/** Runs the program's subcommands as processes of the operating system, on loopback. */
+final class Fleet implements Closeable {
+
+  static final String OPERATOR_KEY = "operator-key";
+  static final String ACCOUNT_KEY = "account-key";
+  private static final String OPERATOR_KEY_HASH = sha256(OPERATOR_KEY);
+  private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+  private final Closer closer = Closer.create();
+  private final HttpClient client = closer.register(HttpClient.start("fleet", 1));
+  private final Map<String, Process> processes = new HashMap<>();
+  private final Path directory;
+
+  Fleet(Path directory) {
+    this.directory = directory;
+  }
+
+  static String sha256(String text) {
+    return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
+  }
+
+  static Endpoint freePort() {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new Endpoint("127.0.0.1", socket.getLocalPort());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  HttpClient client() {
+    return client;
+  }
+
+  Process start(String name, String... arguments) throws IOException {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(
+        List.of(
+            "-XX:+UseSerialGC",
+            "-XX:-UsePerfData",
+            "-Xmx96m",
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            System.getProperty("java.class.path"),
+            "org.wigeonstage.cli.Main"));
+    command.addAll(Arrays.asList(arguments));
+    File log = directory.resolve(name + ".log").toFile();
+    Process process =
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+            .start();
+    processes.put(name, process);
+    return process;
+  }
+
+  Process process(String name) {
+    return processes.get(name);
+  }
+
+  Endpoint platform() throws IOException {
+    Endpoint endpoint = freePort();
+    start("platform", "standin", "platform", "--listen", endpoint.toString());
+    awaitAnswer(endpoint, "/v1/hosts");
+    return endpoint;
+  }
+
+  Endpoint engine(String name) throws IOException {
+    Endpoint endpoint = freePort();
+    start(name, "standin", "engine", "--listen", endpoint.toString(), "--generation", "3");
+    awaitAnswer(endpoint, "/v1/load");
+    return endpoint;
+  }
+
+  Endpoint service(String name, int delayMillis) throws IOException {
+    Endpoint endpoint = freePort();
+    start(
+        name,
+        "standin",
+        "service",
+        "--listen",
+        endpoint.toString(),
+        "--delay",
+        Integer.toString(delayMillis));
+    awaitAnswer(endpoint, "/standin/runs");
+    return endpoint;
+  }
+
+  /** Starts an agent; returns its operators' address. */
+  Endpoint agent(
+      String name, String kind, Endpoint entries, Endpoint backendServer, Endpoint platform)
+      throws IOException {
+    Endpoint operators = freePort();
+    Path settings =
+        write(
+            name + ".json",
+            Map.of(
+                "name", name,
+                "failureDomain", "fd-a",
+                "kind", kind,
+                "entries", entries.toString(),
+                "operators", operators.toString(),
+                "backendServer", backendServer.toString(),
+                "platform", platform.toString()));
+    start(name, "agent", "--settings", settings.toString());
+    awaitAnswer(operators, "/readyz");
+    return operators;
+  }
+
+  record EntryAddresses(Endpoint callers, Endpoint operators) {}
+
+  EntryAddresses entry(String name, Endpoint platform, List<Endpoint> peers) throws IOException {
+    EntryAddresses addresses = new EntryAddresses(freePort(), freePort());
+    Path settings =
+        write(
+            name + ".json",
+            Map.of(
+                "name", name,
+                "failureDomain", "fd-a",
+                "callers", addresses.callers().toString(),
+                "operators", addresses.operators().toString(),
+                "platform", platform.toString(),
+                "maxBodyBytes", 65536,
+                "peers", peers.stream().map(Endpoint::toString).toList(),
+                "operatorKeyHashes", List.of(OPERATOR_KEY_HASH)));
+    start(name, "entry", "--settings", settings.toString());
+    awaitAnswer(addresses.operators(), "/healthz");
+    return addresses;
+  }
+
+  private Path write(String name, Object settings) throws IOException {
+    return Files.writeString(directory.resolve(name), Json.write(settings));
+  }
+
+  /** Submits a document with one account, and the given pools and rules. */
+  void configure(EntryAddresses entry, List<?> pools, List<?> rules) throws IOException {
+    Map<String, Object> document =
+        Map.of(
+            "tiers",
+            List.of(
+                Map.of(
+                    "name", "urgent",
+                    "startWithinMillis", 20000,
+                    "finishWithinMillis", 60000)),
+            "accounts",
+            List.of(
+                Map.of(
+                    "name",
+                    "account",
+                    "keyHashes",
+                    List.of(sha256(ACCOUNT_KEY)),
+                    "tier",
+                    "urgent",
+                    "requestsPerSecond",
+                    100000)),
+            "pools",
+            pools,
+            "rules",
+            rules);
+    ChangeRequest change = new ChangeRequest("first", "test", "", 0, Json.tree(document));
+    HttpAnswer answer =
+        call(
+            entry.operators(),
+            "POST",
+            "/v1/configuration",
+            Json.write(change),
+            Map.of("Authorization", "Bearer " + OPERATOR_KEY));
+    if (answer.status() != 200) {
+      throw new IllegalStateException(answer.text());
+    }
+    awaitAnswer(entry.callers(), "/readyz");
+  }
+
+  static Map<String, Object> pool(String name, String kind, List<String> members) {
+    return Map.of(
+        "name",
+        name,
+        "kind",
+        kind,
+        "models",
+        kind.equals("model") ? List.of("test-model") : List.of(),
+        "members",
+        members.stream().map(member -> Map.of("name", member, "failureDomain", "fd-a")).toList(),
+        "checksFencing",
+        true);
+  }
+
+  void awaitAgents(EntryAddresses entry, int count) {
+    await(
+        () -> {
+          String status = call(entry.operators(), "GET", "/v1/status", "", Map.of()).text();
+          return status.split("\"available\":true", -1).length - 1 == count;
+        },
+        count + " agents");
+  }
+
+  HttpAnswer call(
+      Endpoint target, String method, String path, String body, Map<String, String> headers) {
+    HttpCall call =
+        new HttpCall(method, path, "application/json", body.getBytes(StandardCharsets.UTF_8));
+    return BlockingCall.make(client, target, call, headers, TIMEOUT);
+  }
+
+  HttpAnswer callAsAccount(Endpoint target, String path, String body) {
+    return call(target, "POST", path, body, Map.of("Authorization", "Bearer " + ACCOUNT_KEY));
+  }
+
+  void awaitAnswer(Endpoint endpoint, String path) {
+    await(() -> call(endpoint, "GET", path, "", Map.of()).status() == 200, endpoint + path);
+  }
+
+  /** A condition whose check may fail with a lost call. */
+  interface Condition {
+    boolean holds();
+  }
+
+  static void await(Condition condition, String what) {
+    long end = System.nanoTime() + TIMEOUT.toNanos();
+    while (System.nanoTime() < end) {
+      try {
+        if (condition.holds()) {
+          return;
+        }
+      } catch (CallFailedException e) {
+        // The process may not listen yet.
+      }
+      sleep(20);
+    }
+    throw new AssertionError("timeout while waiting for " + what);
+  }
+
+  static void sleep(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Sends a signal to a process. */
+  void signal(String name, String signal) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + signal, Long.toString(processes.get(name).pid()))
+        .start()
+        .waitFor();
+  }
+
+  int awaitExit(String name) throws InterruptedException {
+    Process process = processes.get(name);
+    if (!process.waitFor(TIMEOUT.toSeconds(), TimeUnit.SECONDS)) {
+      throw new AssertionError(name + " did not exit");
+    }
+    return process.exitValue();
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (Process process : processes.values()) {
+      process.destroyForcibly();
+    }
+    closer.close();
+  }
+}
