--- a/src/main/java/org/wigeonstage/admission/CallContext.java
+++ b/src/main/java/org/wigeonstage/admission/CallContext.java
@@ -91,6 +91,15 @@
     cost = value;
   }
 
+  /**
+   * Returns whose answers are alike in length.
+   *
+   * @return account and model
+   */
+  public OutputEstimator.Subject subject() {
+    return new OutputEstimator.Subject(account().name(), model());
+  }
+
   /**
    * Returns the admitted request.
    *
--- a/src/main/java/org/wigeonstage/admission/OutputEstimator.java
+++ b/src/main/java/org/wigeonstage/admission/OutputEstimator.java
@@ -9,33 +9,37 @@
   private static final int DEFAULT_TOKENS = 128;
   private static final double NEW_ANSWER_WEIGHT = 0.1;
 
-  private record Subject(String account, String model) {}
+  /**
+   * What answers are alike in length.
+   *
+   * @param account the account's name
+   * @param model the model's name, or the empty text for a plain service
+   */
+  public record Subject(String account, String model) {}
 
   private final ConcurrentMap<Subject, Double> averages = new ConcurrentHashMap<>();
 
   /**
    * Returns the expected length of an answer.
    *
-   * @param account the account's name
-   * @param model the model's name
+   * @param subject account and model
    * @return the length in tokens
    */
-  public int estimate(String account, String model) {
-    return (int)
-        Math.round(averages.getOrDefault(new Subject(account, model), (double) DEFAULT_TOKENS));
+  public int estimate(Subject subject) {
+    return (int) Math.round(averages.getOrDefault(subject, (double) DEFAULT_TOKENS));
   }
 
   /**
    * Learns from an answer.
    *
-   * @param account the account's name
-   * @param model the model's name
-   * @param tokens the answer's length in tokens
+   * @param subject account and model
+   * @param tokens the answer's length in tokens; 0 where it is not known
    */
-  public void observe(String account, String model, int tokens) {
+  public void observe(Subject subject, int tokens) {
+    if (tokens == 0) {
+      return;
+    }
     averages.merge(
-        new Subject(account, model),
-        (double) tokens,
-        (old, fresh) -> old + NEW_ANSWER_WEIGHT * (fresh - old));
+        subject, (double) tokens, (old, fresh) -> old + NEW_ANSWER_WEIGHT * (fresh - old));
   }
 }
--- /dev/null
+++ b/src/main/java/org/wigeonstage/agent/AgentOrders.java
@@ -0,0 +1,68 @@
+package org.wigeonstage.agent;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.common.WigeonstageException;
+import org.wigeonstage.config.ActiveConfiguration;
+import org.wigeonstage.config.PoolSpec;
+import org.wigeonstage.orders.FencingHold;
+import org.wigeonstage.orders.OrderCarrier;
+
+/** Follows the pool's definition and has its orders given. Belongs to one thread. */
+final class AgentOrders {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final String agent;
+  private final ActiveConfiguration configuration;
+  private final OrderCarrier carrier;
+  private final MonotonicClock clock = MonotonicClock.system();
+  private @Nullable Duration registeredAt;
+  private boolean hadPredecessor;
+  private boolean checksFencing;
+  private @Nullable FencingHold hold;
+
+  AgentOrders(String agent, ActiveConfiguration configuration, OrderCarrier carrier) {
+    this.agent = agent;
+    this.configuration = configuration;
+    this.carrier = carrier;
+  }
+
+  /** Notes that the agent's registration has taken effect. */
+  void registered(boolean predecessor) {
+    registeredAt = clock.elapsed();
+    hadPredecessor = predecessor;
+  }
+
+  /** Gives the orders that are missing, as far as they may be given now. */
+  void reconcile() {
+    Optional<PoolSpec> pool =
+        configuration.current().document().pools().stream()
+            .filter(candidate -> candidate.memberNames().contains(agent))
+            .findFirst();
+    Duration registration = registeredAt;
+    if (pool.isEmpty() || registration == null) {
+      return;
+    }
+    try {
+      carrier.reconcile(pool.get(), holdFor(pool.get(), registration));
+    } catch (WigeonstageException e) {
+      logger.atWarning().atMostEvery(60, TimeUnit.SECONDS).log("orders wait: %s", e.getMessage());
+    }
+  }
+
+  private FencingHold holdFor(PoolSpec pool, Duration registration) {
+    FencingHold current = hold;
+    if (current == null || checksFencing != pool.checksFencing()) {
+      checksFencing = pool.checksFencing();
+      current = new FencingHold(checksFencing);
+      current.registered(registration, hadPredecessor);
+      hold = current;
+    }
+    return current;
+  }
+}
--- a/src/main/java/org/wigeonstage/agent/AgentProcess.java
+++ b/src/main/java/org/wigeonstage/agent/AgentProcess.java
@@ -23,6 +23,8 @@
 import org.wigeonstage.ledger.RequestLedger;
 import org.wigeonstage.membership.AgentRegistration;
 import org.wigeonstage.membership.Registrar;
+import org.wigeonstage.orders.LoadSlots;
+import org.wigeonstage.orders.OrderCarrier;
 import org.wigeonstage.platform.HttpObjectStore;
 import org.wigeonstage.queue.AdaptiveDispatchWindow;
 import org.wigeonstage.queue.FairTierQueue;
@@ -37,6 +39,7 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long TICK_MILLIS = 50;
+  private static final long ORDERS_INTERVAL_MILLIS = 5000;
   private static final int CLIENT_THREADS = 2;
   private static final int MAX_OPERATOR_BODY = 64 * 1024;
   private static final Duration LINK_SILENCE_LIMIT = Duration.ofSeconds(10);
@@ -53,6 +56,7 @@
   private final LinkServer links;
   private final HttpServer operators;
   private final Registrar registrar;
+  private final AgentOrders orders;
   private volatile boolean leaving;
 
   private AgentProcess(AgentSettings settings, InstantSource clock) {
@@ -82,14 +86,22 @@
                 MAX_OPERATOR_BODY,
                 new AgentOperatorsHandler(this, metrics)));
     HttpObjectStore store = new HttpObjectStore(client, Endpoint.of(settings.platform()));
+    OrderCarrier carrier =
+        new OrderCarrier(
+            settings.name(),
+            incarnation,
+            client,
+            Endpoint.of(settings.backendServer()),
+            store,
+            new LoadSlots(store, clock),
+            MonotonicClock.system(),
+            metrics);
+    this.orders = new AgentOrders(settings.name(), configuration, carrier);
     this.registrar =
         new Registrar(
             store,
             new AgentRegistration(
-                settings.name(),
-                links.endpoint().toString(),
-                settings.failureDomain(),
-                incarnation),
+                settings.name(), advertisedEndpoint(), settings.failureDomain(), incarnation),
             storeCalls,
             new RegistrationListener());
     metrics.registerAll("jvm.memory", new MemoryUsageGaugeSet());
@@ -106,6 +118,11 @@
   public static AgentProcess start(AgentSettings settings, InstantSource clock) {
     AgentProcess process = new AgentProcess(settings, clock);
     process.registrar.start();
+    process.storeCalls.scheduleWithFixedDelay(
+        process.orders::reconcile,
+        ORDERS_INTERVAL_MILLIS,
+        ORDERS_INTERVAL_MILLIS,
+        TimeUnit.MILLISECONDS);
     process.control.scheduleWithFixedDelay(
         process::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     logger.atInfo().log(
@@ -113,6 +130,10 @@
     return process;
   }
 
+  private String advertisedEndpoint() {
+    return settings.advertised().isEmpty() ? links.endpoint().toString() : settings.advertised();
+  }
+
   private RequestLedger createLedger(InstantSource clock) {
     return new RequestLedger(
         incarnation,
@@ -252,8 +273,11 @@
     }
 
     @Override
-    public void isFirst() {
-      ledger.run(RequestLedger::completeKeyHistory);
+    public void registered(boolean isFirst) {
+      orders.registered(!isFirst);
+      if (isFirst) {
+        ledger.run(RequestLedger::completeKeyHistory);
+      }
     }
   }
 
--- /dev/null
+++ b/src/main/java/org/wigeonstage/bench/Bench.java
@@ -0,0 +1,136 @@
+package org.wigeonstage.bench;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.demo.DeploymentOptions;
+import org.wigeonstage.demo.DeploymentPlan;
+import org.wigeonstage.load.LoadSummary;
+import org.wigeonstage.load.TierSummary;
+import org.wigeonstage.routing.RoutingPolicy;
+
+/** Runs all scenarios of a deployment and the routing baselines, and checks the bounds. */
+public final class Bench {
+
+  private static final List<RoutingPolicy> BASELINES =
+      List.of(RoutingPolicy.LEAST_OUTSTANDING, RoutingPolicy.ROUND_ROBIN, RoutingPolicy.RANDOM);
+
+  private final PrintStream out;
+  private final ScenarioRunner runner;
+  private final int seconds;
+  private final List<LoadSummary> summaries = new ArrayList<>();
+  private final List<Bound> bounds = new ArrayList<>();
+
+  /**
+   * Creates a bench.
+   *
+   * @param out where to print
+   * @param seconds how long requests are sent in each scenario
+   * @param seed the seed of all chance
+   */
+  public Bench(PrintStream out, int seconds, long seed) {
+    this.out = out;
+    this.seconds = seconds;
+    this.runner = new ScenarioRunner(seconds, seed, line -> out.println("running " + line));
+  }
+
+  /**
+   * Runs a deployment's scenarios.
+   *
+   * @param plan the deployment
+   * @param only the name of the only scenario to run, or {@code all}
+   * @throws IOException where a process can't be stopped
+   * @throws InterruptedException where the thread is interrupted
+   */
+  public void run(DeploymentPlan plan, String only) throws IOException, InterruptedException {
+    DeploymentOptions own = DeploymentOptions.DEFAULTS;
+    LoadSummary steady = null;
+    for (Scenario scenario : Scenario.allOf(plan, seconds)) {
+      boolean wanted = only.equals("all") || only.equals(scenario.name());
+      if (!wanted) {
+        continue;
+      }
+      LoadSummary summary = record(runner.run(plan, own, scenario));
+      bounds.addAll(Bounds.ofScenario(summary));
+      if (scenario.name().equals("steady")) {
+        steady = summary;
+        compareWasted(plan, scenario, summary);
+      } else if (scenario.name().equals("burst")) {
+        compareBurst(plan, scenario, steady, summary);
+      }
+    }
+  }
+
+  private void compareWasted(DeploymentPlan plan, Scenario scenario, LoadSummary own)
+      throws IOException, InterruptedException {
+    LoadSummary baseline = runBaseline(plan, scenario, RoutingPolicy.LEAST_OUTSTANDING);
+    bounds.add(Bounds.ofWastedPrefill(own, baseline));
+  }
+
+  private void compareBurst(
+      DeploymentPlan plan, Scenario scenario, @Nullable LoadSummary steady, LoadSummary own)
+      throws IOException, InterruptedException {
+    if (steady != null) {
+      bounds.addAll(Bounds.ofBurst(steady, own));
+    }
+    List<LoadSummary> baselines = new ArrayList<>();
+    for (RoutingPolicy policy : BASELINES) {
+      baselines.add(runBaseline(plan, scenario, policy));
+    }
+    bounds.add(Bounds.ofTotalGoodput(own, baselines));
+  }
+
+  private LoadSummary runBaseline(DeploymentPlan plan, Scenario scenario, RoutingPolicy policy)
+      throws IOException, InterruptedException {
+    DeploymentOptions options = DeploymentOptions.DEFAULTS.withRouting(policy);
+    return record(runner.run(plan, options, scenario));
+  }
+
+  private LoadSummary record(LoadSummary summary) {
+    summaries.add(summary);
+    out.printf(
+        "  prefill %d computed, %d saved, %d wasted; violations %d %s%n",
+        summary.prefillComputed(),
+        summary.prefillSaved(),
+        summary.prefillWasted(),
+        summary.violations().total(),
+        summary.violations());
+    for (TierSummary tier : summary.tiers()) {
+      out.printf(
+          "  tier %d: sent %d, good %d, done %d, not run %d, unknown %d; first part %s, gap %.1f%n",
+          tier.tier(),
+          tier.sent(),
+          tier.good(),
+          tier.completed(),
+          tier.notRun(),
+          tier.unknown(),
+          tier.firstPartMillis(),
+          tier.gapMillisP95());
+    }
+    return summary;
+  }
+
+  /**
+   * Prints the bounds.
+   *
+   * @return the number of bounds that do not hold
+   */
+  public long report() {
+    out.println();
+    bounds.forEach(out::println);
+    long missed = bounds.stream().filter(bound -> !bound.holds()).count();
+    out.println(bounds.size() + " bounds, " + missed + " missed");
+    return missed;
+  }
+
+  /**
+   * Returns the figures of all runs so far.
+   *
+   * @return the figures
+   */
+  public List<LoadSummary> summaries() {
+    return List.copyOf(summaries);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/bench/Bounds.java
@@ -0,0 +1,84 @@
+package org.wigeonstage.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.wigeonstage.bench.Bound.Relation;
+import org.wigeonstage.load.LoadSummary;
+import org.wigeonstage.load.TierSummary;
+
+/** The bounds of scenarios, from the users' targets. */
+final class Bounds {
+
+  /** The time to the first part of an answer that 95 in 100 must keep, in milliseconds. */
+  private static final double FIRST_PART_MILLIS = 790;
+
+  /** The time between two parts of an answer that 95 in 100 must keep, in milliseconds. */
+  private static final double GAP_MILLIS = 34;
+
+  private static final int TOP_TIERS = 2;
+  private static final double KEPT_GOODPUT = 0.99;
+  private static final double WASTED_PREFILL_RATIO = 0.5;
+  private static final double KEPT_TOTAL_GOODPUT = 0.95;
+
+  private Bounds() {}
+
+  /** Returns the bounds of any scenario: no violations, and latency in the top tiers. */
+  static List<Bound> ofScenario(LoadSummary summary) {
+    List<Bound> bounds = new ArrayList<>();
+    bounds.add(
+        new Bound(
+            summary.name() + " violations", summary.violations().total(), Relation.AT_MOST, 0));
+    summary.tiers().stream()
+        .limit(TOP_TIERS)
+        .forEach(tier -> addLatency(summary.name(), tier, bounds));
+    return bounds;
+  }
+
+  private static void addLatency(String name, TierSummary tier, List<Bound> bounds) {
+    String prefix = name + " tier " + tier.tier();
+    bounds.add(
+        new Bound(
+            prefix + " first part p95 ms",
+            tier.firstPartMillis().p95(),
+            Relation.AT_MOST,
+            FIRST_PART_MILLIS));
+    bounds.add(
+        new Bound(prefix + " gap p95 ms", tier.gapMillisP95(), Relation.AT_MOST, GAP_MILLIS));
+  }
+
+  /** Returns the bound of goodput in the top tiers under a burst against the steady load. */
+  static List<Bound> ofBurst(LoadSummary steady, LoadSummary burst) {
+    List<Bound> bounds = new ArrayList<>();
+    for (int i = 0; i < TOP_TIERS; i++) {
+      double unloaded = steady.tiers().get(i).goodShare();
+      double ratio = burst.tiers().get(i).goodShare() / unloaded;
+      bounds.add(
+          new Bound(
+              burst.name() + " tier " + i + " goodput against unloaded",
+              ratio,
+              Relation.AT_LEAST,
+              KEPT_GOODPUT));
+    }
+    return bounds;
+  }
+
+  /** Returns the bound of wasted prefill against least outstanding. */
+  static Bound ofWastedPrefill(LoadSummary own, LoadSummary leastOutstanding) {
+    double ratio = (double) own.prefillWasted() / Math.max(1, leastOutstanding.prefillWasted());
+    return new Bound(
+        own.name() + " wasted prefill against least outstanding",
+        ratio,
+        Relation.AT_MOST,
+        WASTED_PREFILL_RATIO);
+  }
+
+  /** Returns the bound of total goodput against the best baseline. */
+  static Bound ofTotalGoodput(LoadSummary own, List<LoadSummary> baselines) {
+    long best = baselines.stream().mapToLong(LoadSummary::totalGood).max().orElse(0);
+    return new Bound(
+        own.name() + " total goodput against the best baseline",
+        (double) own.totalGood() / Math.max(1, best),
+        Relation.AT_LEAST,
+        KEPT_TOTAL_GOODPUT);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/bench/FaultDriver.java
@@ -0,0 +1,58 @@
+package org.wigeonstage.bench;
+
+import com.google.common.flogger.FluentLogger;
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.wigeonstage.common.ControlThreads;
+import org.wigeonstage.demo.Deployment;
+import org.wigeonstage.standin.PlatformFaults;
+
+/** Brings a scenario's faults about when they are due. */
+final class FaultDriver implements Closeable {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final Deployment deployment;
+  private final ScheduledExecutorService executor = ControlThreads.single("faults");
+
+  FaultDriver(Deployment deployment, Scenario scenario) {
+    this.deployment = deployment;
+    for (Fault fault : scenario.faults()) {
+      executor.schedule(() -> run(fault), fault.atSecond(), TimeUnit.SECONDS);
+    }
+  }
+
+  private void run(Fault fault) {
+    try {
+      cause(fault);
+    } catch (IOException e) {
+      logger.atSevere().withCause(e).log("can't bring about %s", fault);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void cause(Fault fault) throws IOException, InterruptedException {
+    if (fault instanceof Fault.SlowEngine slow) {
+      deployment.engines().get(slow.engine()).slowdown(slow.factor());
+    } else if (fault instanceof Fault.FailureDomainLoss loss) {
+      deployment.loseFailureDomain(loss.failureDomain());
+    } else if (fault instanceof Fault.RollingRestart) {
+      deployment.restartAllInTurn();
+    } else if (fault instanceof Fault.PlatformOutage) {
+      deployment.platform().faults(new PlatformFaults(true, 0, false));
+    }
+  }
+
+  @Override
+  public void close() {
+    executor.shutdown();
+    try {
+      executor.awaitTermination(1, TimeUnit.MINUTES);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/bench/Scenario.java
@@ -0,0 +1,48 @@
+package org.wigeonstage.bench;
+
+import java.util.List;
+import org.wigeonstage.demo.DeploymentPlan;
+import org.wigeonstage.load.Experiment;
+
+/**
+ * A load on a deployment, with faults.
+ *
+ * @param name the scenario's name
+ * @param bursts the times during which more requests are sent
+ * @param faults what fails
+ */
+public record Scenario(String name, List<Experiment.Burst> bursts, List<Fault> faults) {
+
+  private static final int FAULT_SECOND = 5;
+  private static final double BURST_FACTOR = 3;
+  private static final int SLOW_FACTOR = 10;
+
+  /** Makes the lists immutable. */
+  public Scenario {
+    bursts = List.copyOf(bursts);
+    faults = List.copyOf(faults);
+  }
+
+  /**
+   * Returns the scenarios of a deployment.
+   *
+   * @param plan the deployment
+   * @param seconds how long requests are sent
+   * @return all scenarios
+   */
+  public static List<Scenario> allOf(DeploymentPlan plan, int seconds) {
+    String failureDomain = plan.failureDomains().get(0);
+    return List.of(
+        new Scenario("steady", List.of(), List.of()),
+        new Scenario(
+            "burst", List.of(new Experiment.Burst(FAULT_SECOND, seconds, BURST_FACTOR)), List.of()),
+        withFault("slow-engine", new Fault.SlowEngine(FAULT_SECOND, 0, SLOW_FACTOR)),
+        withFault("domain-lost", new Fault.FailureDomainLoss(FAULT_SECOND, failureDomain)),
+        withFault("rolling-restart", new Fault.RollingRestart(FAULT_SECOND)),
+        withFault("platform-down", new Fault.PlatformOutage(0)));
+  }
+
+  private static Scenario withFault(String name, Fault fault) {
+    return new Scenario(name, List.of(), List.of(fault));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/bench/ScenarioRunner.java
@@ -0,0 +1,83 @@
+package org.wigeonstage.bench;
+
+import java.io.IOException;
+import java.time.InstantSource;
+import java.util.function.Consumer;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.demo.Deployment;
+import org.wigeonstage.demo.DeploymentOptions;
+import org.wigeonstage.demo.DeploymentPlan;
+import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.load.Experiment;
+import org.wigeonstage.load.LoadGenerator;
+import org.wigeonstage.load.LoadResult;
+import org.wigeonstage.load.LoadSummary;
+import org.wigeonstage.load.Summarizer;
+
+/** Runs scenarios, each on a fresh deployment. */
+public final class ScenarioRunner {
+
+  private static final int CLIENT_THREADS = 2;
+
+  private final int seconds;
+  private final long seed;
+  private final Consumer<String> progress;
+
+  /**
+   * Creates a runner.
+   *
+   * @param seconds how long requests are sent
+   * @param seed the seed of all chance
+   * @param progress takes lines of progress
+   */
+  public ScenarioRunner(int seconds, long seed, Consumer<String> progress) {
+    this.seconds = seconds;
+    this.seed = seed;
+    this.progress = progress;
+  }
+
+  /**
+   * Runs a scenario.
+   *
+   * @param plan the deployment
+   * @param options how to start it
+   * @param scenario load and faults
+   * @return the figures
+   * @throws IOException where a process can't be stopped
+   * @throws InterruptedException where the thread is interrupted
+   */
+  public LoadSummary run(DeploymentPlan plan, DeploymentOptions options, Scenario scenario)
+      throws IOException, InterruptedException {
+    String name = plan.name() + "/" + scenario.name() + "/" + options.routing().text();
+    progress.accept(name);
+    Experiment experiment =
+        new Experiment(plan.name(), seed, seconds, plan.classes(), scenario.bursts());
+    try (Deployment deployment = Deployment.start(plan, options);
+        HttpClient client = HttpClient.start("load", CLIENT_THREADS)) {
+      LoadGenerator generator =
+          new LoadGenerator(client, MonotonicClock.system(), InstantSource.system(), line -> {});
+      LoadResult result;
+      try (FaultDriver faults = new FaultDriver(deployment, scenario)) {
+        result = generator.run(experiment, deployment.callersEndpoints());
+      }
+      return summarize(name, deployment, result);
+    }
+  }
+
+  private static LoadSummary summarize(String name, Deployment deployment, LoadResult result) {
+    long computed = deployment.prefillComputed();
+    return new LoadSummary(
+        name,
+        result.experiment().seed(),
+        result.experiment().seconds(),
+        Summarizer.tiersOf(result),
+        computed,
+        deployment.prefillSaved(),
+        Math.max(0, computed - result.necessaryPrefill()),
+        new LoadSummary.Violations(
+            result.wrongAnswers(),
+            deployment.doubleDispatches(),
+            result.falseNotRuns(deployment.serviceRuns()),
+            result.open()));
+  }
+}
--- a/src/main/java/org/wigeonstage/cli/Main.java
+++ b/src/main/java/org/wigeonstage/cli/Main.java
@@ -32,6 +32,7 @@
         new StandinServiceCommand(),
         new LoadCommand(),
         new DemoCommand(),
+        new BenchCommand(),
         new VersionCommand());
   }
 }
--- a/src/main/java/org/wigeonstage/console/Field.java
+++ b/src/main/java/org/wigeonstage/console/Field.java
@@ -18,6 +18,8 @@
     OPTIONAL_TEXT,
     /** A number. */
     NUMBER,
+    /** A number that may be left empty, and is then absent from the object. */
+    OPTIONAL_NUMBER,
     /** A box to tick. */
     BOOLEAN,
     /** Lines of text. */
--- a/src/main/java/org/wigeonstage/console/FormKind.java
+++ b/src/main/java/org/wigeonstage/console/FormKind.java
@@ -36,8 +36,13 @@
           new Field("models", "Models", Type.LINES, "one a line; none for a service"),
           new Field(
               "members", "Backend servers", Type.MEMBERS, "agent and failure domain, one a line"),
+          new Field("checksFencing", "Refuses orders with an old fencing number", Type.BOOLEAN, ""),
+          new Field("loads", "To be loaded", Type.LINES, "models and adapters, one a line"),
           new Field(
-              "checksFencing", "Refuses orders with an old fencing number", Type.BOOLEAN, ""))),
+              "concurrentLoads",
+              "Loads at once",
+              Type.OPTIONAL_NUMBER,
+              "backend servers; default 1"))),
   RULES(
       "rules",
       "Rules",
--- a/src/main/java/org/wigeonstage/console/FormMapper.java
+++ b/src/main/java/org/wigeonstage/console/FormMapper.java
@@ -26,7 +26,7 @@
 
   private static String toText(Field field, JsonNode value) {
     return switch (field.type()) {
-      case TEXT, OPTIONAL_TEXT, NUMBER -> value.asText("");
+      case TEXT, OPTIONAL_TEXT, NUMBER, OPTIONAL_NUMBER -> value.asText("");
       case BOOLEAN -> value.asBoolean() ? "on" : "";
       case LINES -> joinLines(value);
       case MEMBERS -> joinMembers(value);
@@ -64,6 +64,11 @@
           object.put(field.name(), value);
         }
       }
+      case OPTIONAL_NUMBER -> {
+        if (!value.isEmpty()) {
+          putNumber(object, field.name(), value);
+        }
+      }
       case NUMBER -> putNumber(object, field.name(), value);
       case BOOLEAN -> object.put(field.name(), value.equals("on"));
       case LINES -> object.set(field.name(), lines(value));
--- a/src/main/java/org/wigeonstage/demo/Deployment.java
+++ b/src/main/java/org/wigeonstage/demo/Deployment.java
@@ -45,8 +45,81 @@
   private final PlatformStandin platform;
   private final List<EngineStandin> engines = new ArrayList<>();
   private final List<ServiceStandin> services = new ArrayList<>();
-  private final List<AgentProcess> agents = new ArrayList<>();
-  private final List<EntryProcess> entries = new ArrayList<>();
+  private final List<AgentNode> agents = new ArrayList<>();
+  private final List<EntryNode> entries = new ArrayList<>();
+
+  /** An agent's place, which outlives its processes. */
+  private static final class AgentNode {
+    private final AgentSettings settings;
+    private final Closeable backendServer;
+    private AgentProcess process;
+
+    AgentNode(AgentSettings settings, Closeable backendServer) {
+      this.process = AgentProcess.start(settings, InstantSource.system());
+      this.settings = withAddresses(settings, process);
+      this.backendServer = backendServer;
+    }
+
+    /** Keeps the ports that the first process was given. */
+    private static AgentSettings withAddresses(AgentSettings settings, AgentProcess process) {
+      return new AgentSettings(
+          settings.name(),
+          settings.failureDomain(),
+          settings.kind(),
+          process.entriesEndpoint().toString(),
+          settings.advertised(),
+          process.operatorsEndpoint().toString(),
+          settings.backendServer(),
+          settings.platform(),
+          settings.queueCapacity(),
+          settings.windowMin(),
+          settings.windowMax(),
+          settings.reservedShare(),
+          settings.targetGapMillis(),
+          settings.drainGraceMillis(),
+          settings.telemetry());
+    }
+
+    void restart() throws IOException, InterruptedException {
+      process.drain();
+      process.close();
+      process = AgentProcess.start(settings, InstantSource.system());
+    }
+  }
+
+  /** An entry's place, which outlives its processes. */
+  private static final class EntryNode {
+    private final EntrySettings settings;
+    private EntryProcess process;
+
+    EntryNode(EntrySettings settings) {
+      this.process = EntryProcess.start(settings, InstantSource.system());
+      this.settings = withAddresses(settings, process);
+    }
+
+    /** Keeps the ports that the first process was given. */
+    private static EntrySettings withAddresses(EntrySettings settings, EntryProcess process) {
+      return new EntrySettings(
+          settings.name(),
+          settings.failureDomain(),
+          process.callersEndpoint().toString(),
+          process.operatorsEndpoint().toString(),
+          settings.platform(),
+          settings.peers(),
+          settings.routing(),
+          settings.maxBodyBytes(),
+          settings.liveLinks(),
+          settings.operatorKeyHashes(),
+          settings.drainGraceMillis(),
+          settings.telemetry());
+    }
+
+    void restart() throws IOException, InterruptedException {
+      process.drain();
+      process.close();
+      process = EntryProcess.start(settings, InstantSource.system());
+    }
+  }
 
   private Deployment(DeploymentPlan plan, DeploymentOptions options) {
     this.plan = plan;
@@ -96,26 +169,34 @@
   private void startBackendServer(DeploymentPlan.Pool pool, int index) {
     String name = DeploymentPlan.agentName(pool, index);
     boolean isModel = pool.kind() == PoolSpec.Kind.MODEL;
-    Endpoint backendServer = isModel ? startEngine(index) : startService(name);
-    agents.add(
-        closer.register(
-            AgentProcess.start(
-                agentSettings(name, plan.failureDomainOf(index), pool.kind(), backendServer),
-                InstantSource.system())));
+    Closeable standin;
+    Endpoint backendServer;
+    if (isModel) {
+      EngineStandin engine = startEngine(index);
+      standin = engine;
+      backendServer = engine.endpoint();
+    } else {
+      ServiceStandin service = startService(name);
+      standin = service;
+      backendServer = service.endpoint();
+    }
+    AgentSettings settings =
+        agentSettings(name, plan.failureDomainOf(index), pool.kind(), backendServer);
+    agents.add(new AgentNode(settings, standin));
   }
 
-  private Endpoint startEngine(int index) {
+  private EngineStandin startEngine(int index) {
     EngineSpeed speed = EngineSpeed.ofGeneration(1 + index % GENERATIONS);
     EngineStandin engine = closer.register(EngineStandin.start(ANY_PORT, speed, true));
     engines.add(engine);
-    return engine.endpoint();
+    return engine;
   }
 
-  private Endpoint startService(String name) {
+  private ServiceStandin startService(String name) {
     ServiceStandin service =
         closer.register(ServiceStandin.start(name, ANY_PORT, SERVICE_DELAY_MILLIS));
     services.add(service);
-    return service.endpoint();
+    return service;
   }
 
   private AgentSettings agentSettings(
@@ -125,6 +206,7 @@
         failureDomain,
         kind.toString(),
         ANY_PORT.toString(),
+        "",
         ANY_PORT.toString(),
         backendServer.toString(),
         platform.endpoint().toString(),
@@ -152,11 +234,11 @@
             List.of(),
             START_TIMEOUT.toMillis(),
             TelemetrySettings.DEFAULTS);
-    entries.add(closer.register(EntryProcess.start(settings, InstantSource.system())));
+    entries.add(new EntryNode(settings));
   }
 
   private boolean isConnected() {
-    return entries.stream().allMatch(entry -> entry.connectedAgents() == agents.size());
+    return entries.stream().allMatch(entry -> entry.process.connectedAgents() == agents.size());
   }
 
   private static void await(BooleanSupplier condition, String what) {
@@ -208,7 +290,7 @@
    * @return the agents, those of the first pool first
    */
   public List<AgentProcess> agents() {
-    return List.copyOf(agents);
+    return agents.stream().map(node -> node.process).toList();
   }
 
   /**
@@ -217,7 +299,7 @@
    * @return the entries
    */
   public List<EntryProcess> entries() {
-    return List.copyOf(entries);
+    return entries.stream().map(node -> node.process).toList();
   }
 
   /**
@@ -226,7 +308,7 @@
    * @return the addresses
    */
   public List<Endpoint> callersEndpoints() {
-    return entries.stream().map(EntryProcess::callersEndpoint).toList();
+    return entries.stream().map(node -> node.process.callersEndpoint()).toList();
   }
 
   /**
@@ -271,8 +353,50 @@
     return engines.stream().mapToLong(EngineStandin::prefillSaved).sum();
   }
 
+  /**
+   * Stops all hosts of a failure domain at once, without a word.
+   *
+   * @param failureDomain the failure domain's name
+   * @throws IOException where a process can't be stopped
+   */
+  public void loseFailureDomain(String failureDomain) throws IOException {
+    for (AgentNode node : agents) {
+      if (node.settings.failureDomain().equals(failureDomain)) {
+        node.process.close();
+        node.backendServer.close();
+      }
+    }
+    for (EntryNode node : entries) {
+      if (node.settings.failureDomain().equals(failureDomain)) {
+        node.process.close();
+      }
+    }
+  }
+
+  /**
+   * Restarts all agents, then all entries, each gracefully and one after the other.
+   *
+   * @throws IOException where a process can't be stopped
+   * @throws InterruptedException where the thread is interrupted
+   */
+  public void restartAllInTurn() throws IOException, InterruptedException {
+    for (AgentNode node : agents) {
+      node.restart();
+    }
+    for (EntryNode node : entries) {
+      node.restart();
+      await(() -> node.process.connectedAgents() == agents.size(), "the entry's connections");
+    }
+  }
+
   @Override
   public void close() throws IOException {
+    for (EntryNode node : entries) {
+      closer.register(node.process);
+    }
+    for (AgentNode node : agents) {
+      closer.register(node.process);
+    }
     closer.close();
   }
 }
--- a/src/main/java/org/wigeonstage/dispatch/DispatcherEffects.java
+++ b/src/main/java/org/wigeonstage/dispatch/DispatcherEffects.java
@@ -15,6 +15,13 @@
    */
   void send(String agent, Message message);
 
+  /**
+   * Opens a connection to an agent that none is kept to.
+   *
+   * @param agent the agent's name
+   */
+  void connect(String agent);
+
   /**
    * Gives the caller the beginning of its answer.
    *
--- a/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
+++ b/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
@@ -27,6 +27,8 @@
  */
 public final class RequestDispatcher {
 
+  private static final int DEMANDED_LINKS = 2;
+
   private final DispatcherLimits limits;
   private final AgentDirectory directory;
   private final Router router;
@@ -86,7 +88,7 @@
     RequestSpec spec = submission.spec();
     IdempotencyKey key = spec.key();
     if (key != null) {
-      return directory.homeOf(spec.pool(), key).filter(AgentState::isLinked);
+      return chooseHome(spec.pool(), key);
     }
     List<AgentState> agents = directory.agentsOf(spec.pool());
     List<AgentState> candidates =
@@ -98,15 +100,37 @@
       finish(submission, DispatchResult.notRun(submission.lastRefusal()));
       return Optional.empty();
     }
+    if (candidates.isEmpty()) {
+      demandOthers(agents);
+    }
     return router.choose(spec, candidates);
   }
 
+  /** Opens some connections beyond the live ones, none of which leads to an available agent. */
+  private void demandOthers(List<AgentState> agents) {
+    agents.stream()
+        .filter(agent -> !agent.isLinked())
+        .limit(DEMANDED_LINKS)
+        .forEach(agent -> effects.connect(agent.name()));
+  }
+
+  /** Returns the only agent that may decide about a key, once it is connected. */
+  private Optional<AgentState> chooseHome(String pool, IdempotencyKey key) {
+    Optional<AgentState> home = directory.homeOf(pool, key);
+    home.filter(agent -> !agent.isLinked()).ifPresent(agent -> effects.connect(agent.name()));
+    return home.filter(AgentState::isLinked);
+  }
+
   private void offer(Submission submission, AgentState agent) {
     submission.offerTo(agent);
     effects.send(
         agent.name(),
         new Message.Offer(
-            submission.id(), agent.incarnation(), submission.startBy(), submission.spec()));
+            submission.id(),
+            agent.incarnation(),
+            submission.startBy(),
+            !agent.isAvailable(),
+            submission.spec()));
   }
 
   /** Ends a request that no agent has. */
--- a/src/main/java/org/wigeonstage/dispatch/Submission.java
+++ b/src/main/java/org/wigeonstage/dispatch/Submission.java
@@ -80,7 +80,7 @@
     agent = target;
     incarnation = target.incarnation();
     phase = Phase.OFFERED;
-    target.offered(spec.cost().work());
+    target.offered();
   }
 
   void dispatched() {
@@ -102,7 +102,7 @@
   void release() {
     AgentState current = agent;
     if (current != null) {
-      current.ended(spec.cost().work());
+      current.ended();
       agent = null;
     }
   }
--- a/src/main/java/org/wigeonstage/entry/CallerAnswer.java
+++ b/src/main/java/org/wigeonstage/entry/CallerAnswer.java
@@ -9,7 +9,10 @@
 import java.util.Map;
 import java.util.function.LongConsumer;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.admission.OutputEstimator;
 import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.common.WigeonstageException;
 import org.wigeonstage.dispatch.DispatchResult;
 import org.wigeonstage.http.Problem;
 import org.wigeonstage.http.ServerExchange;
@@ -34,6 +37,7 @@
 
   private final ServerExchange exchange;
   private final RequestId id;
+  private final OutputEstimator.Subject subject;
   private final Span span;
   private final Duration startedAt;
   private final LongConsumer consumed;
@@ -42,16 +46,27 @@
   private @Nullable String contentType;
   private boolean streaming;
   private int parts;
+  private int events;
 
   CallerAnswer(
-      ServerExchange exchange, RequestId id, Span span, Duration startedAt, LongConsumer consumed) {
+      ServerExchange exchange,
+      RequestId id,
+      OutputEstimator.Subject subject,
+      Span span,
+      Duration startedAt,
+      LongConsumer consumed) {
     this.exchange = exchange;
     this.id = id;
+    this.subject = subject;
     this.span = span;
     this.startedAt = startedAt;
     this.consumed = consumed;
   }
 
+  OutputEstimator.Subject subject() {
+    return subject;
+  }
+
   Span span() {
     return span;
   }
@@ -84,6 +99,7 @@
 
   void continued(byte[] data) {
     parts++;
+    events += countEvents(data);
     if (streaming) {
       exchange.write(data);
       return;
@@ -98,6 +114,28 @@
     }
   }
 
+  /** Counts the ends of events; one that falls on the border of two parts is passed over. */
+  private static int countEvents(byte[] data) {
+    int count = 0;
+    for (int i = 1; i < data.length; i++) {
+      count += data[i] == '\n' && data[i - 1] == '\n' ? 1 : 0;
+    }
+    return count;
+  }
+
+  /** Returns about how many tokens the answer had, or 0 where that can't be told. */
+  int outputTokens() {
+    if (streaming) {
+      return Math.max(0, events - 1);
+    }
+    try {
+      String text = held.toString(StandardCharsets.UTF_8);
+      return Json.parse(text).at("/usage/completion_tokens").asInt(0);
+    } catch (WigeonstageException e) {
+      return 0;
+    }
+  }
+
   void finished(DispatchResult result) {
     span.setAttribute("wigeonstage.outcome", result.outcome().text());
     span.end();
--- a/src/main/java/org/wigeonstage/entry/CallersHandler.java
+++ b/src/main/java/org/wigeonstage/entry/CallersHandler.java
@@ -15,6 +15,7 @@
 import org.wigeonstage.admission.AdmissionChain;
 import org.wigeonstage.admission.CallContext;
 import org.wigeonstage.admission.CallerRequest;
+import org.wigeonstage.admission.OutputEstimator;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.common.WigeonstageException;
@@ -37,6 +38,7 @@
   private static final int OK = 200;
 
   private final AdmissionChain admission;
+  private final OutputEstimator estimator;
   private final ActiveConfiguration configuration;
   private final LinkKeeper links;
   private final MetricRegistry metrics;
@@ -49,6 +51,7 @@
 
   CallersHandler(
       AdmissionChain admission,
+      OutputEstimator estimator,
       ActiveConfiguration configuration,
       LinkKeeper links,
       MetricRegistry metrics,
@@ -56,6 +59,7 @@
       InstantSource clock,
       MonotonicClock monotonicClock) {
     this.admission = admission;
+    this.estimator = estimator;
     this.configuration = configuration;
     this.links = links;
     this.metrics = metrics;
@@ -141,7 +145,12 @@
     answers.put(
         id,
         new CallerAnswer(
-            exchange, id, span, monotonicClock.elapsed(), offset -> consumed(id, offset)));
+            exchange,
+            id,
+            context.subject(),
+            span,
+            monotonicClock.elapsed(),
+            offset -> consumed(id, offset)));
     exchange.onGone(() -> callerGone(id));
     dispatcher()
         .run(
@@ -179,6 +188,11 @@
     links.send(agent, message);
   }
 
+  @Override
+  public void connect(String agent) {
+    links.demand(agent);
+  }
+
   @Override
   public void answerBegan(RequestId id, int status, @Nullable String contentType) {
     CallerAnswer answer = answers.get(id);
@@ -206,8 +220,12 @@
   public void finished(RequestId id, DispatchResult result) {
     metrics.counter("callers.outcome." + result.outcome().text()).inc();
     CallerAnswer answer = answers.remove(id);
-    if (answer != null) {
-      answer.finished(result);
+    if (answer == null) {
+      return;
+    }
+    if (result.outcome() == Outcome.COMPLETED && answer.parts() > 0) {
+      estimator.observe(answer.subject(), answer.outputTokens());
     }
+    answer.finished(result);
   }
 }
--- a/src/main/java/org/wigeonstage/entry/EntryProcess.java
+++ b/src/main/java/org/wigeonstage/entry/EntryProcess.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,7 @@
 import org.wigeonstage.common.Json;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.config.ActiveConfiguration;
+import org.wigeonstage.config.ConfigurationDocument;
 import org.wigeonstage.config.ConfigurationRecord;
 import org.wigeonstage.config.ConfigurationVersion;
 import org.wigeonstage.dispatch.DispatcherLimits;
@@ -31,12 +33,15 @@
 import org.wigeonstage.http.HttpServer;
 import org.wigeonstage.http.SafeHandler;
 import org.wigeonstage.membership.AgentRegistration;
+import org.wigeonstage.membership.HostList;
+import org.wigeonstage.membership.LiveLinks;
 import org.wigeonstage.membership.PeerSnapshots;
 import org.wigeonstage.membership.Roster;
 import org.wigeonstage.membership.Snapshot;
 import org.wigeonstage.membership.StoreWatch;
 import org.wigeonstage.platform.HttpObjectStore;
 import org.wigeonstage.platform.ObjectList;
+import org.wigeonstage.platform.StoreException;
 import org.wigeonstage.routing.RoutingPolicy;
 import org.wigeonstage.settings.EntrySettings;
 import org.wigeonstage.telemetry.Tracing;
@@ -50,6 +55,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long TICK_MILLIS = 50;
   private static final long PEER_INTERVAL_MILLIS = 500;
+  private static final long HOSTS_INTERVAL_MILLIS = 2000;
   private static final int CLIENT_THREADS = 1;
   private static final int MAX_OPERATOR_BODY = 2 * 1024 * 1024;
 
@@ -58,9 +64,13 @@
   private final MetricRegistry metrics = new MetricRegistry();
   private final ActiveConfiguration configuration = new ActiveConfiguration();
   private final Roster roster = new Roster();
+  private final HostList hostList = new HostList();
+  private final HttpObjectStore store;
   private final ScheduledExecutorService control = ControlThreads.single("control");
   private final ScheduledExecutorService operatorCalls = ControlThreads.single("operator-calls");
+  private final ScheduledExecutorService storeCalls = ControlThreads.single("store-calls");
   private final LinkKeeper links;
+  private final LiveLinks liveLinks;
   private final LinkConnector connector;
   private final LockedDispatcher dispatcher;
   private final CallersHandler callersHandler;
@@ -74,12 +84,15 @@
     MonotonicClock monotonicClock = MonotonicClock.system();
     Tracing tracing = closer.register(Tracing.start(settings.name(), settings.telemetry()));
     HttpClient client = closer.register(HttpClient.start("client", CLIENT_THREADS));
-    HttpObjectStore store = new HttpObjectStore(client, Endpoint.of(settings.platform()));
+    this.store = new HttpObjectStore(client, Endpoint.of(settings.platform()));
     this.links = new LinkKeeper(monotonicClock, metrics);
+    this.liveLinks = new LiveLinks(settings.name(), settings.failureDomain(), settings.liveLinks());
+    OutputEstimator estimator = new OutputEstimator();
     AccountLimits limits = new AccountLimits(monotonicClock);
     this.callersHandler =
         new CallersHandler(
-            AdmissionChain.of(limits, new OutputEstimator()),
+            AdmissionChain.of(limits, estimator),
+            estimator,
             configuration,
             links,
             metrics,
@@ -119,13 +132,27 @@
                 new SafeHandler(
                     new EntryOperatorsHandler(this, store, clock, metrics), operatorCalls)));
     this.peers = new PeerSnapshots(client, settings.peers().stream().map(Endpoint::of).toList());
-    this.watches = startWatches(store);
+    this.watches = startWatches();
     metrics.registerAll("jvm.memory", new MemoryUsageGaugeSet());
     metrics.register("config.version", (Gauge<Long>) () -> configuration.current().version());
     metrics.register("links.open", (Gauge<Integer>) links::openLinks);
     metrics.register("callers.open", (Gauge<Integer>) callersHandler::openAnswers);
   }
 
+  /** Follows the platform's list of hosts, which can only add caution. */
+  private void readHosts() {
+    try {
+      Set<String> suspected = hostList.update(store.hosts());
+      dispatcher.run(
+          (target, directory) ->
+              directory
+                  .allAgents()
+                  .forEach(agent -> agent.suspect(suspected.contains(agent.name()))));
+    } catch (StoreException e) {
+      metrics.counter("store.failures").inc();
+    }
+  }
+
   /** Learns from peers while the platform has not given a configuration. */
   private void askPeers() {
     if (configuration.current().version() > 0) {
@@ -151,15 +178,17 @@
     EntryProcess process = new EntryProcess(settings, clock);
     process.control.scheduleWithFixedDelay(
         process::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
-    process.operatorCalls.scheduleWithFixedDelay(
+    process.storeCalls.scheduleWithFixedDelay(
         process::askPeers, PEER_INTERVAL_MILLIS, PEER_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    process.storeCalls.scheduleWithFixedDelay(
+        process::readHosts, 0, HOSTS_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     logger.atInfo().log(
         "entry %s listens on %s for callers and %s for operators",
         settings.name(), process.callers.endpoint(), process.operators.endpoint());
     return process;
   }
 
-  private List<Thread> startWatches(HttpObjectStore store) {
+  private List<Thread> startWatches() {
     var failures = metrics.counter("store.failures");
     return List.of(
         new StoreWatch(store, ConfigurationRecord.KIND, this::configurationRead, failures).start(),
@@ -185,10 +214,13 @@
 
   /** Brings the wanted connections in line with configuration and roster. */
   private synchronized void refreshLinks() {
-    var members = configuration.current().document().memberNames();
+    ConfigurationDocument document = configuration.current().document();
+    Set<String> members = document.memberNames();
+    Set<String> live = liveLinks.select(document);
     for (AgentRegistration registration : roster.registrations()) {
-      if (members.contains(registration.name())) {
-        links.want(registration.name(), Endpoint.of(registration.entries()));
+      String name = registration.name();
+      if (members.contains(name)) {
+        links.want(name, Endpoint.of(registration.entries()), live.contains(name));
       }
     }
     links.retain(members);
@@ -293,6 +325,7 @@
     watches.forEach(Thread::interrupt);
     control.shutdownNow();
     operatorCalls.shutdownNow();
+    storeCalls.shutdownNow();
     closer.close();
   }
 
--- a/src/main/java/org/wigeonstage/entry/LinkKeeper.java
+++ b/src/main/java/org/wigeonstage/entry/LinkKeeper.java
@@ -13,7 +13,8 @@
 import org.wigeonstage.wire.LinkConnector;
 
 /**
- * Keeps one live connection to each wanted agent, and replaces connections that have gone silent.
+ * Keeps one live connection to each agent of a subset, opens others while they are in demand, and
+ * replaces connections that have gone silent.
  *
  * <p>Safe for use by several threads; {@link #maintain} belongs to the control thread.
  */
@@ -24,12 +25,17 @@
   private static final Duration HEARTBEAT_INTERVAL = Duration.ofSeconds(1);
   private static final Duration RECONNECT_DELAY = Duration.ofMillis(300);
 
+  /** How long a connection outside of the live subset is kept after its last use. */
+  private static final Duration IDLE_LIMIT = Duration.ofSeconds(60);
+
   /** What is known of one agent's connection. */
   private static final class Target {
     private final Endpoint endpoint;
     private volatile @Nullable Link link;
     private volatile @Nullable Duration attemptedAt;
     private volatile Duration pingedAt = Duration.ZERO;
+    private volatile @Nullable Duration demandedAt;
+    private volatile boolean live;
 
     Target(Endpoint endpoint) {
       this.endpoint = endpoint;
@@ -46,16 +52,33 @@
     this.metrics = metrics;
   }
 
-  /** Sets where an agent listens; an open connection to another address is kept until it closes. */
-  void want(String agent, Endpoint endpoint) {
+  /** Sets where an agent listens, and whether a connection to it is always kept. */
+  void want(String agent, Endpoint endpoint, boolean live) {
     Target target = targets.get(agent);
     if (target == null || !target.endpoint.equals(endpoint)) {
       Target replacement = new Target(endpoint);
+      replacement.live = live;
       Target previous = targets.put(agent, replacement);
       closeIfOpen(previous);
+    } else {
+      target.live = live;
+    }
+  }
+
+  /** Opens a connection to an agent, and keeps it while it is in use. */
+  void demand(String agent) {
+    Target target = targets.get(agent);
+    if (target != null) {
+      target.demandedAt = clock.elapsed();
     }
   }
 
+  private boolean isWanted(Target target) {
+    Duration demandedAt = target.demandedAt;
+    return target.live
+        || (demandedAt != null && clock.elapsed().minus(demandedAt).compareTo(IDLE_LIMIT) < 0);
+  }
+
   /** Forgets the agents that are not wanted any more. */
   void retain(Collection<String> wanted) {
     targets
@@ -81,7 +104,9 @@
   void maintain(LinkConnector connector, long configVersion) {
     for (Target target : targets.values()) {
       Link link = target.link;
-      if (link == null) {
+      if (!isWanted(target)) {
+        closeIfOpen(target);
+      } else if (link == null) {
         connectIfDue(connector, target);
       } else if (link.silence().compareTo(SILENCE_LIMIT) > 0) {
         metrics.counter("links.silent").inc();
@@ -149,7 +174,11 @@
 
   void send(String agent, Message message) {
     Target target = targets.get(agent);
-    Link link = target == null ? null : target.link;
+    if (target == null) {
+      return;
+    }
+    target.demandedAt = clock.elapsed();
+    Link link = target.link;
     if (link != null) {
       link.send(message);
     }
@@ -158,13 +187,4 @@
   int openLinks() {
     return (int) targets.values().stream().filter(target -> target.link != null).count();
   }
-
-  void broadcast(Message message) {
-    for (Target target : targets.values()) {
-      Link link = target.link;
-      if (link != null) {
-        link.send(message);
-      }
-    }
-  }
 }
--- a/src/main/java/org/wigeonstage/handover/LoadReport.java
+++ b/src/main/java/org/wigeonstage/handover/LoadReport.java
@@ -14,5 +14,5 @@
     int running, int window, int waiting, long work, double workPerSecond, int lowestWaitingRank) {
 
   /** The report of an idle agent. */
-  public static final LoadReport IDLE = new LoadReport(0, 1, 0, 0, 0, -1);
+  public static final LoadReport IDLE = new LoadReport(0, 16, 0, 0, 0, -1);
 }
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -41,9 +41,11 @@
    * @param id the request
    * @param incarnation the agent's incarnation that the offer is meant for
    * @param startBy the time after which the request must not be dispatched
+   * @param joinOnly whether the agent may only give the answer of an earlier submission, because
+   *     its host is about to leave
    * @param spec the request
    */
-  record Offer(RequestId id, long incarnation, Instant startBy, RequestSpec spec)
+  record Offer(RequestId id, long incarnation, Instant startBy, boolean joinOnly, RequestSpec spec)
       implements AboutRequest {}
 
   /**
--- a/src/main/java/org/wigeonstage/ledger/RequestLedger.java
+++ b/src/main/java/org/wigeonstage/ledger/RequestLedger.java
@@ -143,7 +143,7 @@
   }
 
   private void enqueue(LinkId link, Message.Offer offer) {
-    Optional<Message> answer = rules.answerToInadmissible(offer, leaving);
+    Optional<Message> answer = rules.answerToInadmissible(offer, leaving || offer.joinOnly());
     if (answer.isPresent()) {
       effects.send(link, answer.get());
       return;
--- /dev/null
+++ b/src/main/java/org/wigeonstage/load/Balancer.java
@@ -0,0 +1,24 @@
+package org.wigeonstage.load;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.wigeonstage.http.Endpoint;
+
+/** Spreads requests over entries in turn, as the platform's balancer does. */
+final class Balancer {
+
+  private final List<Endpoint> entries;
+  private final AtomicInteger next = new AtomicInteger();
+
+  Balancer(List<Endpoint> entries) {
+    this.entries = List.copyOf(entries);
+  }
+
+  Endpoint next() {
+    return entries.get(Math.floorMod(next.getAndIncrement(), entries.size()));
+  }
+
+  int size() {
+    return entries.size();
+  }
+}
--- a/src/main/java/org/wigeonstage/load/LoadGenerator.java
+++ b/src/main/java/org/wigeonstage/load/LoadGenerator.java
@@ -58,6 +58,7 @@
     List<PlannedRequest> requests = new ArrivalPlanner(experiment).plan();
     Queue<RequestRecord> records = new ConcurrentLinkedQueue<>();
     CountDownLatch open = new CountDownLatch(requests.size());
+    Balancer balancer = new Balancer(entries);
     Duration start = clock.elapsed();
     Duration nextProgress = PROGRESS_INTERVAL;
     for (int i = 0; i < requests.size(); i++) {
@@ -66,7 +67,7 @@
       send(
           request,
           start.plus(request.at()),
-          entries.get(i % entries.size()),
+          balancer,
           record -> {
             records.add(record);
             open.countDown();
@@ -93,13 +94,28 @@
   }
 
   private void send(
-      PlannedRequest request, Duration dueAt, Endpoint entry, Consumer<RequestRecord> sink) {
+      PlannedRequest request, Duration dueAt, Balancer balancer, Consumer<RequestRecord> sink) {
     Map<String, String> headers = new HashMap<>();
     headers.put("Authorization", "Bearer " + request.requestClass().key());
     if (request.requestClass().keyed()) {
       headers.put("Idempotency-Key", RequestId.create(wallClock.instant()).value());
     }
-    client.send(entry, callOf(request), headers, new CallFollower(request, dueAt, clock, sink));
+    CallFollower follower = new CallFollower(request, dueAt, clock, sink);
+    attempt(balancer, callOf(request), headers, follower, balancer.size());
+  }
+
+  private void attempt(
+      Balancer balancer,
+      HttpCall call,
+      Map<String, String> headers,
+      CallFollower follower,
+      int attemptsLeft) {
+    RetryingFollower retrying =
+        new RetryingFollower(
+            follower,
+            attemptsLeft > 1,
+            () -> attempt(balancer, call, headers, follower, attemptsLeft - 1));
+    client.send(balancer.next(), call, headers, retrying);
   }
 
   private static HttpCall callOf(PlannedRequest request) {
--- /dev/null
+++ b/src/main/java/org/wigeonstage/load/TierSummary.java
@@ -0,0 +1,46 @@
+package org.wigeonstage.load;
+
+import java.util.List;
+
+/**
+ * What the callers of one tier saw.
+ *
+ * @param tier the tier's rank
+ * @param sent the requests that ended
+ * @param completed the requests whose callers have their whole answers
+ * @param good the completed requests whose first part came within its target
+ * @param notRun the requests that ran nowhere
+ * @param unknown the requests that may have run
+ * @param firstPartMillis percentiles of the time to the first part of completed requests
+ * @param gapMillisP95 the 95th percentile of the mean time between parts, in milliseconds
+ * @param goodBySecond the good requests by the second in which they were due
+ */
+public record TierSummary(
+    int tier,
+    long sent,
+    long completed,
+    long good,
+    long notRun,
+    long unknown,
+    Percentiles firstPartMillis,
+    double gapMillisP95,
+    List<Long> goodBySecond) {
+
+  /**
+   * Percentiles in milliseconds.
+   *
+   * @param p50 the median
+   * @param p95 the 95th percentile
+   * @param p99 the 99th percentile
+   */
+  public record Percentiles(double p50, double p95, double p99) {}
+
+  /**
+   * Returns the share of good requests.
+   *
+   * @return a number from 0 to 1; 1 where nothing was sent
+   */
+  public double goodShare() {
+    return sent == 0 ? 1 : (double) good / sent;
+  }
+}
--- a/src/main/java/org/wigeonstage/membership/Registrar.java
+++ b/src/main/java/org/wigeonstage/membership/Registrar.java
@@ -24,8 +24,12 @@
     /** Notes that a later incarnation owns the backend server. */
     void replaced();
 
-    /** Notes that there was no earlier incarnation. */
-    void isFirst();
+    /**
+     * Notes that the registration has taken effect.
+     *
+     * @param isFirst whether there was no earlier incarnation
+     */
+    void registered(boolean isFirst);
   }
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -89,9 +93,7 @@
     if (stored < registration.incarnation()) {
       write(existing.map(StoredObject::version).orElse(0L));
     }
-    if (existing.isEmpty()) {
-      listener.isFirst();
-    }
+    listener.registered(existing.isEmpty());
     registered = true;
     logger.atInfo().log("registered with incarnation %s", registration.incarnation());
   }
--- a/src/main/java/org/wigeonstage/routing/AgentState.java
+++ b/src/main/java/org/wigeonstage/routing/AgentState.java
@@ -14,8 +14,7 @@
   private boolean leaving;
   private boolean suspected;
   private int outstanding;
-  private long outstandingWork;
-  private long workSinceReport;
+  private int offeredSinceReport;
 
   /**
    * Creates the state of an agent without a connection.
@@ -118,7 +117,7 @@
    */
   public void report(LoadReport report) {
     load = report;
-    workSinceReport = 0;
+    offeredSinceReport = 0;
   }
 
   /**
@@ -130,25 +129,15 @@
     return load;
   }
 
-  /**
-   * Notes that a request was offered to the agent.
-   *
-   * @param work the request's estimated work in output tokens
-   */
-  public void offered(long work) {
+  /** Notes that a request was offered to the agent. */
+  public void offered() {
     outstanding++;
-    outstandingWork += work;
-    workSinceReport += work;
+    offeredSinceReport++;
   }
 
-  /**
-   * Notes that an offered request has ended.
-   *
-   * @param work the work that {@link #offered} was given
-   */
-  public void ended(long work) {
+  /** Notes that an offered request has ended. */
+  public void ended() {
     outstanding--;
-    outstandingWork -= work;
   }
 
   /**
@@ -161,12 +150,12 @@
   }
 
   /**
-   * Returns the work expected at the agent: as reported, and as offered since, but at least this
-   * entry's own.
+   * Returns the requests expected at the agent: as reported, and as offered since, but at least
+   * this entry's own.
    *
-   * @return the work in output tokens
+   * @return the number of running and waiting requests
    */
-  public long expectedWork() {
-    return Math.max(outstandingWork, load.work() + workSinceReport);
+  public int expectedRequests() {
+    return Math.max(outstanding, load.running() + load.waiting() + offeredSinceReport);
   }
 }
--- a/src/main/java/org/wigeonstage/routing/PrefixAffinityRouter.java
+++ b/src/main/java/org/wigeonstage/routing/PrefixAffinityRouter.java
@@ -3,46 +3,61 @@
 import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.request.RequestCost;
 import org.wigeonstage.request.RequestSpec;
 
 /**
  * Chooses the candidate with the least expected delay, where prompts that share a prefix count as
- * cached at the two candidates that the prefix's hash ranks first.
+ * cached at the candidate that the prefix's hash ranks first, and as partly cached at the second.
  */
 final class PrefixAffinityRouter implements Router {
 
   /** The rate, in output tokens a second, that is assumed of an agent that has reported none. */
   private static final double ASSUMED_WORK_PER_SECOND = 400;
 
-  /** What a saved prefill counts for, as a multiple of its time on an idle engine. */
-  private static final double PREFILL_WEIGHT = 4;
+  /** The work, in output tokens, that is assumed of a request where none is reported. */
+  private static final double ASSUMED_WORK = 128;
+
+  /** The prompt tokens whose repeated processing weighs as much as a delay of one second. */
+  private static final double COLD_TOKENS_PER_SECOND = 10_000;
+
+  /** The share of a prefix's prefill that is expected at the second candidate. */
+  private static final double SECOND_COLD_SHARE = 0.7;
+
+  /** What a full window weighs against an empty one, in seconds of delay. */
+  private static final double FULL_WINDOW_SECONDS = 0.5;
 
   @Override
   public Optional<AgentState> choose(RequestSpec spec, List<AgentState> candidates) {
     RequestCost cost = spec.cost();
     WarmPair warm = WarmPair.of(cost.prefixHash(), candidates);
-    double prefillWork =
-        PREFILL_WEIGHT * cost.promptTokens() / RequestCost.PROMPT_TOKENS_PER_OUTPUT_TOKEN;
+    double coldSeconds = cost.promptTokens() / COLD_TOKENS_PER_SECOND;
     AgentState best = null;
-    double bestDelay = Double.POSITIVE_INFINITY;
+    double bestSeconds = Double.POSITIVE_INFINITY;
     for (AgentState candidate : candidates) {
-      double work = candidate.expectedWork() + cost.outputTokens();
-      if (!warm.contains(candidate)) {
-        work += prefillWork;
-      }
-      double delay = work / rateOf(candidate);
-      if (delay < bestDelay) {
+      double seconds = delayAt(candidate) + coldSeconds * warm.coldShareAt(candidate);
+      if (seconds < bestSeconds) {
         best = candidate;
-        bestDelay = delay;
+        bestSeconds = seconds;
       }
     }
     return Optional.ofNullable(best);
   }
 
-  private static double rateOf(AgentState candidate) {
-    double reported = candidate.load().workPerSecond();
-    return reported > 0 ? reported : ASSUMED_WORK_PER_SECOND;
+  /**
+   * Returns the expected delay at a candidate, in seconds. Requests within the window run at once;
+   * those beyond it wait for the work of the ones before them.
+   */
+  private static double delayAt(AgentState candidate) {
+    LoadReport load = candidate.load();
+    int requests = candidate.expectedRequests();
+    int reported = load.running() + load.waiting();
+    double meanWork = reported == 0 ? ASSUMED_WORK : (double) load.work() / reported;
+    double rate = load.workPerSecond() > 0 ? load.workPerSecond() : ASSUMED_WORK_PER_SECOND;
+    int beyondWindow = Math.max(0, requests + 1 - load.window());
+    double occupancy = Math.min(1, (double) requests / load.window());
+    return beyondWindow * meanWork / rate + occupancy * FULL_WINDOW_SECONDS;
   }
 
   /** The two candidates that a prefix's hash ranks first. */
@@ -71,8 +86,11 @@
       return new WarmPair(first, second);
     }
 
-    boolean contains(AgentState candidate) {
-      return candidate == first || candidate == second;
+    double coldShareAt(AgentState candidate) {
+      if (candidate == first) {
+        return 0;
+      }
+      return candidate == second ? SECOND_COLD_SHARE : 1;
     }
   }
 }
--- a/src/main/java/org/wigeonstage/settings/AgentSettings.java
+++ b/src/main/java/org/wigeonstage/settings/AgentSettings.java
@@ -7,6 +7,7 @@
  * @param failureDomain the failure domain of its host
  * @param kind {@code model} or {@code service}
  * @param entries where to listen for entries
+ * @param advertised where entries connect to, if it is not {@code entries}; else empty
  * @param operators where to listen for operators
  * @param backendServer the backend server's address
  * @param platform the platform's address
@@ -23,6 +24,7 @@
     String failureDomain,
     String kind,
     String entries,
+    String advertised,
     String operators,
     String backendServer,
     String platform,
--- a/src/main/java/org/wigeonstage/standin/EngineStandin.java
+++ b/src/main/java/org/wigeonstage/standin/EngineStandin.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -49,6 +50,7 @@
   private final AtomicLong prefillSaved = new AtomicLong();
   private final AtomicLong generated = new AtomicLong();
   private final AtomicLong staleOrders = new AtomicLong();
+  private final Set<String> loaded = ConcurrentHashMap.newKeySet();
   private final HttpServer server;
   private final Thread loop;
   private long lastFencingNumber;
@@ -173,7 +175,8 @@
         .put("running", running)
         .put("prefillComputed", prefillComputed())
         .put("prefillSaved", prefillSaved())
-        .put("generated", generated());
+        .put("generated", generated())
+        .set("loaded", Json.tree(loaded));
   }
 
   private void complete(ServerExchange exchange) {
@@ -218,7 +221,8 @@
   }
 
   private synchronized void order(ServerExchange exchange) {
-    long number = Json.parse(exchange.text()).path("fencingNumber").asLong();
+    JsonNode body = Json.parse(exchange.text());
+    long number = body.path("fencingNumber").asLong();
     boolean stale = number < lastFencingNumber;
     if (stale && checksFencing) {
       Problem.respond(exchange, ErrorCode.STALE_INCARNATION, "fencing number " + number, Map.of());
@@ -228,6 +232,12 @@
       staleOrders.incrementAndGet();
     }
     lastFencingNumber = Math.max(lastFencingNumber, number);
+    String target = body.path("target").asText();
+    if (body.path("action").asText().equals("unload")) {
+      loaded.remove(target);
+    } else {
+      loaded.add(target);
+    }
     exchange.respond(OK, JSON, "{}");
   }
 
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -56,7 +56,8 @@
   private static Message readAbout(MessageType type, RequestId id, MessageUnpacker in)
       throws IOException {
     return switch (type) {
-      case OFFER -> new Message.Offer(id, in.unpackLong(), readTime(in), readSpec(in));
+      case OFFER ->
+          new Message.Offer(id, in.unpackLong(), readTime(in), in.unpackBoolean(), readSpec(in));
       case ACCEPTED -> new Message.Accepted(id);
       case REFUSED -> new Message.Refused(id, constant(ErrorCode.values(), in.unpackInt()));
       case REJECTED ->
--- /dev/null
+++ b/src/test/java/org/wigeonstage/config/ActiveConfigurationTest.java
@@ -0,0 +1,31 @@
+package org.wigeonstage.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.wigeonstage.common.Json;
+
+class ActiveConfigurationTest {
+
+  private static final String TEXT = Json.write(ConfigurationDocument.EMPTY);
+  private static final String VALID =
+      "{\"tiers\":[{\"name\":\"t\",\"startWithinMillis\":1,\"finishWithinMillis\":2}],"
+          + "\"accounts\":[],\"pools\":[],\"rules\":[]}";
+
+  private final ActiveConfiguration configuration = new ActiveConfiguration();
+
+  @Test
+  void aLowerVersionNeverComesIntoForce() {
+    configuration.offer(5, VALID);
+    assertThat(configuration.offer(4, VALID)).isFalse();
+    assertThat(configuration.offer(5, VALID)).isFalse();
+    assertThat(configuration.current().version()).isEqualTo(5);
+  }
+
+  @Test
+  void aFaultyDocumentDoesNotComeIntoForce() {
+    configuration.offer(5, VALID);
+    assertThat(configuration.offer(6, TEXT)).isFalse();
+    assertThat(configuration.current().version()).isEqualTo(5);
+  }
+}
--- a/src/test/java/org/wigeonstage/fuzz/FakeAgent.java
+++ b/src/test/java/org/wigeonstage/fuzz/FakeAgent.java
@@ -87,7 +87,8 @@
       RequestSpec bare =
           new RequestSpec(
               s.account(), s.tier(), s.pool(), s.nonIdempotent(), null, s.cost(), s.call(), null);
-      return new Message.Offer(offer.id(), offer.incarnation(), offer.startBy(), bare);
+      return new Message.Offer(
+          offer.id(), offer.incarnation(), offer.startBy(), offer.joinOnly(), bare);
     }
     return message;
   }
--- a/src/test/java/org/wigeonstage/fuzz/FakeEntry.java
+++ b/src/test/java/org/wigeonstage/fuzz/FakeEntry.java
@@ -91,14 +91,19 @@
   private Message mutate(FakeLink link, Message message) {
     if (world.mutation == Mutation.OFFERED_AGAIN && message instanceof Message.Resume resume) {
       Message.Offer offer = offers.get(resume.id());
-      return new Message.Offer(offer.id(), link.agent.incarnation, offer.startBy(), offer.spec());
+      return new Message.Offer(
+          offer.id(), link.agent.incarnation, offer.startBy(), offer.joinOnly(), offer.spec());
     }
     if (world.mutation == Mutation.INCARNATION_IGNORED && message instanceof Message.Offer offer) {
-      return new Message.Offer(offer.id(), link.agent.incarnation, offer.startBy(), offer.spec());
+      return new Message.Offer(
+          offer.id(), link.agent.incarnation, offer.startBy(), offer.joinOnly(), offer.spec());
     }
     return message;
   }
 
+  @Override
+  public void connect(String agent) {}
+
   @Override
   public void answerBegan(RequestId id, int status, @Nullable String contentType) {}
 
--- a/src/test/java/org/wigeonstage/ledger/RequestLedgerTest.java
+++ b/src/test/java/org/wigeonstage/ledger/RequestLedgerTest.java
@@ -47,7 +47,7 @@
     RequestSpec spec =
         new RequestSpec(
             "account", Tier.of(tier), "pool", true, key, RequestCost.SERVICE_CALL, call, null);
-    return new Message.Offer(id, 7, now.plusSeconds(10), spec);
+    return new Message.Offer(id, 7, now.plusSeconds(10), false, spec);
   }
 
   private void answer(RequestId id, String text) {
--- /dev/null
+++ b/src/test/java/org/wigeonstage/orders/OrderPlannerTest.java
@@ -0,0 +1,20 @@
+package org.wigeonstage.orders;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class OrderPlannerTest {
+
+  @Test
+  void unloadsComeBeforeLoads() {
+    assertThat(OrderPlanner.plan(Set.of("a", "b"), Set.of("b", "c")))
+        .containsExactly(new Order(Order.Action.UNLOAD, "c"), new Order(Order.Action.LOAD, "a"));
+  }
+
+  @Test
+  void nothingIsOrderedWhereNothingIsMissing() {
+    assertThat(OrderPlanner.plan(Set.of("a"), Set.of("a"))).isEmpty();
+  }
+}
--- a/src/test/java/org/wigeonstage/system/KeyedRequestsIT.java
+++ b/src/test/java/org/wigeonstage/system/KeyedRequestsIT.java
@@ -67,10 +67,15 @@
     List<Future<Boolean>> answers = new ArrayList<>();
     for (int i = 0; i < REQUESTS; i++) {
       String body = "confirmation-" + i;
-      if (i == REQUESTS / 2) {
-        fleet.process("entry-1").destroyForcibly();
-      }
-      answers.add(callers.submit(() -> confirm(body)));
+      boolean killsEntry = i == REQUESTS / 2;
+      answers.add(
+          callers.submit(
+              () -> {
+                if (killsEntry) {
+                  fleet.process("entry-1").destroyForcibly();
+                }
+                return confirm(body);
+              }));
     }
     int answered = 0;
     for (Future<Boolean> answer : answers) {
