--- a/src/main/java/org/wigeonstage/entry/EntryProcess.java
+++ b/src/main/java/org/wigeonstage/entry/EntryProcess.java
@@ -33,6 +33,7 @@
 import org.wigeonstage.http.HttpServer;
 import org.wigeonstage.http.SafeHandler;
 import org.wigeonstage.membership.AgentRegistration;
+import org.wigeonstage.membership.EntryShares;
 import org.wigeonstage.membership.HostList;
 import org.wigeonstage.membership.LiveLinks;
 import org.wigeonstage.membership.PeerSnapshots;
@@ -65,6 +66,8 @@
   private final ActiveConfiguration configuration = new ActiveConfiguration();
   private final Roster roster = new Roster();
   private final HostList hostList = new HostList();
+  private final EntryShares shares;
+  private final AccountLimits limits;
   private final HttpObjectStore store;
   private final ScheduledExecutorService control = ControlThreads.single("control");
   private final ScheduledExecutorService operatorCalls = ControlThreads.single("operator-calls");
@@ -88,7 +91,8 @@
     this.links = new LinkKeeper(monotonicClock, metrics);
     this.liveLinks = new LiveLinks(settings.name(), settings.failureDomain(), settings.liveLinks());
     OutputEstimator estimator = new OutputEstimator();
-    AccountLimits limits = new AccountLimits(monotonicClock);
+    this.limits = new AccountLimits(monotonicClock);
+    this.shares = new EntryShares(settings.name(), settings.failureDomain());
     this.callersHandler =
         new CallersHandler(
             AdmissionChain.of(limits, estimator),
@@ -142,7 +146,10 @@
   /** Follows the platform's list of hosts, which can only add caution. */
   private void readHosts() {
     try {
+      shares.register(store);
       Set<String> suspected = hostList.update(store.hosts());
+      shares.suspected(suspected);
+      limits.share(shares.share());
       dispatcher.run(
           (target, directory) ->
               directory
@@ -192,7 +199,8 @@
     var failures = metrics.counter("store.failures");
     return List.of(
         new StoreWatch(store, ConfigurationRecord.KIND, this::configurationRead, failures).start(),
-        new StoreWatch(store, AgentRegistration.KIND, this::registrationsRead, failures).start());
+        new StoreWatch(store, AgentRegistration.KIND, this::registrationsRead, failures).start(),
+        new StoreWatch(store, EntryShares.KIND, this::entriesRead, failures).start());
   }
 
   private void configurationRead(ObjectList list) {
@@ -205,6 +213,11 @@
             });
   }
 
+  private void entriesRead(ObjectList list) {
+    shares.registered(list);
+    limits.share(shares.share());
+  }
+
   private void registrationsRead(ObjectList list) {
     list.objects().stream()
         .map(object -> Json.read(object.value(), AgentRegistration.class))
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -35,6 +35,7 @@
   private long consumed;
   private boolean waiting;
   private boolean ending;
+  private boolean aborted;
 
   ServerExchange(Request request, Response response, byte[] body) {
     this.request = request;
@@ -185,10 +186,18 @@
     flush();
   }
 
-  /** Closes the connection, so that the peer sees the answer broken off. */
+  /**
+   * Closes the connection, so that the peer sees the answer broken off. The response is ended only
+   * after that, because its last chunk would make the answer look whole.
+   */
   public void abort() {
-    request.getRequest().getConnection().closeSilently();
-    finish();
+    synchronized (this) {
+      aborted = true;
+      pending.clear();
+    }
+    CloseListener<Closeable, ICloseType> listener = (closeable, type) -> finish();
+    request.getRequest().getConnection().addCloseListener(listener);
+    request.getRequest().getConnection().terminateSilently();
   }
 
   /**
@@ -223,7 +232,7 @@
       long before = consumed;
       writeWhilePossible();
       progress = consumed > before ? consumed : -1;
-      done = ending && pending.isEmpty();
+      done = ending && pending.isEmpty() && !aborted;
     }
     if (progress >= 0) {
       consumedListener.accept(progress);
@@ -234,7 +243,7 @@
   }
 
   private void writeWhilePossible() {
-    if (waiting || closed.get()) {
+    if (waiting || aborted || closed.get()) {
       return;
     }
     NIOOutputStream out = response.getNIOOutputStream();
--- a/src/main/java/org/wigeonstage/ledger/RequestLedger.java
+++ b/src/main/java/org/wigeonstage/ledger/RequestLedger.java
@@ -431,7 +431,9 @@
       return;
     }
     Instant now = clock.instant();
-    window.observeGap(Duration.between(execution.lastPartAt(), now), load.running());
+    if (execution.answer().length() > 0) {
+      window.observeGap(Duration.between(execution.lastPartAt(), now), load.running());
+    }
     execution.lastPartAt(now);
     relay.append(execution, data);
   }
--- a/src/main/java/org/wigeonstage/standin/EngineStandin.java
+++ b/src/main/java/org/wigeonstage/standin/EngineStandin.java
@@ -161,6 +161,9 @@
       exchange.respond(OK, JSON, describeLoad().toString());
     } else if (path.equals("/v1/orders")) {
       order(exchange);
+    } else if (path.equals("/standin/drop-readers")) {
+      dropReaders();
+      exchange.respond(OK, JSON, "{}");
     } else if (path.equals("/standin/slowdown")) {
       slowdown(Integer.parseInt(exchange.text()));
       exchange.respond(OK, JSON, "{}");
@@ -173,6 +176,7 @@
     return JsonNodeFactory.instance
         .objectNode()
         .put("running", running)
+        .put("received", dispatches.size())
         .put("prefillComputed", prefillComputed())
         .put("prefillSaved", prefillSaved())
         .put("generated", generated())
--- /dev/null
+++ b/src/test/java/org/wigeonstage/benchmark/DecisionBenchmark.java
@@ -0,0 +1,260 @@
+package org.wigeonstage.benchmark;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.config.AccountSpec;
+import org.wigeonstage.config.ConfigurationDocument;
+import org.wigeonstage.config.ConfigurationParser;
+import org.wigeonstage.config.MemberSpec;
+import org.wigeonstage.config.PoolSpec;
+import org.wigeonstage.config.TierSpec;
+import org.wigeonstage.handover.LinkId;
+import org.wigeonstage.handover.LoadReport;
+import org.wigeonstage.handover.Message;
+import org.wigeonstage.ledger.LedgerEffects;
+import org.wigeonstage.ledger.LedgerLimits;
+import org.wigeonstage.ledger.RequestLedger;
+import org.wigeonstage.queue.AdaptiveDispatchWindow;
+import org.wigeonstage.queue.FairTierQueue;
+import org.wigeonstage.queue.WaitingRequest;
+import org.wigeonstage.request.HttpCall;
+import org.wigeonstage.request.IdempotencyKey;
+import org.wigeonstage.request.Outcome;
+import org.wigeonstage.request.RequestCost;
+import org.wigeonstage.request.RequestId;
+import org.wigeonstage.request.RequestSpec;
+import org.wigeonstage.request.Tier;
+import org.wigeonstage.routing.AgentState;
+import org.wigeonstage.routing.Router;
+import org.wigeonstage.routing.RoutingPolicy;
+import org.wigeonstage.wire.MessageDecoder;
+import org.wigeonstage.wire.MessageEncoder;
+
+/** Times of single decisions, by the size of what they look at. */
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+@Fork(1)
+public class DecisionBenchmark {
+
+  private static final HttpCall CALL = new HttpCall("POST", "/", null, new byte[200]);
+
+  /** Runs all benchmarks, or those whose names match the argument. */
+  public static void main(String[] args) throws RunnerException {
+    new Runner(
+            new OptionsBuilder()
+                .include(
+                    DecisionBenchmark.class.getSimpleName()
+                        + (args.length == 0 ? "" : "." + args[0]))
+                .build())
+        .run();
+  }
+
+  private static RequestSpec spec(IdempotencyKey key) {
+    RequestCost cost = new RequestCost(2000, 100, 12345);
+    return new RequestSpec("account", Tier.of(1), "pool", false, key, cost, CALL, null);
+  }
+
+  /** Agents to route among. */
+  @State(Scope.Thread)
+  public static class Agents {
+    @Param({"20", "200", "2000"})
+    int count;
+
+    final Router router = RoutingPolicy.PREFIX_AFFINITY.createRouter(new SplittableRandom(1));
+    final List<AgentState> agents = new ArrayList<>();
+
+    /** Gives each agent some load. */
+    @Setup
+    public void create() {
+      for (int i = 0; i < count; i++) {
+        AgentState agent = new AgentState("agent-" + i, "fd");
+        agent.report(new LoadReport(i % 16, 16, i % 5, i * 10L, 400, -1));
+        agents.add(agent);
+      }
+    }
+  }
+
+  /** Chooses an agent. */
+  @Benchmark
+  public Optional<AgentState> route(Agents state) {
+    return state.router.choose(spec(null), state.agents);
+  }
+
+  /** A queue with waiting requests. */
+  @State(Scope.Thread)
+  public static class Queue {
+    @Param({"1000", "10000", "100000"})
+    int waiting;
+
+    final FairTierQueue queue = new FairTierQueue(200_000);
+    int next;
+
+    /** Fills the queue. */
+    @Setup(Level.Iteration)
+    public void fill() {
+      while (queue.size() < waiting) {
+        queue.add(request());
+      }
+    }
+
+    WaitingRequest request() {
+      int number = next++;
+      return new WaitingRequest(
+          RequestId.of("r" + number),
+          "account-" + number % 340,
+          Tier.of(number % 4),
+          RequestCost.SERVICE_CALL,
+          Instant.ofEpochMilli(number));
+    }
+  }
+
+  /** Adds a request and takes the next one. */
+  @Benchmark
+  public Optional<WaitingRequest> addAndTake(Queue state) {
+    state.queue.add(state.request());
+    Optional<WaitingRequest> next = state.queue.peek();
+    state.queue.remove(next.orElseThrow().id());
+    return next;
+  }
+
+  /** A ledger whose effects do nothing. */
+  @State(Scope.Thread)
+  public static class Ledger implements LedgerEffects {
+    private static final int RECORDS = 50_000;
+
+    Instant now = Instant.parse("2026-01-01T00:00:00Z");
+    RequestLedger ledger;
+    int next;
+
+    /** Creates an empty ledger. */
+    @Setup(Level.Iteration)
+    public void create() {
+      ledger =
+          new RequestLedger(
+              1,
+              new LedgerLimits(
+                  100_000_000,
+                  Duration.ofMinutes(5),
+                  Duration.ofSeconds(2),
+                  Duration.ofMinutes(10),
+                  Duration.ofSeconds(60),
+                  Duration.ofSeconds(10),
+                  1 << 18,
+                  1 << 18),
+              new FairTierQueue(64),
+              new AdaptiveDispatchWindow(1, 16, 0.1, Duration.ofMillis(34)),
+              () -> now,
+              this);
+      ledger.completeKeyHistory();
+    }
+
+    void run(IdempotencyKey key) {
+      RequestId id = RequestId.of("r" + next++);
+      LinkId link = LinkId.of(1);
+      ledger.receive(link, new Message.Offer(id, 1, now.plusSeconds(10), false, spec(key)));
+      ledger.answerBegan(id, 200, null);
+      ledger.answerContinued(id, new byte[10]);
+      ledger.answerEnded(id, Outcome.COMPLETED);
+      ledger.receive(link, new Message.Acknowledge(id, 10));
+      if (next % RECORDS == 0) {
+        now = now.plusSeconds(2000);
+        ledger.tick();
+      }
+    }
+
+    @Override
+    public void send(LinkId link, Message message) {}
+
+    @Override
+    public void dispatch(RequestId id, RequestSpec spec) {}
+
+    @Override
+    public void cancel(RequestId id) {}
+
+    @Override
+    public void pauseReading(RequestId id) {}
+
+    @Override
+    public void resumeReading(RequestId id) {}
+  }
+
+  /** Takes a request through the whole ledger. */
+  @Benchmark
+  public void request(Ledger state) {
+    state.run(null);
+  }
+
+  /** Takes a request with an idempotency key through the whole ledger. */
+  @Benchmark
+  public void keyedRequest(Ledger state) {
+    state.run(new IdempotencyKey("account", "key-" + state.next, "digest"));
+  }
+
+  /** A document of a size. */
+  @State(Scope.Thread)
+  public static class Document {
+    @Param({"34", "340"})
+    int accounts;
+
+    String text;
+
+    /** Writes a document with as many accounts and six times as many backend servers. */
+    @Setup
+    public void create() {
+      List<AccountSpec> list = new ArrayList<>();
+      List<MemberSpec> members = new ArrayList<>();
+      for (int i = 0; i < accounts; i++) {
+        list.add(new AccountSpec("a" + i, List.of(String.format("%064x", i)), "t", 10));
+      }
+      for (int i = 0; i < accounts * 6; i++) {
+        members.add(new MemberSpec("agent-" + i, "fd-" + i % 24));
+      }
+      text =
+          Json.write(
+              new ConfigurationDocument(
+                  List.of(new TierSpec("t", 1000, 2000)),
+                  list,
+                  List.of(new PoolSpec("p", PoolSpec.Kind.MODEL, List.of("m"), members, true)),
+                  List.of()));
+      System.out.println("document of " + text.length() + " bytes");
+    }
+  }
+
+  /** Checks and reads a configuration document. */
+  @Benchmark
+  public ConfigurationDocument parse(Document state) {
+    return ConfigurationParser.parse(state.text);
+  }
+
+  /** Encodes and decodes the frame of one streamed token. */
+  @Benchmark
+  public Message frame() {
+    Message.Chunk chunk =
+        new Message.Chunk(
+            RequestId.of("0199a1b2-c3d4-7000-8000-0123456789ab"), 1000, new byte[180]);
+    return MessageDecoder.decode(MessageEncoder.encode(chunk));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/wigeonstage/http/HttpExchangeTest.java
@@ -0,0 +1,149 @@
+package org.wigeonstage.http;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wigeonstage.request.HttpCall;
+
+class HttpExchangeTest {
+
+  private static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
+  private static final HttpCall GET = new HttpCall("GET", "/x?y=1", null, new byte[0]);
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+  private HttpClient client;
+
+  @BeforeEach
+  void startClient() {
+    client = HttpClient.start("test-client", 1);
+  }
+
+  @AfterEach
+  void stopClient() throws IOException {
+    client.close();
+  }
+
+  private HttpAnswer call(HttpServer server, HttpCall call) {
+    return BlockingCall.make(client, server.endpoint(), call, Map.of(), TIMEOUT);
+  }
+
+  @Test
+  void aWholeAnswerComesThrough() throws IOException {
+    try (HttpServer server =
+        HttpServer.start(
+            "test",
+            ANY_PORT,
+            1000,
+            exchange -> exchange.respond(201, "text/plain", exchange.pathAndQuery()))) {
+      HttpAnswer answer = call(server, GET);
+      assertThat(answer.status()).isEqualTo(201);
+      assertThat(answer.text()).isEqualTo("/x?y=1");
+    }
+  }
+
+  @Test
+  void anAbortedAnswerDoesNotLookWhole() throws IOException {
+    try (HttpServer server =
+        HttpServer.start(
+            "test",
+            ANY_PORT,
+            1000,
+            exchange -> {
+              exchange.begin(200, "text/plain", Map.of());
+              exchange.write(new byte[100]);
+              exchange.abort();
+            })) {
+      for (int i = 0; i < 20; i++) {
+        assertThatThrownBy(() -> call(server, GET))
+            .isInstanceOfSatisfying(
+                CallFailedException.class, e -> assertThat(e.maybeSent()).isTrue());
+      }
+    }
+  }
+
+  @Test
+  void aRefusedConnectionCountsAsNotSent() throws IOException {
+    HttpServer server = HttpServer.start("test", ANY_PORT, 1000, exchange -> {});
+    Endpoint endpoint = server.endpoint();
+    server.close();
+    assertThatThrownBy(() -> BlockingCall.make(client, endpoint, GET, Map.of(), TIMEOUT))
+        .isInstanceOfSatisfying(
+            CallFailedException.class, e -> assertThat(e.maybeSent()).isFalse());
+  }
+
+  @Test
+  void aBodyAboveTheLimitIsRefusedWithoutHarmToOthers() throws IOException {
+    try (HttpServer server =
+        HttpServer.start(
+            "test", ANY_PORT, 1000, exchange -> exchange.respond(200, "text/plain", "ok"))) {
+      HttpCall large = new HttpCall("POST", "/", "text/plain", new byte[2000]);
+      assertThat(call(server, large).status()).isEqualTo(413);
+      assertThat(call(server, GET).status()).isEqualTo(200);
+    }
+  }
+
+  @Test
+  void aPausedCallMakesTheServerWait() throws Exception {
+    int parts = 2000;
+    int partBytes = 10_000;
+    AtomicLong consumed = new AtomicLong();
+    try (HttpServer server =
+        HttpServer.start(
+            "test",
+            ANY_PORT,
+            1000,
+            exchange -> {
+              exchange.onConsumed(consumed::set);
+              exchange.begin(200, "text/plain", Map.of());
+              for (int i = 0; i < parts; i++) {
+                exchange.write(new byte[partBytes]);
+              }
+              exchange.end();
+            })) {
+      SlowListener listener = new SlowListener();
+      ClientExchange exchange = client.send(server.endpoint(), GET, Map.of(), listener);
+      exchange.pause();
+      Thread.sleep(1000);
+      long whilePaused = consumed.get();
+      exchange.resume();
+      assertThat(listener.end.await(20, TimeUnit.SECONDS)).isTrue();
+      assertThat(whilePaused).isLessThan((long) parts * partBytes);
+      assertThat(listener.bytes.get()).isEqualTo((long) parts * partBytes);
+    }
+  }
+
+  /** Counts bytes. */
+  private static final class SlowListener implements AnswerListener {
+    private final AtomicLong bytes = new AtomicLong();
+    private final CountDownLatch end = new CountDownLatch(1);
+
+    @Override
+    public void began(int status, @Nullable String contentType) {}
+
+    @Override
+    public void continued(byte[] data) {
+      bytes.addAndGet(data.length);
+    }
+
+    @Override
+    public void ended() {
+      end.countDown();
+    }
+
+    @Override
+    public void notConnected(Throwable cause) {}
+
+    @Override
+    public void broken(Throwable cause) {}
+  }
+}
--- a/src/test/java/org/wigeonstage/ledger/RequestLedgerTest.java
+++ b/src/test/java/org/wigeonstage/ledger/RequestLedgerTest.java
@@ -178,6 +178,23 @@
     assertThat(calls).containsExactly("pause r-1", "resume r-1");
   }
 
+  @Test
+  void theTimeToTheFirstPartDoesNotShrinkTheWindow() {
+    AdaptiveDispatchWindow window = new AdaptiveDispatchWindow(1, 8, 0, Duration.ofMillis(34));
+    RequestLedger wide =
+        new RequestLedger(
+            7, LedgerLimits.DEFAULTS, new FairTierQueue(2), window, () -> now, new Recorder());
+    for (int i = 0; i < 200; i++) {
+      RequestId id = RequestId.of("short-" + i);
+      wide.receive(LINK, offer(id, 0, null));
+      now = now.plusMillis(500);
+      wide.answerBegan(id, 200, null);
+      wide.answerContinued(id, new byte[1]);
+      wide.answerEnded(id, Outcome.COMPLETED);
+    }
+    assertThat(window.size()).isEqualTo(8);
+  }
+
   @Test
   void aNonIdempotentRequestIsNotCancelledWhenItsCallerGoes() {
     ledger.receive(LINK, offer(ID, 0, null));
--- /dev/null
+++ b/src/test/java/org/wigeonstage/membership/EntrySharesTest.java
@@ -0,0 +1,43 @@
+package org.wigeonstage.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.wigeonstage.platform.ObjectList;
+import org.wigeonstage.platform.StoredObject;
+
+class EntrySharesTest {
+
+  private final EntryShares shares = new EntryShares("a", "fd");
+
+  private static ObjectList entries(String... names) {
+    return new ObjectList(
+        1, java.util.Arrays.stream(names).map(name -> new StoredObject(name, 1, "{}")).toList());
+  }
+
+  @Test
+  void anEntryAloneHasTheWholeLimit() {
+    assertThat(shares.share()).isEqualTo(1);
+  }
+
+  @Test
+  void sharesAddUpToTheLimit() {
+    shares.registered(entries("a", "b", "c", "d"));
+    assertThat(shares.share()).isEqualTo(0.25);
+  }
+
+  @Test
+  void suspectedEntriesLeaveTheirShares() {
+    shares.registered(entries("a", "b"));
+    shares.suspected(Set.of("b"));
+    assertThat(shares.share()).isEqualTo(1);
+  }
+
+  @Test
+  void aSuspectedEntryStillCountsItself() {
+    shares.registered(entries("a", "b"));
+    shares.suspected(Set.of("a"));
+    assertThat(shares.share()).isEqualTo(0.5);
+  }
+}
--- a/src/test/java/org/wigeonstage/system/Fleet.java
+++ b/src/test/java/org/wigeonstage/system/Fleet.java
@@ -119,18 +119,45 @@
   Endpoint agent(
       String name, String kind, Endpoint entries, Endpoint backendServer, Endpoint platform)
       throws IOException {
+    return agent(name, kind, "", entries, backendServer, platform);
+  }
+
+  /** Starts a model engine's agent that entries reach through another address. */
+  void agentBehind(
+      Endpoint advertised, String name, Endpoint entries, Endpoint backendServer, Endpoint platform)
+      throws IOException {
+    agent(name, "model", advertised.toString(), entries, backendServer, platform);
+  }
+
+  private Endpoint agent(
+      String name,
+      String kind,
+      String advertised,
+      Endpoint entries,
+      Endpoint backendServer,
+      Endpoint platform)
+      throws IOException {
     Endpoint operators = freePort();
     Path settings =
         write(
             name + ".json",
             Map.of(
-                "name", name,
-                "failureDomain", "fd-a",
-                "kind", kind,
-                "entries", entries.toString(),
-                "operators", operators.toString(),
-                "backendServer", backendServer.toString(),
-                "platform", platform.toString()));
+                "name",
+                name,
+                "failureDomain",
+                "fd-a",
+                "kind",
+                kind,
+                "entries",
+                entries.toString(),
+                "advertised",
+                advertised,
+                "operators",
+                operators.toString(),
+                "backendServer",
+                backendServer.toString(),
+                "platform",
+                platform.toString()));
     start(name, "agent", "--settings", settings.toString());
     awaitAnswer(operators, "/readyz");
     return operators;
