--- a/src/main/java/org/wigeonstage/agent/AgentOperatorsHandler.java
+++ b/src/main/java/org/wigeonstage/agent/AgentOperatorsHandler.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.handover.LoadReport;
+import org.wigeonstage.http.OperatorKeys;
 import org.wigeonstage.http.Problem;
 import org.wigeonstage.http.RequestHandler;
 import org.wigeonstage.http.ServerExchange;
@@ -20,8 +21,10 @@
 
   private final AgentProcess agent;
   private final MetricsPage metrics;
+  private final OperatorKeys keys;
 
-  AgentOperatorsHandler(AgentProcess agent, MetricRegistry registry) {
+  AgentOperatorsHandler(AgentProcess agent, OperatorKeys keys, MetricRegistry registry) {
+    this.keys = keys;
     this.agent = agent;
     this.metrics = new MetricsPage(registry);
   }
@@ -39,6 +42,7 @@
       case "GET /metrics.json" -> exchange.respond(OK, JSON, metrics.json());
       case "GET /v1/status" -> exchange.respond(OK, JSON, status().toString());
       case "POST /v1/drain" -> {
+        keys.require(exchange.header("Authorization"));
         agent.leave();
         exchange.respond(OK, JSON, status().toString());
       }
--- a/src/main/java/org/wigeonstage/agent/AgentProcess.java
+++ b/src/main/java/org/wigeonstage/agent/AgentProcess.java
@@ -19,6 +19,7 @@
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpClient;
 import org.wigeonstage.http.HttpServer;
+import org.wigeonstage.http.OperatorKeys;
 import org.wigeonstage.ledger.LedgerLimits;
 import org.wigeonstage.ledger.RequestLedger;
 import org.wigeonstage.membership.AgentRegistration;
@@ -84,7 +85,8 @@
                 "operators",
                 Endpoint.of(settings.operators()),
                 MAX_OPERATOR_BODY,
-                new AgentOperatorsHandler(this, metrics)));
+                new AgentOperatorsHandler(
+                    this, new OperatorKeys(settings.operatorKeyHashes()), metrics)));
     HttpObjectStore store = new HttpObjectStore(client, Endpoint.of(settings.platform()));
     OrderCarrier carrier =
         new OrderCarrier(
--- a/src/main/java/org/wigeonstage/agent/BackendCaller.java
+++ b/src/main/java/org/wigeonstage/agent/BackendCaller.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.opentelemetry.api.trace.Span;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -79,8 +80,9 @@
   }
 
   @Override
-  public void dispatch(RequestId id, RequestSpec spec) {
+  public void dispatch(RequestId id, RequestSpec spec, Instant queuedAt) {
     metrics.counter("backend.dispatched").inc();
+    tracing.recordSpan("agent queue", spec.traceParent(), queuedAt);
     Span span = tracing.startSpan("backend server", spec.traceParent());
     span.setAttribute("wigeonstage.request", id.value());
     BackendCall call = new BackendCall(id, this, metrics, span);
--- a/src/main/java/org/wigeonstage/bench/Bench.java
+++ b/src/main/java/org/wigeonstage/bench/Bench.java
@@ -17,6 +17,9 @@
   private static final List<RoutingPolicy> BASELINES =
       List.of(RoutingPolicy.LEAST_OUTSTANDING, RoutingPolicy.ROUND_ROBIN, RoutingPolicy.RANDOM);
 
+  /** The time within which a change must be in force everywhere at today's size, in seconds. */
+  private static final double PROPAGATION_SECONDS = 2;
+
   private final PrintStream out;
   private final ScenarioRunner runner;
   private final int seconds;
@@ -47,6 +50,9 @@
   public void run(DeploymentPlan plan, String only) throws IOException, InterruptedException {
     DeploymentOptions own = DeploymentOptions.DEFAULTS;
     LoadSummary steady = null;
+    if (only.equals("all") || only.equals("propagation")) {
+      measurePropagation(plan);
+    }
     for (Scenario scenario : Scenario.allOf(plan, seconds)) {
       boolean wanted = only.equals("all") || only.equals(scenario.name());
       if (!wanted) {
@@ -63,6 +69,18 @@
     }
   }
 
+  private void measurePropagation(DeploymentPlan plan) throws IOException, InterruptedException {
+    out.println("running " + plan.name() + "/propagation");
+    double seconds = new PropagationProbe().measure(plan);
+    out.printf("  a change is in force everywhere within %.3f s%n", seconds);
+    bounds.add(
+        new Bound(
+            plan.name() + "/propagation longest s",
+            seconds,
+            Bound.Relation.AT_MOST,
+            PROPAGATION_SECONDS));
+  }
+
   private void compareWasted(DeploymentPlan plan, Scenario scenario, LoadSummary own)
       throws IOException, InterruptedException {
     LoadSummary baseline = runBaseline(plan, scenario, RoutingPolicy.LEAST_OUTSTANDING);
--- a/src/main/java/org/wigeonstage/cli/BenchCommand.java
+++ b/src/main/java/org/wigeonstage/cli/BenchCommand.java
@@ -1,8 +1,6 @@
 package org.wigeonstage.cli;
 
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Objects;
 import java.util.logging.Level;
@@ -10,7 +8,6 @@
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.wigeonstage.bench.Bench;
-import org.wigeonstage.common.Json;
 import org.wigeonstage.demo.DeploymentPlan;
 import org.wigeonstage.telemetry.LogSetup;
 
@@ -37,7 +34,8 @@
         .addOption(Arguments.optional("scenario", "name", "the only scenario; default: all"))
         .addOption(Arguments.optional("seconds", "n", "load time of each; default: 30"))
         .addOption(Arguments.optional("seed", "n", "the seed of all chance; default: 1"))
-        .addOption(Arguments.optional("json", "file", "where to write the figures"));
+        .addOption(Arguments.optional("json", "file", "where to write the figures"))
+        .addOption(Arguments.optional("html", "file", "where to write a report with plots"));
   }
 
   @Override
@@ -57,10 +55,7 @@
     for (String name : plan == null ? PLANS : List.of(plan)) {
       bench.run(DeploymentPlan.named(name), scenario);
     }
-    String json = line.getOptionValue("json");
-    if (json != null) {
-      Files.writeString(Path.of(json), Json.writePretty(bench.summaries()));
-    }
+    ResultFiles.write(line, "wigeonstage bench", bench.summaries());
     return bench.report() == 0 ? SUCCESS : FAILURE;
   }
 }
--- a/src/main/java/org/wigeonstage/cli/LoadCommand.java
+++ b/src/main/java/org/wigeonstage/cli/LoadCommand.java
@@ -16,6 +16,7 @@
 import org.wigeonstage.load.LoadGenerator;
 import org.wigeonstage.load.LoadResult;
 import org.wigeonstage.load.LoadTable;
+import org.wigeonstage.load.Summarizer;
 
 /** Sends the load of an experiment file to entries that run already. */
 final class LoadCommand implements Command {
@@ -37,7 +38,9 @@
     return new Options()
         .addOption(Arguments.required("experiment", "file", "the experiment, in JSON"))
         .addOption(
-            Arguments.required("entries", "host:port,...", "where callers reach the entries"));
+            Arguments.required("entries", "host:port,...", "where callers reach the entries"))
+        .addOption(Arguments.optional("json", "file", "where to write the figures"))
+        .addOption(Arguments.optional("html", "file", "where to write a report with plots"));
   }
 
   @Override
@@ -53,6 +56,7 @@
       LoadResult result = generator.run(experiment, entries);
       console.out().print(LoadTable.of(result));
       console.out().println("wrong answers: " + result.wrongAnswers());
+      ResultFiles.write(line, experiment.name(), List.of(Summarizer.callersOnly(result)));
       return result.wrongAnswers() == 0 ? SUCCESS : FAILURE;
     }
   }
--- a/src/main/java/org/wigeonstage/cli/Main.java
+++ b/src/main/java/org/wigeonstage/cli/Main.java
@@ -30,6 +30,7 @@
         new StandinPlatformCommand(),
         new StandinEngineCommand(),
         new StandinServiceCommand(),
+        new LoadCompareCommand(),
         new LoadCommand(),
         new DemoCommand(),
         new BenchCommand(),
--- a/src/main/java/org/wigeonstage/config/ConfigurationWriter.java
+++ b/src/main/java/org/wigeonstage/config/ConfigurationWriter.java
@@ -63,23 +63,50 @@
     return new ChangeResult(ChangeResult.Decision.UNDECIDED, request.baseVersion(), List.of());
   }
 
-  private ChangeResult submitOnce(ChangeRequest request) {
-    Optional<StoredObject> stored = store.get(ConfigurationRecord.KIND, ConfigurationRecord.NAME);
+  /**
+   * Tells whether a submission is decided by what the platform holds, whatever its document.
+   *
+   * @param submissionId the submission
+   * @param baseVersion the version that it was built on
+   * @return accepted where it took effect before, refused where another change came first, or empty
+   * @throws StoreException where the platform can't be reached
+   */
+  public Optional<ChangeResult> decisionOf(String submissionId, long baseVersion) {
+    return decisionOf(submissionId, baseVersion, read());
+  }
+
+  private Optional<StoredObject> read() {
+    return store.get(ConfigurationRecord.KIND, ConfigurationRecord.NAME);
+  }
+
+  private static Optional<ChangeResult> decisionOf(
+      String submissionId, long baseVersion, Optional<StoredObject> stored) {
     long version = stored.map(StoredObject::version).orElse(0L);
     ConfigurationRecord current = recordOf(stored);
-    if (current.contains(request.submissionId())) {
-      return new ChangeResult(ChangeResult.Decision.ACCEPTED, version, List.of());
+    if (current.contains(submissionId)) {
+      return Optional.of(new ChangeResult(ChangeResult.Decision.ACCEPTED, version, List.of()));
+    }
+    if (version != baseVersion) {
+      return Optional.of(
+          new ChangeResult(
+              ChangeResult.Decision.REFUSED, version, changesSince(current, baseVersion)));
     }
-    if (version != request.baseVersion()) {
-      return new ChangeResult(
-          ChangeResult.Decision.REFUSED, version, changesSince(current, request.baseVersion()));
+    return Optional.empty();
+  }
+
+  private ChangeResult submitOnce(ChangeRequest request) {
+    Optional<StoredObject> stored = read();
+    Optional<ChangeResult> decision =
+        decisionOf(request.submissionId(), request.baseVersion(), stored);
+    if (decision.isPresent()) {
+      return decision.get();
     }
     long written =
         store.put(
             ConfigurationRecord.KIND,
             ConfigurationRecord.NAME,
-            version,
-            Json.write(extend(current, request)));
+            request.baseVersion(),
+            Json.write(extend(recordOf(stored), request)));
     return new ChangeResult(ChangeResult.Decision.ACCEPTED, written, List.of());
   }
 
--- a/src/main/java/org/wigeonstage/config/DocumentDiff.java
+++ b/src/main/java/org/wigeonstage/config/DocumentDiff.java
@@ -28,7 +28,9 @@
   }
 
   private void compare(String pointer, JsonNode before, JsonNode after) {
-    if (before.equals(after)) {
+    boolean same =
+        before.equals(after) || (before.isNumber() && before.asText().equals(after.asText()));
+    if (same) {
       return;
     }
     if (before.isObject() && after.isObject()) {
@@ -42,7 +44,8 @@
         compare(pointer + "/" + i, before.path(i), after.path(i));
       }
     } else {
-      differences.add(pointer + ": " + shorten(before) + " -> " + shorten(after));
+      String shown = pointer.isEmpty() ? "/" : pointer;
+      differences.add(shown + ": " + shorten(before) + " -> " + shorten(after));
     }
   }
 
--- a/src/main/java/org/wigeonstage/console/ConsoleHandler.java
+++ b/src/main/java/org/wigeonstage/console/ConsoleHandler.java
@@ -13,6 +13,7 @@
 import org.wigeonstage.config.AcceptedChange;
 import org.wigeonstage.config.ConfigurationRecord;
 import org.wigeonstage.config.ConfigurationWriter;
+import org.wigeonstage.http.OperatorKeys;
 import org.wigeonstage.http.RequestHandler;
 import org.wigeonstage.http.ServerExchange;
 import org.wigeonstage.platform.ObjectStore;
--- a/src/main/java/org/wigeonstage/console/EditPages.java
+++ b/src/main/java/org/wigeonstage/console/EditPages.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.InvalidDocumentException;
 import org.wigeonstage.common.Json;
@@ -104,6 +105,7 @@
     Map<String, String> values = new LinkedHashMap<>(FormMapper.toForm(kind, object).values());
     values.put("index", index);
     values.put("base", Long.toString(base.version()));
+    values.put("original", object.toString());
     values.put("submission", RequestId.create(clock.instant()).value());
     return formPage(new Html(), kind, new FormData(values), formToken);
   }
@@ -121,6 +123,7 @@
     page.hidden("formToken", formToken)
         .hidden("index", values.get("index"))
         .hidden("base", values.get("base"))
+        .hidden("original", values.get("original"))
         .hidden("submission", values.get("submission"));
     for (Field field : kind.fields()) {
       page.field(field, values.get(field.name()));
@@ -139,10 +142,12 @@
   /** Submits a form; a page that refuses it keeps what the operator has typed. */
   EditResult submit(FormKind kind, FormData form, String formToken) {
     try {
-      Base base = base();
       long formBase = Long.parseLong(form.get("base"));
-      JsonNode document = edited(kind, form, base.document());
-      ChangeResult result = writer.submit(requestOf(form, formBase, document));
+      Optional<ChangeResult> decision = writer.decisionOf(form.get("submission"), formBase);
+      ChangeResult result =
+          decision.isPresent()
+              ? decision.get()
+              : writer.submit(requestOf(form, formBase, edited(kind, form, base().document())));
       return pageOf(kind, form, formToken, result);
     } catch (InvalidDocumentException e) {
       Html page = new Html().message("error", "Refused; nothing has taken effect.");
@@ -211,8 +216,16 @@
     page.raw("<table><tbody>");
     List.copyOf(result.between()).forEach(change -> ConsoleHandler.addChange(page, change));
     page.raw("</tbody></table>");
+    Base base = base();
+    ObjectFinder finder = new ObjectFinder(base.document().path(kind.path()));
+    OptionalInt index = finder.find(form.get("original"));
+    if (index.isEmpty() && !form.get("index").equals(NEW)) {
+      page.message("error", "What you edited is not there any more; saving adds it anew.");
+    }
     Map<String, String> values = new LinkedHashMap<>(form.values());
-    values.put("base", Long.toString(result.version()));
+    values.put("index", index.isPresent() ? Integer.toString(index.getAsInt()) : NEW);
+    values.put("original", finder.textAt(index));
+    values.put("base", Long.toString(base.version()));
     values.put("submission", RequestId.create(clock.instant()).value());
     return new EditResult(
         ErrorCode.VERSION_CONFLICT.httpStatus(),
--- a/src/main/java/org/wigeonstage/console/Sessions.java
+++ b/src/main/java/org/wigeonstage/console/Sessions.java
@@ -7,6 +7,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.http.OperatorKeys;
 
 /**
  * Signed session cookies. Each entry with the same operator keys accepts them, so that the balancer
--- a/src/main/java/org/wigeonstage/demo/Deployment.java
+++ b/src/main/java/org/wigeonstage/demo/Deployment.java
@@ -76,6 +76,7 @@
           settings.windowMax(),
           settings.reservedShare(),
           settings.targetGapMillis(),
+          settings.operatorKeyHashes(),
           settings.drainGraceMillis(),
           settings.telemetry());
     }
@@ -215,6 +216,7 @@
         options.windowMax(),
         options.reservedShare(),
         options.targetGap().toMillis(),
+        List.of(),
         START_TIMEOUT.toMillis(),
         TelemetrySettings.DEFAULTS);
   }
--- a/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
+++ b/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
@@ -91,11 +91,7 @@
       return chooseHome(spec.pool(), key);
     }
     List<AgentState> agents = directory.agentsOf(spec.pool());
-    List<AgentState> candidates =
-        agents.stream()
-            .filter(AgentState::isAvailable)
-            .filter(agent -> !submission.wasRefusedBy(agent))
-            .toList();
+    List<AgentState> candidates = candidatesFor(submission);
     if (candidates.isEmpty() && submission.refusals() > 0) {
       finish(submission, DispatchResult.notRun(submission.lastRefusal()));
       return Optional.empty();
@@ -106,6 +102,13 @@
     return router.choose(spec, candidates);
   }
 
+  private List<AgentState> candidatesFor(Submission submission) {
+    return directory.agentsOf(submission.spec().pool()).stream()
+        .filter(AgentState::isAvailable)
+        .filter(agent -> !submission.wasRefusedBy(agent))
+        .toList();
+  }
+
   /** Opens some connections beyond the live ones, none of which leads to an available agent. */
   private void demandOthers(List<AgentState> agents) {
     agents.stream()
@@ -122,7 +125,7 @@
   }
 
   private void offer(Submission submission, AgentState agent) {
-    submission.offerTo(agent);
+    submission.offerTo(agent, clock.instant());
     effects.send(
         agent.name(),
         new Message.Offer(
@@ -363,14 +366,30 @@
   private void ageOffered(Submission submission, Instant now) {
     Instant withdrawnAt = submission.withdrawnAt();
     if (withdrawnAt == null) {
-      if (submission.startBy().isBefore(now)) {
+      if (submission.startBy().isBefore(now) || isBetterElsewhere(submission, now)) {
         withdraw(submission, now);
       }
-    } else if (withdrawnAt.plus(limits.withdrawGrace()).isBefore(now)) {
+    } else if (isUnanswered(submission, withdrawnAt, now)) {
       finish(submission, DispatchResult.unknown(ErrorCode.DEADLINE));
     }
   }
 
+  private boolean isUnanswered(Submission submission, Instant withdrawnAt, Instant now) {
+    return withdrawnAt.plus(limits.withdrawGrace()).isBefore(now)
+        && submission.startBy().plus(limits.withdrawGrace()).isBefore(now);
+  }
+
+  /** Tells whether a request has waited while another agent has room for it. */
+  private boolean isBetterElsewhere(Submission submission, Instant now) {
+    RequestSpec spec = submission.spec();
+    boolean mayMove =
+        spec.key() == null && submission.offeredAt().plus(limits.reofferAfter()).isBefore(now);
+    return mayMove
+        && candidatesFor(submission).stream()
+            .anyMatch(
+                agent -> !submission.isAt(agent.name()) && agent.expectedRoom(spec.tier()) > 0);
+  }
+
   private void withdraw(Submission submission, Instant now) {
     submission.withdrawnAt(now);
     AgentState agent = submission.agent();
--- a/src/main/java/org/wigeonstage/dispatch/Submission.java
+++ b/src/main/java/org/wigeonstage/dispatch/Submission.java
@@ -32,6 +32,7 @@
   private long incarnation;
   private ErrorCode lastRefusal = ErrorCode.NO_BACKEND_SERVER;
   private @Nullable Instant withdrawnAt;
+  private Instant offeredAt = Instant.EPOCH;
   private boolean callerGone;
   private boolean headSeen;
   private long received;
@@ -76,8 +77,9 @@
     return current != null && current.name().equals(agentName);
   }
 
-  void offerTo(AgentState target) {
+  void offerTo(AgentState target, Instant now) {
     agent = target;
+    offeredAt = now;
     incarnation = target.incarnation();
     phase = Phase.OFFERED;
     target.offered();
@@ -85,6 +87,7 @@
 
   void dispatched() {
     phase = Phase.DISPATCHED;
+    withdrawnAt = null;
   }
 
   void refused(ErrorCode reason) {
@@ -127,6 +130,10 @@
     withdrawnAt = time;
   }
 
+  Instant offeredAt() {
+    return offeredAt;
+  }
+
   boolean isCallerGone() {
     return callerGone;
   }
--- a/src/main/java/org/wigeonstage/entry/CallerAnswer.java
+++ b/src/main/java/org/wigeonstage/entry/CallerAnswer.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.LongConsumer;
@@ -45,6 +46,7 @@
   private int status;
   private @Nullable String contentType;
   private boolean streaming;
+  private Instant offeredAt = Instant.EPOCH;
   private int parts;
   private int events;
 
@@ -71,6 +73,15 @@
     return span;
   }
 
+  /** Notes that an agent was offered the request. */
+  void offered(Instant at) {
+    offeredAt = at;
+  }
+
+  Instant offeredAt() {
+    return offeredAt;
+  }
+
   Duration startedAt() {
     return startedAt;
   }
--- a/src/main/java/org/wigeonstage/entry/CallersHandler.java
+++ b/src/main/java/org/wigeonstage/entry/CallersHandler.java
@@ -185,6 +185,12 @@
 
   @Override
   public void send(String agent, Message message) {
+    if (message instanceof Message.Offer offer) {
+      CallerAnswer answer = answers.get(offer.id());
+      if (answer != null) {
+        answer.offered(clock.instant());
+      }
+    }
     links.send(agent, message);
   }
 
@@ -197,6 +203,7 @@
   public void answerBegan(RequestId id, int status, @Nullable String contentType) {
     CallerAnswer answer = answers.get(id);
     if (answer != null) {
+      tracing.recordSpan("hand-over", Tracing.traceParentOf(answer.span()), answer.offeredAt());
       answer.began(status, contentType);
     }
   }
--- a/src/main/java/org/wigeonstage/entry/EntryOperatorsHandler.java
+++ b/src/main/java/org/wigeonstage/entry/EntryOperatorsHandler.java
@@ -10,7 +10,7 @@
 import org.wigeonstage.common.Json;
 import org.wigeonstage.config.ConfigurationWriter;
 import org.wigeonstage.console.ConsoleHandler;
-import org.wigeonstage.console.OperatorKeys;
+import org.wigeonstage.http.OperatorKeys;
 import org.wigeonstage.http.Problem;
 import org.wigeonstage.http.RequestHandler;
 import org.wigeonstage.http.ServerExchange;
--- a/src/main/java/org/wigeonstage/entry/LinkKeeper.java
+++ b/src/main/java/org/wigeonstage/entry/LinkKeeper.java
@@ -79,18 +79,17 @@
         || (demandedAt != null && clock.elapsed().minus(demandedAt).compareTo(IDLE_LIMIT) < 0);
   }
 
-  /** Forgets the agents that are not wanted any more. */
-  void retain(Collection<String> wanted) {
-    targets
-        .entrySet()
-        .removeIf(
-            entry -> {
-              boolean drop = !wanted.contains(entry.getKey());
-              if (drop) {
-                closeIfOpen(entry.getValue());
-              }
-              return drop;
-            });
+  /**
+   * Lets go of the agents that are not members any more. A connection that requests still use is
+   * kept until it is idle.
+   */
+  void retain(Collection<String> members) {
+    targets.forEach(
+        (agent, target) -> {
+          if (!members.contains(agent)) {
+            target.live = false;
+          }
+        });
   }
 
   private static void closeIfOpen(@Nullable Target target) {
--- a/src/main/java/org/wigeonstage/handover/LoadReport.java
+++ b/src/main/java/org/wigeonstage/handover/LoadReport.java
@@ -1,5 +1,9 @@
 package org.wigeonstage.handover;
 
+import java.util.Collections;
+import java.util.List;
+import org.wigeonstage.request.Tier;
+
 /**
  * What an agent says of its load with each heartbeat.
  *
@@ -9,10 +13,40 @@
  * @param work the estimated work of running and waiting requests, in output tokens
  * @param workPerSecond the work that the backend server got done lately, in output tokens a second
  * @param lowestWaitingRank the rank of the lowest tier that waits, or -1 where nothing waits
+ * @param room for each tier from the highest on: the free places in its part of the window, or, as
+ *     a negative number, how many requests wait before a new one of that tier
  */
 public record LoadReport(
-    int running, int window, int waiting, long work, double workPerSecond, int lowestWaitingRank) {
+    int running,
+    int window,
+    int waiting,
+    long work,
+    double workPerSecond,
+    int lowestWaitingRank,
+    List<Integer> room) {
+
+  /** The number of tiers that a report has room for; lower ones share the last. */
+  public static final int REPORTED_TIERS = 8;
+
+  private static final int ASSUMED_WINDOW = 16;
+
+  /** The report that is assumed of an agent that has given none. */
+  public static final LoadReport IDLE =
+      new LoadReport(
+          0, ASSUMED_WINDOW, 0, 0, 0, -1, Collections.nCopies(REPORTED_TIERS, ASSUMED_WINDOW));
+
+  /** Makes the list immutable. */
+  public LoadReport {
+    room = List.copyOf(room);
+  }
 
-  /** The report of an idle agent. */
-  public static final LoadReport IDLE = new LoadReport(0, 16, 0, 0, 0, -1);
+  /**
+   * Returns the room for a new request of a tier.
+   *
+   * @param tier the tier
+   * @return free places, or, as a negative number, the requests that wait before it
+   */
+  public int roomFor(Tier tier) {
+    return room.get(Math.min(tier.rank(), room.size() - 1));
+  }
 }
--- a/src/main/java/org/wigeonstage/console/OperatorKeys.java
+++ b/src/main/java/org/wigeonstage/http/OperatorKeys.java
@@ -1,4 +1,4 @@
-package org.wigeonstage.console;
+package org.wigeonstage.http;
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
@@ -44,8 +44,13 @@
     }
   }
 
-  /** Returns the hash of a key, or null where it is not valid. */
-  @Nullable String hashOf(String key) {
+  /**
+   * Returns the hash of a key.
+   *
+   * @param key the key
+   * @return its hash, or null where the key is not valid
+   */
+  public @Nullable String hashOf(String key) {
     String hash = Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
     String found = null;
     for (String candidate : hashes) {
@@ -56,11 +61,23 @@
     return found;
   }
 
-  List<String> hashes() {
+  /**
+   * Returns the hashes of all valid keys.
+   *
+   * @return the hashes
+   */
+  public List<String> hashes() {
     return hashes;
   }
 
-  static boolean areEqual(String left, String right) {
+  /**
+   * Compares two texts in constant time.
+   *
+   * @param left a text
+   * @param right another one
+   * @return whether they are equal
+   */
+  public static boolean areEqual(String left, String right) {
     return MessageDigest.isEqual(
         left.getBytes(StandardCharsets.UTF_8), right.getBytes(StandardCharsets.UTF_8));
   }
--- a/src/main/java/org/wigeonstage/ledger/LedgerEffects.java
+++ b/src/main/java/org/wigeonstage/ledger/LedgerEffects.java
@@ -1,5 +1,6 @@
 package org.wigeonstage.ledger;
 
+import java.time.Instant;
 import org.wigeonstage.handover.LinkId;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.request.RequestId;
@@ -21,8 +22,9 @@
    *
    * @param id the request
    * @param spec the request's content
+   * @param queuedAt when the request began to wait
    */
-  void dispatch(RequestId id, RequestSpec spec);
+  void dispatch(RequestId id, RequestSpec spec, Instant queuedAt);
 
   /**
    * Ends a request at the backend server whose answer nobody waits for.
--- a/src/main/java/org/wigeonstage/ledger/RequestLedger.java
+++ b/src/main/java/org/wigeonstage/ledger/RequestLedger.java
@@ -395,10 +395,11 @@
 
   private void dispatch(RequestId id, Instant now) {
     Execution execution = table.get(id);
+    Instant queuedAt = execution.changedAt();
     execution.run(now);
     load.started(execution.spec().cost());
     relay.broadcast(execution, Message.Dispatched::new);
-    effects.dispatch(id, execution.spec());
+    effects.dispatch(id, execution.spec(), queuedAt);
     execution.dropBody();
   }
 
--- a/src/main/java/org/wigeonstage/ledger/RunningLoad.java
+++ b/src/main/java/org/wigeonstage/ledger/RunningLoad.java
@@ -1,6 +1,8 @@
 package org.wigeonstage.ledger;
 
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.queue.DispatchWindow;
 import org.wigeonstage.queue.TierQueue;
@@ -41,6 +43,16 @@
         queue.size(),
         work + queue.work(),
         rate.perSecond(),
-        lowestWaitingRank);
+        lowestWaitingRank,
+        room(queue, window));
+  }
+
+  private List<Integer> room(TierQueue queue, DispatchWindow window) {
+    List<Integer> room = new ArrayList<>();
+    for (int rank = 0; rank < LoadReport.REPORTED_TIERS; rank++) {
+      Tier tier = Tier.of(rank);
+      room.add(window.limitOf(tier) - running - queue.sizeAtOrAbove(tier));
+    }
+    return room;
   }
 }
--- /dev/null
+++ b/src/main/java/org/wigeonstage/load/Comparison.java
@@ -0,0 +1,50 @@
+package org.wigeonstage.load;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Puts the runs of two results side by side. */
+public final class Comparison {
+
+  private Comparison() {}
+
+  /**
+   * Returns a table of the runs that both results have, by name.
+   *
+   * @param left the first result
+   * @param right the second result
+   * @return lines of text
+   */
+  public static String of(List<LoadSummary> left, List<LoadSummary> right) {
+    StringBuilder table = new StringBuilder();
+    for (LoadSummary run : left) {
+      Optional<LoadSummary> other =
+          right.stream().filter(candidate -> candidate.name().equals(run.name())).findFirst();
+      other.ifPresent(match -> append(table, run, match));
+    }
+    return table.isEmpty() ? "no run stands in both results\n" : table.toString();
+  }
+
+  private static void append(StringBuilder table, LoadSummary left, LoadSummary right) {
+    table.append(left.name()).append('\n');
+    line(table, "prefill wasted", left.prefillWasted(), right.prefillWasted());
+    line(table, "violations", left.violations().total(), right.violations().total());
+    int tiers = Math.min(left.tiers().size(), right.tiers().size());
+    for (int i = 0; i < tiers; i++) {
+      TierSummary a = left.tiers().get(i);
+      TierSummary b = right.tiers().get(i);
+      String name = "tier " + a.tier() + " ";
+      line(table, name + "good", a.good(), b.good());
+      line(table, name + "first part p95 ms", a.firstPartMillis().p95(), b.firstPartMillis().p95());
+      line(table, name + "gap p95 ms", a.gapMillisP95(), b.gapMillisP95());
+    }
+  }
+
+  private static void line(StringBuilder table, String name, double left, double right) {
+    String change =
+        left == 0 ? "" : String.format(Locale.ROOT, "%+.1f %%", 100 * (right - left) / left);
+    table.append(
+        String.format(Locale.ROOT, "  %-28s %12.1f %12.1f  %s%n", name, left, right, change));
+  }
+}
--- a/src/main/java/org/wigeonstage/load/Summarizer.java
+++ b/src/main/java/org/wigeonstage/load/Summarizer.java
@@ -33,6 +33,24 @@
         .toList();
   }
 
+  /**
+   * Returns the figures that callers alone can know.
+   *
+   * @param result what the callers saw
+   * @return the figures, with zeros for what only backend servers know
+   */
+  public static LoadSummary callersOnly(LoadResult result) {
+    return new LoadSummary(
+        result.experiment().name(),
+        result.experiment().seed(),
+        result.experiment().seconds(),
+        tiersOf(result),
+        0,
+        0,
+        0,
+        new LoadSummary.Violations(result.wrongAnswers(), 0, 0, result.open()));
+  }
+
   private static TierSummary summarize(LoadResult result, int tier) {
     List<RequestRecord> records =
         result.records().stream()
--- a/src/main/java/org/wigeonstage/queue/AccountRotation.java
+++ b/src/main/java/org/wigeonstage/queue/AccountRotation.java
@@ -48,6 +48,10 @@
         .getValue();
   }
 
+  int size() {
+    return accounts.values().stream().mapToInt(TreeMap::size).sum();
+  }
+
   boolean isEmpty() {
     return accounts.isEmpty();
   }
--- a/src/main/java/org/wigeonstage/queue/AdaptiveDispatchWindow.java
+++ b/src/main/java/org/wigeonstage/queue/AdaptiveDispatchWindow.java
@@ -6,8 +6,12 @@
 import org.wigeonstage.request.Tier;
 
 /**
- * A window that grows by steps while gaps stay below their target and shrinks by a factor when they
- * exceed it.
+ * A window that grows by steps while gaps stay below their target, and shrinks by a factor when
+ * they exceed it because of the load.
+ *
+ * <p>Gaps count as caused by the load when their mean is well above the least mean that was seen.
+ * Gaps that are late for other reasons, such as a busy host, would not get shorter in a smaller
+ * window.
  */
 public final class AdaptiveDispatchWindow implements DispatchWindow {
 
@@ -17,11 +21,19 @@
   /** The share of late gaps in a group of observations above which the window shrinks. */
   private static final double LATE_SHARE = 0.05;
 
+  /** How far the mean gap must stand above the least one to count as caused by the load. */
+  private static final double LOADED_FACTOR = 1.25;
+
+  /** By how much the least mean gap grows with each group, so that it follows a changed engine. */
+  private static final double LEAST_MEAN_GROWTH = 1.0005;
+
   private final int minimum;
   private final int maximum;
   private final double reservedShare;
   private final Duration targetGap;
   private double size;
+  private Duration total = Duration.ZERO;
+  private double leastMeanNanos = Double.POSITIVE_INFINITY;
   private int observed;
   private int late;
   private boolean saturated;
@@ -50,11 +62,7 @@
   }
 
   @Override
-  public boolean hasRoom(Tier tier, int running) {
-    return running < limitOf(tier);
-  }
-
-  private int limitOf(Tier tier) {
+  public int limitOf(Tier tier) {
     int window = size();
     int reserved = (int) Math.ceil(window * reservedShare * tier.rank());
     return Math.max(1, window - reserved);
@@ -63,6 +71,7 @@
   @Override
   public void observeGap(Duration gap, int running) {
     observed++;
+    total = total.plus(gap);
     if (gap.compareTo(targetGap) > 0) {
       late++;
     }
@@ -72,12 +81,16 @@
     }
     adjust();
     observed = 0;
+    total = Duration.ZERO;
     late = 0;
     saturated = false;
   }
 
   private void adjust() {
-    if (late > observed * LATE_SHARE) {
+    double meanNanos = (double) total.toNanos() / observed;
+    boolean isLoaded = meanNanos > leastMeanNanos * LOADED_FACTOR;
+    leastMeanNanos = Math.min(leastMeanNanos * LEAST_MEAN_GROWTH, meanNanos);
+    if (late > observed * LATE_SHARE && isLoaded) {
       size = Math.max(minimum, size * DECREASE_FACTOR);
     } else if (saturated) {
       size = Math.min(maximum, size + 1);
--- a/src/main/java/org/wigeonstage/queue/DispatchWindow.java
+++ b/src/main/java/org/wigeonstage/queue/DispatchWindow.java
@@ -6,6 +6,14 @@
 /** The number of requests that a backend server may run at once. */
 public interface DispatchWindow {
 
+  /**
+   * Returns the number of requests that may run when one of a tier is to be dispatched.
+   *
+   * @param tier the tier
+   * @return the number, at least 1
+   */
+  int limitOf(Tier tier);
+
   /**
    * Tells whether one more request may be dispatched.
    *
@@ -13,7 +21,9 @@
    * @param running the number of requests that run
    * @return whether there is room
    */
-  boolean hasRoom(Tier tier, int running);
+  default boolean hasRoom(Tier tier, int running) {
+    return running < limitOf(tier);
+  }
 
   /**
    * Learns from the time between two parts of an answer.
--- a/src/main/java/org/wigeonstage/queue/FairTierQueue.java
+++ b/src/main/java/org/wigeonstage/queue/FairTierQueue.java
@@ -110,6 +110,11 @@
     return slots.size();
   }
 
+  @Override
+  public int sizeAtOrAbove(Tier tier) {
+    return rotations.headMap(tier, true).values().stream().mapToInt(AccountRotation::size).sum();
+  }
+
   @Override
   public long work() {
     return work;
--- a/src/main/java/org/wigeonstage/queue/TierQueue.java
+++ b/src/main/java/org/wigeonstage/queue/TierQueue.java
@@ -66,6 +66,14 @@
    */
   int size();
 
+  /**
+   * Returns the number of waiting requests that go before a new one of a tier.
+   *
+   * @param tier the tier
+   * @return the number of those in this and all higher tiers
+   */
+  int sizeAtOrAbove(Tier tier);
+
   /**
    * Returns the estimated work that waits.
    *
--- a/src/main/java/org/wigeonstage/routing/AgentState.java
+++ b/src/main/java/org/wigeonstage/routing/AgentState.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.routing;
 
 import org.wigeonstage.handover.LoadReport;
+import org.wigeonstage.request.Tier;
 
 /** What an entry knows of one agent. Not safe for use by several threads. */
 public final class AgentState {
@@ -150,12 +151,21 @@
   }
 
   /**
-   * Returns the requests expected at the agent: as reported, and as offered since, but at least
-   * this entry's own.
+   * Returns the room expected for a request of a tier: as reported, less what was offered since.
    *
-   * @return the number of running and waiting requests
+   * @param tier the tier
+   * @return free places, or, as a negative number, the requests that wait before it
    */
-  public int expectedRequests() {
-    return Math.max(outstanding, load.running() + load.waiting() + offeredSinceReport);
+  public int expectedRoom(Tier tier) {
+    return load.roomFor(tier) - offeredSinceReport;
+  }
+
+  /**
+   * Returns the share of the window that is expected to be taken.
+   *
+   * @return a number from 0 to 1
+   */
+  public double expectedOccupancy() {
+    return Math.min(1, (double) (load.running() + offeredSinceReport) / load.window());
   }
 }
--- a/src/main/java/org/wigeonstage/routing/PrefixAffinityRouter.java
+++ b/src/main/java/org/wigeonstage/routing/PrefixAffinityRouter.java
@@ -6,6 +6,7 @@
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.request.RequestCost;
 import org.wigeonstage.request.RequestSpec;
+import org.wigeonstage.request.Tier;
 
 /**
  * Chooses the candidate with the least expected delay, where prompts that share a prefix count as
@@ -36,7 +37,7 @@
     AgentState best = null;
     double bestSeconds = Double.POSITIVE_INFINITY;
     for (AgentState candidate : candidates) {
-      double seconds = delayAt(candidate) + coldSeconds * warm.coldShareAt(candidate);
+      double seconds = delayAt(candidate, spec.tier()) + coldSeconds * warm.coldShareAt(candidate);
       if (seconds < bestSeconds) {
         best = candidate;
         bestSeconds = seconds;
@@ -46,18 +47,20 @@
   }
 
   /**
-   * Returns the expected delay at a candidate, in seconds. Requests within the window run at once;
-   * those beyond it wait for the work of the ones before them.
+   * Returns the expected delay at a candidate, in seconds. A request for which there is room runs
+   * at once; another waits for the work of those before it.
    */
-  private static double delayAt(AgentState candidate) {
+  private static double delayAt(AgentState candidate, Tier tier) {
     LoadReport load = candidate.load();
-    int requests = candidate.expectedRequests();
+    int before = Math.max(0, 1 - candidate.expectedRoom(tier));
+    double seconds = candidate.expectedOccupancy() * FULL_WINDOW_SECONDS;
+    if (before == 0) {
+      return seconds;
+    }
     int reported = load.running() + load.waiting();
     double meanWork = reported == 0 ? ASSUMED_WORK : (double) load.work() / reported;
     double rate = load.workPerSecond() > 0 ? load.workPerSecond() : ASSUMED_WORK_PER_SECOND;
-    int beyondWindow = Math.max(0, requests + 1 - load.window());
-    double occupancy = Math.min(1, (double) requests / load.window());
-    return beyondWindow * meanWork / rate + occupancy * FULL_WINDOW_SECONDS;
+    return seconds + before * meanWork / rate;
   }
 
   /** The two candidates that a prefix's hash ranks first. */
--- a/src/main/java/org/wigeonstage/settings/AgentSettings.java
+++ b/src/main/java/org/wigeonstage/settings/AgentSettings.java
@@ -1,5 +1,7 @@
 package org.wigeonstage.settings;
 
+import java.util.List;
+
 /**
  * Settings of an agent. Addresses are written as IP number, colon and port.
  *
@@ -16,6 +18,7 @@
  * @param windowMax the most requests that the backend server runs at once
  * @param reservedShare the share of the window that each tier leaves to those above it
  * @param targetGapMillis the time between two parts of an answer that 95 in 100 should keep
+ * @param operatorKeyHashes SHA-256 hashes of operators' keys, in hexadecimal
  * @param drainGraceMillis how long a leaving agent waits for its running requests
  * @param telemetry logs and traces
  */
@@ -33,5 +36,12 @@
     int windowMax,
     double reservedShare,
     long targetGapMillis,
+    List<String> operatorKeyHashes,
     long drainGraceMillis,
-    TelemetrySettings telemetry) {}
+    TelemetrySettings telemetry) {
+
+  /** Makes the list immutable. */
+  public AgentSettings {
+    operatorKeyHashes = List.copyOf(operatorKeyHashes);
+  }
+}
--- a/src/main/java/org/wigeonstage/settings/SettingsLoader.java
+++ b/src/main/java/org/wigeonstage/settings/SettingsLoader.java
@@ -20,6 +20,8 @@
 /** Reads settings files, fills in defaults and refuses files with faults, naming all of them. */
 public final class SettingsLoader {
 
+  private static final int MAX_PORT = 65_535;
+
   private SettingsLoader() {}
 
   /**
@@ -50,11 +52,9 @@
    */
   public static EntrySettings entryOf(String text) {
     JsonNode tree = complete("entry", text);
-    List<Fault> faults = new ArrayList<>();
-    for (String field : List.of("callers", "operators", "platform")) {
-      checkAddress(tree, field, faults);
-    }
-    refuseIfFaulty("the entry's settings", faults);
+    List<Fault> faults = schemaFaults("entry", tree);
+    checkPorts(tree, List.of("callers", "operators", "platform"), faults);
+    refuseIfFaulty("the file of the entry's settings", faults);
     return Json.read(tree, EntrySettings.class);
   }
 
@@ -66,24 +66,24 @@
    */
   public static AgentSettings agentOf(String text) {
     JsonNode tree = complete("agent", text);
-    List<Fault> faults = new ArrayList<>();
-    for (String field : List.of("entries", "operators", "backendServer", "platform")) {
-      checkAddress(tree, field, faults);
-    }
+    List<Fault> faults = schemaFaults("agent", tree);
+    checkPorts(tree, List.of("entries", "operators", "backendServer", "platform"), faults);
     if (tree.path("windowMax").asInt() < tree.path("windowMin").asInt()) {
       faults.add(new Fault("/windowMax", "must not be below windowMin"));
     }
-    refuseIfFaulty("the agent's settings", faults);
+    refuseIfFaulty("the file of the agent's settings", faults);
     return Json.read(tree, AgentSettings.class);
   }
 
   private static JsonNode complete(String role, String text) {
     JsonNode given = Json.parse(text);
     JsonNode defaults = Json.parse(resource(role + ".defaults.json"));
-    JsonNode tree = given.isObject() ? merge((ObjectNode) defaults, (ObjectNode) given) : given;
+    return given.isObject() ? merge((ObjectNode) defaults, (ObjectNode) given) : given;
+  }
+
+  private static List<Fault> schemaFaults(String role, JsonNode tree) {
     JsonSchemaChecker schema = JsonSchemaChecker.of(SettingsLoader.class, role + ".schema.json");
-    refuseIfFaulty("the " + role + "'s settings", schema.check(tree));
-    return tree;
+    return new ArrayList<>(schema.check(tree));
   }
 
   private static ObjectNode merge(ObjectNode base, ObjectNode overlay) {
@@ -100,11 +100,13 @@
     return base;
   }
 
-  private static void checkAddress(JsonNode tree, String field, List<Fault> faults) {
-    String address = tree.path(field).asText();
-    int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
-    if (port > 65_535) {
-      faults.add(new Fault("/" + field, "port " + port + " is above 65535"));
+  private static void checkPorts(JsonNode tree, List<String> fields, List<Fault> faults) {
+    for (String field : fields) {
+      String address = tree.path(field).asText();
+      String port = address.substring(address.lastIndexOf(':') + 1);
+      if (port.matches("[0-9]{1,9}") && Integer.parseInt(port) > MAX_PORT) {
+        faults.add(new Fault("/" + field, "port " + port + " is above " + MAX_PORT));
+      }
     }
   }
 
--- /dev/null
+++ b/src/main/java/org/wigeonstage/standin/CacheEvents.java
@@ -0,0 +1,54 @@
+package org.wigeonstage.standin;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+/** An engine's events about its prefix cache: late, and with gaps. Safe for several threads. */
+final class CacheEvents {
+
+  private static final Duration DELAY = Duration.ofSeconds(1);
+  private static final int LOST_ONE_IN = 10;
+  private static final int MAX_EVENTS = 1000;
+
+  /**
+   * A block that came into the cache.
+   *
+   * @param sequence the event's number; numbers of lost events are missing
+   * @param block the hash of the block and all before it
+   */
+  record Event(long sequence, long block) {}
+
+  private record Pending(long visibleAtMillis, Event event) {}
+
+  private final InstantSource clock;
+  private final Deque<Pending> events = new ArrayDeque<>();
+  private long sequence;
+
+  CacheEvents(InstantSource clock) {
+    this.clock = clock;
+  }
+
+  synchronized void stored(long block) {
+    sequence++;
+    if (sequence % LOST_ONE_IN == 0) {
+      return;
+    }
+    events.addLast(new Pending(clock.millis() + DELAY.toMillis(), new Event(sequence, block)));
+    if (events.size() > MAX_EVENTS) {
+      events.removeFirst();
+    }
+  }
+
+  /** Returns the visible events behind a number. */
+  synchronized List<Event> after(long number) {
+    long now = clock.millis();
+    return events.stream()
+        .filter(pending -> pending.visibleAtMillis() <= now)
+        .map(Pending::event)
+        .filter(event -> event.sequence() > number)
+        .toList();
+  }
+}
--- a/src/main/java/org/wigeonstage/standin/EngineStandin.java
+++ b/src/main/java/org/wigeonstage/standin/EngineStandin.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.Closeable;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -27,8 +28,7 @@
  * step's tokens on prompts, in the order of arrival. A step takes a fixed time. The prefix cache
  * holds a fixed number of prompt blocks. Streams can be resumed by identifier and offset, and
  * cancelled; orders carry a fencing number that is checked or ignored. It has no sampling, no
- * adapters, no export of the cache, and the load that it reports is the one of the last reports'
- * interval.
+ * adapters, no export of the cache, and the load that it reports lags behind.
  */
 public final class EngineStandin implements Closeable {
 
@@ -36,11 +36,16 @@
   private static final int DEFAULT_MAX_TOKENS = 16;
   private static final int OK = 200;
   private static final int MAX_KEPT_STREAMS = 2000;
+
+  /** The number of steps between two updates of the reported load. */
+  private static final int STEPS_PER_LOAD_REPORT = 25;
+
   private static final String JSON = "application/json";
   private static final String STREAMS = "/v1/streams/";
 
   private final EngineSpeed speed;
   private final boolean checksFencing;
+  private final CacheEvents events = new CacheEvents(InstantSource.system());
   private final PrefixCache cache;
   private final ConcurrentLinkedQueue<EngineStream> arrivals = new ConcurrentLinkedQueue<>();
   private final Map<String, EngineStream> streams = new ConcurrentHashMap<>();
@@ -56,12 +61,13 @@
   private long lastFencingNumber;
   private volatile int slowdown = 1;
   private volatile int running;
+  private int steps;
   private volatile boolean closed;
 
   private EngineStandin(Endpoint endpoint, EngineSpeed speed, boolean checksFencing) {
     this.speed = speed;
     this.checksFencing = checksFencing;
-    this.cache = new PrefixCache(speed.cacheBlocks());
+    this.cache = new PrefixCache(speed.cacheBlocks(), events::stored);
     this.loop = new Thread(this::runSteps, "engine");
     this.server = HttpServer.start("engine", endpoint, MAX_BODY_BYTES, this::handle);
   }
@@ -159,6 +165,9 @@
       followOrCancel(exchange, path.substring(STREAMS.length()));
     } else if (path.equals("/v1/load")) {
       exchange.respond(OK, JSON, describeLoad().toString());
+    } else if (path.equals("/v1/cache-events")) {
+      String after = Objects.requireNonNullElse(exchange.parameter("after"), "0");
+      exchange.respond(OK, JSON, Json.write(events.after(Long.parseLong(after))));
     } else if (path.equals("/v1/orders")) {
       order(exchange);
     } else if (path.equals("/standin/drop-readers")) {
@@ -276,7 +285,10 @@
       budget -= done;
     }
     batch.removeIf(EngineStream::isEnded);
-    running = batch.size();
+    steps++;
+    if (steps % STEPS_PER_LOAD_REPORT == 0) {
+      running = batch.size();
+    }
   }
 
   private void generate(EngineStream stream) {
--- a/src/main/java/org/wigeonstage/standin/PrefixCache.java
+++ b/src/main/java/org/wigeonstage/standin/PrefixCache.java
@@ -12,9 +12,17 @@
   static final int BLOCK_TOKENS = 64;
   private static final int BLOCK_CHARACTERS = BLOCK_TOKENS * CHARACTERS_PER_TOKEN;
 
+  /** Learns of blocks that come into the cache. */
+  @FunctionalInterface
+  interface Listener {
+    void stored(long block);
+  }
+
   private final LinkedHashMap<Long, Boolean> blocks;
+  private final Listener listener;
 
-  PrefixCache(int capacity) {
+  PrefixCache(int capacity, Listener listener) {
+    this.listener = listener;
     this.blocks =
         new LinkedHashMap<>(16, 0.75f, true) {
           private static final long serialVersionUID = 1L;
@@ -37,7 +45,9 @@
           31 * chain
               + Hashing.farmHashFingerprint64().hashString(block, StandardCharsets.UTF_8).asLong();
       hit &= blocks.get(chain) != null;
-      blocks.put(chain, true);
+      if (blocks.put(chain, true) == null) {
+        listener.stored(chain);
+      }
       if (hit) {
         cachedBlocks++;
       }
--- a/src/main/java/org/wigeonstage/telemetry/Tracing.java
+++ b/src/main/java/org/wigeonstage/telemetry/Tracing.java
@@ -14,6 +14,7 @@
 import io.opentelemetry.sdk.trace.export.BatchSpanProcessor;
 import io.opentelemetry.sdk.trace.export.SimpleSpanProcessor;
 import java.io.Closeable;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,6 +65,22 @@
     return tracer.spanBuilder(name).setParent(contextOf(traceParent)).startSpan();
   }
 
+  /**
+   * Records a span that ends now.
+   *
+   * @param name the hop's name
+   * @param traceParent the W3C trace context of the parent, or null
+   * @param startedAt when the hop began
+   */
+  public void recordSpan(String name, @Nullable String traceParent, Instant startedAt) {
+    tracer
+        .spanBuilder(name)
+        .setParent(contextOf(traceParent))
+        .setStartTimestamp(startedAt)
+        .startSpan()
+        .end();
+  }
+
   private static Context contextOf(@Nullable String traceParent) {
     if (traceParent == null) {
       return Context.root();
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -92,10 +94,23 @@
             in.unpackInt(),
             in.unpackLong(),
             in.unpackFloat(),
-            in.unpackInt());
+            in.unpackInt(),
+            readRoom(in));
     return new Message.Pong(sequence, configVersion, load);
   }
 
+  private static List<Integer> readRoom(MessageUnpacker in) throws IOException {
+    int size = in.unpackArrayHeader();
+    if (size != LoadReport.REPORTED_TIERS) {
+      throw new BadFrameException("a load report has room for " + size + " tiers", null);
+    }
+    List<Integer> room = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      room.add(in.unpackInt());
+    }
+    return room;
+  }
+
   private static RequestSpec readSpec(MessageUnpacker in) throws IOException {
     String account = in.unpackString();
     Tier tier = Tier.of(in.unpackInt());
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -122,7 +122,11 @@
         .packInt(load.waiting())
         .packLong(load.work())
         .packFloat((float) load.workPerSecond())
-        .packInt(load.lowestWaitingRank());
+        .packInt(load.lowestWaitingRank())
+        .packArrayHeader(load.room().size());
+    for (int places : load.room()) {
+      packer.packInt(places);
+    }
   }
 
   private static void writeSpec(MessageBufferPacker packer, RequestSpec spec) throws IOException {
--- a/src/test/java/org/wigeonstage/benchmark/DecisionBenchmark.java
+++ b/src/test/java/org/wigeonstage/benchmark/DecisionBenchmark.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -91,7 +92,9 @@
     public void create() {
       for (int i = 0; i < count; i++) {
         AgentState agent = new AgentState("agent-" + i, "fd");
-        agent.report(new LoadReport(i % 16, 16, i % 5, i * 10L, 400, -1));
+        agent.report(
+            new LoadReport(
+                i % 16, 16, i % 5, i * 10L, 400, -1, Collections.nCopies(8, 8 - i % 16)));
         agents.add(agent);
       }
     }
@@ -189,7 +192,7 @@
     public void send(LinkId link, Message message) {}
 
     @Override
-    public void dispatch(RequestId id, RequestSpec spec) {}
+    public void dispatch(RequestId id, RequestSpec spec, Instant queuedAt) {}
 
     @Override
     public void cancel(RequestId id) {}
--- a/src/test/java/org/wigeonstage/fuzz/FakeAgent.java
+++ b/src/test/java/org/wigeonstage/fuzz/FakeAgent.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -113,7 +114,7 @@
   }
 
   @Override
-  public void dispatch(RequestId id, RequestSpec spec) {
+  public void dispatch(RequestId id, RequestSpec spec, Instant queuedAt) {
     RequestSpec original = specs.getOrDefault(id, spec);
     world.oracle.dispatched(id, world.submittedSpec(id, original), leaving);
     running.put(id, 0);
--- a/src/test/java/org/wigeonstage/fuzz/MutantQueue.java
+++ b/src/test/java/org/wigeonstage/fuzz/MutantQueue.java
@@ -67,6 +67,11 @@
     return queue.size();
   }
 
+  @Override
+  public int sizeAtOrAbove(Tier tier) {
+    return queue.sizeAtOrAbove(tier);
+  }
+
   @Override
   public long work() {
     return queue.work();
--- a/src/test/java/org/wigeonstage/ledger/RequestLedgerTest.java
+++ b/src/test/java/org/wigeonstage/ledger/RequestLedgerTest.java
@@ -224,7 +224,7 @@
     }
 
     @Override
-    public void dispatch(RequestId id, RequestSpec spec) {
+    public void dispatch(RequestId id, RequestSpec spec, Instant queuedAt) {
       dispatched.add(id);
     }
 
--- a/src/test/java/org/wigeonstage/routing/RouterTest.java
+++ b/src/test/java/org/wigeonstage/routing/RouterTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -53,8 +55,8 @@
     Router router = router(RoutingPolicy.PREFIX_AFFINITY);
     List<AgentState> agents = agents(8);
     AgentState first = router.choose(spec(77), agents).orElseThrow();
-    first.report(new LoadReport(16, 16, 60, 100_000, 400, 3));
-    assertThat(router.choose(spec(77), agents)).isNotEqualTo(java.util.Optional.of(first));
+    first.report(new LoadReport(16, 16, 60, 100_000, 400, 3, Collections.nCopies(8, -60)));
+    assertThat(router.choose(spec(77), agents)).isNotEqualTo(Optional.of(first));
   }
 
   @Test
