Route among 2000 agents in half the time, and acknowledge in steps

Cause: a routing decision among 2000 agents took 23.8 us where 20 is the aim. Divisions for each candidate, not the room list, were the cost: reading the room from an array alone left it at 23.0 us. What depends on a report alone is now computed when the report comes: 11.3 us (JMH, 3 iterations, wide error).

Acknowledgements went out for each part of an answer; they now go in steps of 32 KB of the 256 KB stream window. Entry with 4300 tokens/s: 21.7 % of a core before, 19.2 % after.

The control tick is 100 ms instead of 50 ms: idle entries spent 1.0 to 1.3 % of a core.

--- a/src/main/java/org/wigeonstage/agent/AgentProcess.java
+++ b/src/main/java/org/wigeonstage/agent/AgentProcess.java
@@ -39,7 +39,7 @@
 public final class AgentProcess implements Closeable {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long TICK_MILLIS = 50;
+  private static final long TICK_MILLIS = 100;
   private static final long ORDERS_INTERVAL_MILLIS = 5000;
   private static final int CLIENT_THREADS = 2;
   private static final int MAX_OPERATOR_BODY = 64 * 1024;
--- a/src/main/java/org/wigeonstage/entry/CallerAnswer.java
+++ b/src/main/java/org/wigeonstage/entry/CallerAnswer.java
@@ -33,6 +33,7 @@
   static final String ID_HEADER = "Wigeonstage-Request-Id";
   static final String OUTCOME_HEADER = "Wigeonstage-Outcome";
   private static final int MAX_HELD_BYTES = 256 * 1024;
+  private static final int ACKNOWLEDGED_STEP_BYTES = 32 * 1024;
   private static final String EVENT_STREAM = "text/event-stream";
   private static final long RETRY_AFTER_SECONDS = 1;
 
@@ -47,6 +48,7 @@
   private @Nullable String contentType;
   private boolean streaming;
   private Instant offeredAt = Instant.EPOCH;
+  private long acknowledged;
   private int parts;
   private int events;
 
@@ -104,7 +106,7 @@
 
   private void beginStreaming() {
     streaming = true;
-    exchange.onConsumed(consumed);
+    exchange.onConsumed(this::acknowledge);
     exchange.begin(status, contentType, Map.of(ID_HEADER, id.value()));
   }
 
@@ -121,7 +123,15 @@
       exchange.write(held.toByteArray());
       held.reset();
     } else {
-      consumed.accept(held.size());
+      acknowledge(held.size());
+    }
+  }
+
+  /** Passes on how much was taken, in steps well below the agent's stream window. */
+  private void acknowledge(long offset) {
+    if (offset - acknowledged >= ACKNOWLEDGED_STEP_BYTES) {
+      acknowledged = offset;
+      consumed.accept(offset);
     }
   }
 
--- a/src/main/java/org/wigeonstage/entry/EntryProcess.java
+++ b/src/main/java/org/wigeonstage/entry/EntryProcess.java
@@ -54,7 +54,7 @@
 public final class EntryProcess implements Closeable {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long TICK_MILLIS = 50;
+  private static final long TICK_MILLIS = 100;
   private static final long PEER_INTERVAL_MILLIS = 500;
   private static final long HOSTS_INTERVAL_MILLIS = 2000;
   private static final int CLIENT_THREADS = 1;
--- a/src/main/java/org/wigeonstage/handover/LoadReport.java
+++ b/src/main/java/org/wigeonstage/handover/LoadReport.java
@@ -2,7 +2,6 @@
 
 import java.util.Collections;
 import java.util.List;
-import org.wigeonstage.request.Tier;
 
 /**
  * What an agent says of its load with each heartbeat.
@@ -39,14 +38,4 @@
   public LoadReport {
     room = List.copyOf(room);
   }
-
-  /**
-   * Returns the room for a new request of a tier.
-   *
-   * @param tier the tier
-   * @return free places, or, as a negative number, the requests that wait before it
-   */
-  public int roomFor(Tier tier) {
-    return room.get(Math.min(tier.rank(), room.size() - 1));
-  }
 }
--- a/src/main/java/org/wigeonstage/routing/AgentState.java
+++ b/src/main/java/org/wigeonstage/routing/AgentState.java
@@ -1,15 +1,29 @@
 package org.wigeonstage.routing;
 
+import com.google.common.primitives.Ints;
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.request.Tier;
 
 /** What an entry knows of one agent. Not safe for use by several threads. */
 public final class AgentState {
 
+  /** The rate, in output tokens a second, that is assumed of an agent that has reported none. */
+  private static final double ASSUMED_WORK_PER_SECOND = 400;
+
+  /** The work, in output tokens, that is assumed of a request where none is reported. */
+  private static final double ASSUMED_WORK = 128;
+
   private final String name;
   private final String failureDomain;
   private final long nameHash;
   private LoadReport load = LoadReport.IDLE;
+
+  /** The report's room by tier, in an array because each routing decision reads it. */
+  private int[] room = Ints.toArray(LoadReport.IDLE.room());
+
+  private double placesInverse = 1.0 / LoadReport.IDLE.window();
+  private double secondsPerRequest = secondsPerRequest(LoadReport.IDLE);
+
   private long incarnation;
   private boolean linked;
   private boolean leaving;
@@ -59,7 +73,7 @@
   public void linkUp(long newIncarnation) {
     if (newIncarnation != incarnation) {
       leaving = false;
-      load = LoadReport.IDLE;
+      report(LoadReport.IDLE);
     }
     incarnation = newIncarnation;
     linked = true;
@@ -118,6 +132,9 @@
    */
   public void report(LoadReport report) {
     load = report;
+    room = Ints.toArray(report.room());
+    placesInverse = 1.0 / report.window();
+    secondsPerRequest = secondsPerRequest(report);
     offeredSinceReport = 0;
   }
 
@@ -157,7 +174,7 @@
    * @return free places, or, as a negative number, the requests that wait before it
    */
   public int expectedRoom(Tier tier) {
-    return load.roomFor(tier) - offeredSinceReport;
+    return room[Math.min(tier.rank(), room.length - 1)] - offeredSinceReport;
   }
 
   /**
@@ -166,6 +183,22 @@
    * @return a number from 0 to 1
    */
   public double expectedOccupancy() {
-    return Math.min(1, (double) (load.running() + offeredSinceReport) / load.window());
+    return Math.min(1, (load.running() + offeredSinceReport) * placesInverse);
+  }
+
+  /**
+   * Returns the time that one waiting request is expected to take from the others.
+   *
+   * @return the mean work by the agent's rate, in seconds
+   */
+  public double secondsPerRequest() {
+    return secondsPerRequest;
+  }
+
+  private static double secondsPerRequest(LoadReport load) {
+    int requests = load.running() + load.waiting();
+    double meanWork = requests == 0 ? ASSUMED_WORK : (double) load.work() / requests;
+    double rate = load.workPerSecond() > 0 ? load.workPerSecond() : ASSUMED_WORK_PER_SECOND;
+    return meanWork / rate;
   }
 }
--- a/src/main/java/org/wigeonstage/routing/PrefixAffinityRouter.java
+++ b/src/main/java/org/wigeonstage/routing/PrefixAffinityRouter.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
-import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.request.RequestCost;
 import org.wigeonstage.request.RequestSpec;
 import org.wigeonstage.request.Tier;
@@ -14,12 +13,6 @@
  */
 final class PrefixAffinityRouter implements Router {
 
-  /** The rate, in output tokens a second, that is assumed of an agent that has reported none. */
-  private static final double ASSUMED_WORK_PER_SECOND = 400;
-
-  /** The work, in output tokens, that is assumed of a request where none is reported. */
-  private static final double ASSUMED_WORK = 128;
-
   /** The prompt tokens whose repeated processing weighs as much as a delay of one second. */
   private static final double COLD_TOKENS_PER_SECOND = 10_000;
 
@@ -51,16 +44,9 @@
    * at once; another waits for the work of those before it.
    */
   private static double delayAt(AgentState candidate, Tier tier) {
-    LoadReport load = candidate.load();
     int before = Math.max(0, 1 - candidate.expectedRoom(tier));
-    double seconds = candidate.expectedOccupancy() * FULL_WINDOW_SECONDS;
-    if (before == 0) {
-      return seconds;
-    }
-    int reported = load.running() + load.waiting();
-    double meanWork = reported == 0 ? ASSUMED_WORK : (double) load.work() / reported;
-    double rate = load.workPerSecond() > 0 ? load.workPerSecond() : ASSUMED_WORK_PER_SECOND;
-    return seconds + before * meanWork / rate;
+    return candidate.expectedOccupancy() * FULL_WINDOW_SECONDS
+        + before * candidate.secondsPerRequest();
   }
 
   /** The two candidates that a prefix's hash ranks first. */
--- a/src/test/java/org/wigeonstage/system/Fleet.java
+++ b/src/test/java/org/wigeonstage/system/Fleet.java
@@ -39,6 +39,7 @@
   private final HttpClient client = closer.register(HttpClient.start("fleet", 1));
   private final Map<String, Process> processes = new HashMap<>();
   private final Path directory;
+  private int windowMax = 16;
 
   Fleet(Path directory) {
     this.directory = directory;
@@ -56,6 +57,11 @@
     }
   }
 
+  /** Sets the largest dispatch window of agents that are started from now on. */
+  void windowMax(int value) {
+    windowMax = value;
+  }
+
   HttpClient client() {
     return client;
   }
@@ -152,6 +158,8 @@
                 entries.toString(),
                 "advertised",
                 advertised,
+                "windowMax",
+                windowMax,
                 "operators",
                 operators.toString(),
                 "backendServer",
--- a/src/test/java/org/wigeonstage/system/FleetForBenchmarks.java
+++ b/src/test/java/org/wigeonstage/system/FleetForBenchmarks.java
@@ -13,12 +13,15 @@
   /** The bearer key of the client account. */
   public static final String KEY = Fleet.ACCOUNT_KEY;
 
+  private static final int ENGINE_WINDOW = 64;
+
   private final Fleet fleet;
   private final Endpoint service;
   private final Fleet.EntryAddresses entry;
 
   private FleetForBenchmarks(Fleet fleet, int engines) throws IOException {
     this.fleet = fleet;
+    fleet.windowMax(ENGINE_WINDOW);
     Endpoint platform = fleet.platform();
     this.service = fleet.service("service", 0);
     fleet.agent("service-agent", "service", Fleet.freePort(), service, platform);
