--- a/src/main/java/org/wigeonstage/agent/AgentProcess.java
+++ b/src/main/java/org/wigeonstage/agent/AgentProcess.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.wigeonstage.common.ControlThreads;
 import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.common.Polling;
 import org.wigeonstage.config.ActiveConfiguration;
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.handover.Message;
@@ -43,7 +44,7 @@
   private static final long ORDERS_INTERVAL_MILLIS = 5000;
   private static final int CLIENT_THREADS = 2;
   private static final int MAX_OPERATOR_BODY = 64 * 1024;
-  private static final Duration LINK_SILENCE_LIMIT = Duration.ofSeconds(10);
+  private static final Duration LINK_SILENCE_LIMIT = Duration.ofSeconds(40);
 
   private final AgentSettings settings;
   private final long incarnation;
@@ -245,14 +246,10 @@
    */
   public boolean drain() throws InterruptedException {
     leave();
-    MonotonicClock clock = MonotonicClock.system();
-    Duration end = clock.elapsed().plusMillis(settings.drainGraceMillis());
-    while (!ledger.get(RequestLedger::isDrained)) {
-      if (clock.elapsed().compareTo(end) > 0) {
-        logger.atWarning().log("left before all requests were finished");
-        return false;
-      }
-      Thread.sleep(TICK_MILLIS);
+    Duration grace = Duration.ofMillis(settings.drainGraceMillis());
+    if (!Polling.await(() -> ledger.get(RequestLedger::isDrained), grace)) {
+      logger.atWarning().log("left before all requests were finished");
+      return false;
     }
     Thread.sleep(TICK_MILLIS);
     return true;
--- a/src/main/java/org/wigeonstage/cli/AgentCommand.java
+++ b/src/main/java/org/wigeonstage/cli/AgentCommand.java
@@ -1,17 +1,14 @@
 package org.wigeonstage.cli;
 
-import java.io.IOException;
 import java.nio.file.Path;
 import java.time.InstantSource;
-import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Options;
 import org.wigeonstage.agent.AgentProcess;
 import org.wigeonstage.settings.AgentSettings;
 import org.wigeonstage.settings.SettingsLoader;
-import org.wigeonstage.telemetry.LogSetup;
+import org.wigeonstage.settings.TelemetrySettings;
 
 /** Runs an agent until it is signalled. */
-final class AgentCommand implements Command {
+final class AgentCommand extends DaemonCommand<AgentSettings, AgentProcess> {
 
   @Override
   public String name() {
@@ -24,22 +21,27 @@
   }
 
   @Override
-  public Options options() {
-    return new Options()
-        .addOption(Arguments.required("settings", "file", "the settings, in JSON"))
-        .addOption(Arguments.flag("check", "check the settings and exit"));
+  AgentSettings load(Path file) {
+    return SettingsLoader.loadAgent(file);
   }
 
   @Override
-  public int run(CommandLine line, Console console) throws IOException, InterruptedException {
-    AgentSettings settings = SettingsLoader.loadAgent(Path.of(line.getOptionValue("settings")));
-    if (line.hasOption("check")) {
-      console.out().println("settings are valid");
-      return SUCCESS;
-    }
-    LogSetup.apply(settings.name(), settings.telemetry().log());
-    try (AgentProcess agent = AgentProcess.start(settings, InstantSource.system())) {
-      return ShutdownSignal.await(agent::drain);
-    }
+  String processName(AgentSettings settings) {
+    return settings.name();
+  }
+
+  @Override
+  TelemetrySettings telemetry(AgentSettings settings) {
+    return settings.telemetry();
+  }
+
+  @Override
+  AgentProcess start(AgentSettings settings) {
+    return AgentProcess.start(settings, InstantSource.system());
+  }
+
+  @Override
+  boolean drain(AgentProcess process) throws InterruptedException {
+    return process.drain();
   }
 }
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/DaemonCommand.java
@@ -0,0 +1,53 @@
+package org.wigeonstage.cli;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.wigeonstage.settings.TelemetrySettings;
+import org.wigeonstage.telemetry.LogSetup;
+
+/**
+ * A command that runs a process with a settings file until it is signalled.
+ *
+ * @param <S> the settings
+ * @param <P> the process
+ */
+abstract class DaemonCommand<S, P extends Closeable> implements Command {
+
+  @Override
+  public final Options options() {
+    return new Options()
+        .addOption(Arguments.required("settings", "file", "the settings, in JSON"))
+        .addOption(Arguments.flag("check", "check the settings and exit"));
+  }
+
+  @Override
+  public final int run(CommandLine line, Console console) throws IOException, InterruptedException {
+    S settings = load(Path.of(line.getOptionValue("settings")));
+    if (line.hasOption("check")) {
+      console.out().println("settings are valid");
+      return SUCCESS;
+    }
+    LogSetup.apply(processName(settings), telemetry(settings).log());
+    try (P process = start(settings)) {
+      return ShutdownSignal.await(() -> drain(process));
+    }
+  }
+
+  /** Reads and checks the settings. */
+  abstract S load(Path file);
+
+  /** Returns the name of the process. */
+  abstract String processName(S settings);
+
+  /** Returns the settings of logs and traces. */
+  abstract TelemetrySettings telemetry(S settings);
+
+  /** Starts the process. */
+  abstract P start(S settings);
+
+  /** Lets the process finish its open work; returns whether nothing was cut off. */
+  abstract boolean drain(P process) throws InterruptedException;
+}
--- a/src/main/java/org/wigeonstage/cli/EntryCommand.java
+++ b/src/main/java/org/wigeonstage/cli/EntryCommand.java
@@ -1,17 +1,14 @@
 package org.wigeonstage.cli;
 
-import java.io.IOException;
 import java.nio.file.Path;
 import java.time.InstantSource;
-import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Options;
 import org.wigeonstage.entry.EntryProcess;
 import org.wigeonstage.settings.EntrySettings;
 import org.wigeonstage.settings.SettingsLoader;
-import org.wigeonstage.telemetry.LogSetup;
+import org.wigeonstage.settings.TelemetrySettings;
 
 /** Runs an entry until it is signalled. */
-final class EntryCommand implements Command {
+final class EntryCommand extends DaemonCommand<EntrySettings, EntryProcess> {
 
   @Override
   public String name() {
@@ -24,22 +21,27 @@
   }
 
   @Override
-  public Options options() {
-    return new Options()
-        .addOption(Arguments.required("settings", "file", "the settings, in JSON"))
-        .addOption(Arguments.flag("check", "check the settings and exit"));
+  EntrySettings load(Path file) {
+    return SettingsLoader.loadEntry(file);
   }
 
   @Override
-  public int run(CommandLine line, Console console) throws IOException, InterruptedException {
-    EntrySettings settings = SettingsLoader.loadEntry(Path.of(line.getOptionValue("settings")));
-    if (line.hasOption("check")) {
-      console.out().println("settings are valid");
-      return SUCCESS;
-    }
-    LogSetup.apply(settings.name(), settings.telemetry().log());
-    try (EntryProcess entry = EntryProcess.start(settings, InstantSource.system())) {
-      return ShutdownSignal.await(entry::drain);
-    }
+  String processName(EntrySettings settings) {
+    return settings.name();
+  }
+
+  @Override
+  TelemetrySettings telemetry(EntrySettings settings) {
+    return settings.telemetry();
+  }
+
+  @Override
+  EntryProcess start(EntrySettings settings) {
+    return EntryProcess.start(settings, InstantSource.system());
+  }
+
+  @Override
+  boolean drain(EntryProcess process) throws InterruptedException {
+    return process.drain();
   }
 }
--- a/src/main/java/org/wigeonstage/demo/Deployment.java
+++ b/src/main/java/org/wigeonstage/demo/Deployment.java
@@ -13,7 +13,7 @@
 import org.wigeonstage.agent.AgentProcess;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.Json;
-import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.common.Polling;
 import org.wigeonstage.common.WigeonstageException;
 import org.wigeonstage.config.ChangeRequest;
 import org.wigeonstage.config.ConfigurationWriter;
@@ -35,7 +35,6 @@
 
   private static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
   private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
-  private static final long POLL_MILLIS = 20;
   private static final long SERVICE_DELAY_MILLIS = 5;
   private static final int GENERATIONS = 3;
 
@@ -244,18 +243,13 @@
   }
 
   private static void await(BooleanSupplier condition, String what) {
-    MonotonicClock clock = MonotonicClock.system();
-    Duration end = clock.elapsed().plus(START_TIMEOUT);
-    while (!condition.getAsBoolean()) {
-      if (clock.elapsed().compareTo(end) > 0) {
+    try {
+      if (!Polling.await(condition, START_TIMEOUT)) {
         throw new WigeonstageException(ErrorCode.IO, "timeout while waiting for " + what);
       }
-      try {
-        Thread.sleep(POLL_MILLIS);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        throw new WigeonstageException(ErrorCode.IO, "interrupted", e);
-      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new WigeonstageException(ErrorCode.IO, "interrupted", e);
     }
   }
 
--- a/src/main/java/org/wigeonstage/entry/EntryProcess.java
+++ b/src/main/java/org/wigeonstage/entry/EntryProcess.java
@@ -20,6 +20,7 @@
 import org.wigeonstage.common.ControlThreads;
 import org.wigeonstage.common.Json;
 import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.common.Polling;
 import org.wigeonstage.config.ActiveConfiguration;
 import org.wigeonstage.config.ConfigurationDocument;
 import org.wigeonstage.config.ConfigurationRecord;
@@ -321,16 +322,12 @@
    */
   public boolean drain() throws InterruptedException {
     leave();
-    MonotonicClock clock = MonotonicClock.system();
-    Duration end = clock.elapsed().plusMillis(settings.drainGraceMillis());
-    while (callersHandler.openAnswers() > 0) {
-      if (clock.elapsed().compareTo(end) > 0) {
-        logger.atWarning().log("left before all requests were finished");
-        return false;
-      }
-      Thread.sleep(TICK_MILLIS);
+    Duration grace = Duration.ofMillis(settings.drainGraceMillis());
+    if (!Polling.await(() -> callersHandler.openAnswers() == 0, grace)) {
+      logger.atWarning().log("left before all requests were finished");
+      return false;
     }
-    return callers.drain(Duration.ofMillis(settings.drainGraceMillis()));
+    return callers.drain(grace);
   }
 
   @Override
--- a/src/main/java/org/wigeonstage/entry/LinkKeeper.java
+++ b/src/main/java/org/wigeonstage/entry/LinkKeeper.java
@@ -20,9 +20,16 @@
  */
 final class LinkKeeper {
 
-  private static final Duration SILENCE_LIMIT = Duration.ofSeconds(3);
+  /** How many heartbeats may stay unanswered, with the one that is due. */
+  private static final int HEARTBEATS_BEFORE_SILENCE = 3;
+
   private static final Duration HELLO_TIMEOUT = Duration.ofSeconds(2);
-  private static final Duration HEARTBEAT_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration LEAST_HEARTBEAT_INTERVAL = Duration.ofSeconds(1);
+  private static final Duration GREATEST_HEARTBEAT_INTERVAL = Duration.ofSeconds(10);
+
+  /** The time that each open connection adds to the interval, so that all of them together stay. */
+  private static final Duration HEARTBEAT_INTERVAL_PER_LINK = Duration.ofMillis(100);
+
   private static final Duration RECONNECT_DELAY = Duration.ofMillis(300);
 
   /** How long a connection outside of the live subset is kept after its last use. */
@@ -101,17 +108,19 @@
 
   /** Opens what is missing, closes what is silent and sends heartbeats. */
   void maintain(LinkConnector connector, long configVersion) {
+    Duration interval = heartbeatInterval(openLinks());
+    Duration silenceLimit = interval.multipliedBy(HEARTBEATS_BEFORE_SILENCE);
     for (Target target : targets.values()) {
       Link link = target.link;
       if (!isWanted(target)) {
         closeIfOpen(target);
       } else if (link == null) {
         connectIfDue(connector, target);
-      } else if (link.silence().compareTo(SILENCE_LIMIT) > 0) {
+      } else if (link.silence().compareTo(silenceLimit) > 0) {
         metrics.counter("links.silent").inc();
         link.close();
       } else {
-        pingIfDue(target, link, configVersion);
+        pingIfDue(target, link, interval, configVersion);
       }
     }
   }
@@ -128,9 +137,23 @@
         () -> target.attemptedAt = clock.elapsed().minus(HELLO_TIMEOUT).plus(RECONNECT_DELAY));
   }
 
-  private void pingIfDue(Target target, Link link, long configVersion) {
+  /**
+   * Returns the time between two heartbeats on a connection. It grows with the number of
+   * connections, so that their bytes stay within a fixed rate.
+   */
+  static Duration heartbeatInterval(int links) {
+    Duration interval = HEARTBEAT_INTERVAL_PER_LINK.multipliedBy(links);
+    if (interval.compareTo(LEAST_HEARTBEAT_INTERVAL) < 0) {
+      return LEAST_HEARTBEAT_INTERVAL;
+    }
+    return interval.compareTo(GREATEST_HEARTBEAT_INTERVAL) > 0
+        ? GREATEST_HEARTBEAT_INTERVAL
+        : interval;
+  }
+
+  private void pingIfDue(Target target, Link link, Duration interval, long configVersion) {
     Duration now = clock.elapsed();
-    if (now.minus(target.pingedAt).compareTo(HEARTBEAT_INTERVAL) >= 0) {
+    if (now.minus(target.pingedAt).compareTo(interval) >= 0) {
       target.pingedAt = now;
       link.send(new Message.Ping(pingSequence++, configVersion));
     }
