Keep keys safe when a pool's members change

Cause: when members change, keys get other homes, and the new home took every key for new; a member added to a pool even more so, because it had no predecessor. The fuzzer had a fixed set of members and could not see it.

Accepted documents now note when members changed and who they were; homes refuse keys that moved away, and take moved ones for new only if they were made after the change is in force everywhere. Offers say which change their entry knows.

Ruled out: the version of the whole document in the offer.

--- a/src/main/java/org/wigeonstage/agent/AgentProcess.java
+++ b/src/main/java/org/wigeonstage/agent/AgentProcess.java
@@ -15,6 +15,7 @@
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.common.Polling;
 import org.wigeonstage.config.ActiveConfiguration;
+import org.wigeonstage.config.ConfigurationDocument;
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.http.Endpoint;
@@ -76,6 +77,7 @@
             control);
     this.ledger = new LockedLedger(createLedger(clock));
     caller.bind(ledger);
+    configuration.addListener((previous, current) -> updateMembers(current.document()));
     this.links =
         closer.register(
             LinkServer.start(
@@ -137,8 +139,18 @@
     return settings.advertised().isEmpty() ? links.endpoint().toString() : settings.advertised();
   }
 
+  private void updateMembers(ConfigurationDocument document) {
+    document.pools().stream()
+        .filter(pool -> pool.memberNames().contains(settings.name()))
+        .forEach(
+            pool ->
+                ledger.run(
+                    target -> target.updateMembers(pool.memberNames(), pool.memberChange())));
+  }
+
   private RequestLedger createLedger(InstantSource clock) {
     return new RequestLedger(
+        settings.name(),
         incarnation,
         LedgerLimits.DEFAULTS,
         new FairTierQueue(settings.queueCapacity()),
--- a/src/main/java/org/wigeonstage/common/ErrorCode.java
+++ b/src/main/java/org/wigeonstage/common/ErrorCode.java
@@ -24,6 +24,8 @@
   ANSWER_NOT_HELD(410),
   /** The agent that decides about the idempotency key can't be reached. */
   KEY_HOME_UNREACHABLE(503),
+  /** Another agent decides about the idempotency key since the pool's members changed. */
+  KEY_HOME_MOVED(503),
   /** The client account is over its limit. */
   ACCOUNT_LIMIT(429),
   /** Every reachable queue is full of requests of the same or a higher tier. */
--- a/src/main/java/org/wigeonstage/config/ConfigurationWriter.java
+++ b/src/main/java/org/wigeonstage/config/ConfigurationWriter.java
@@ -1,5 +1,6 @@
 package org.wigeonstage.config;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.NullNode;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -127,7 +128,9 @@
             request.baseVersion(),
             DocumentDiff.between(current.document(), request.document())));
     int excess = Math.max(0, history.size() - ConfigurationRecord.MAX_HISTORY);
-    return new ConfigurationRecord(request.document(), history.subList(excess, history.size()));
+    JsonNode document =
+        new MemberChanges(clock.millis()).stamp(current.document(), request.document());
+    return new ConfigurationRecord(document, history.subList(excess, history.size()));
   }
 
   private static List<AcceptedChange> changesSince(ConfigurationRecord current, long version) {
--- a/src/main/java/org/wigeonstage/config/PoolSpec.java
+++ b/src/main/java/org/wigeonstage/config/PoolSpec.java
@@ -1,9 +1,11 @@
 package org.wigeonstage.config;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
 import java.util.Locale;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.request.MemberChange;
 
 /**
  * A pool of backend servers that can stand in for each other.
@@ -16,7 +18,9 @@
  * @param loads the models, adapters and versions that each backend server is to have loaded; empty
  *     to give no orders
  * @param concurrentLoads the most backend servers that load at once, from 1
+ * @param memberChange the last change of the members; set when a document is accepted
  */
+@JsonInclude(JsonInclude.Include.NON_NULL)
 public record PoolSpec(
     String name,
     Kind kind,
@@ -24,7 +28,8 @@
     List<MemberSpec> members,
     boolean checksFencing,
     @Nullable List<String> loads,
-    @Nullable Integer concurrentLoads) {
+    @Nullable Integer concurrentLoads,
+    @Nullable MemberChange memberChange) {
 
   /** What the backend servers of a pool are. */
   public enum Kind {
@@ -64,7 +69,7 @@
       List<String> models,
       List<MemberSpec> members,
       boolean checksFencing) {
-    this(name, kind, models, members, checksFencing, null, null);
+    this(name, kind, models, members, checksFencing, null, null, null);
   }
 
   /**
@@ -87,6 +92,16 @@
     return concurrentLoads == null ? 1 : concurrentLoads;
   }
 
+  /**
+   * Returns this pool with a note of the last change of its members.
+   *
+   * @param change the change, or null
+   * @return the pool
+   */
+  public PoolSpec withMemberChange(@Nullable MemberChange change) {
+    return new PoolSpec(name, kind, models, members, checksFencing, loads, concurrentLoads, change);
+  }
+
   /**
    * Returns the names of the members.
    *
--- a/src/main/java/org/wigeonstage/dispatch/AgentDirectory.java
+++ b/src/main/java/org/wigeonstage/dispatch/AgentDirectory.java
@@ -25,6 +25,14 @@
    */
   @Nullable AgentState agent(String name);
 
+  /**
+   * Returns when a pool's members changed last.
+   *
+   * @param pool the pool's name
+   * @return milliseconds since the epoch; 0 for never
+   */
+  long membersChangedAt(String pool);
+
   /**
    * Returns the agent that alone decides about an idempotency key.
    *
--- a/src/main/java/org/wigeonstage/dispatch/PoolDirectory.java
+++ b/src/main/java/org/wigeonstage/dispatch/PoolDirectory.java
@@ -10,6 +10,7 @@
 import org.wigeonstage.config.MemberSpec;
 import org.wigeonstage.config.PoolSpec;
 import org.wigeonstage.request.IdempotencyKey;
+import org.wigeonstage.request.MemberChange;
 import org.wigeonstage.routing.AgentState;
 import org.wigeonstage.routing.RendezvousHash;
 
@@ -20,6 +21,7 @@
 
   private final Map<String, AgentState> agents = new HashMap<>();
   private Map<String, List<AgentState>> pools = Map.of();
+  private Map<String, Long> memberChanges = Map.of();
 
   /**
    * Takes over the pools of a configuration. What is known of agents that stay is kept.
@@ -28,6 +30,7 @@
    */
   public void update(ConfigurationDocument document) {
     Map<String, List<AgentState>> updated = new HashMap<>();
+    Map<String, Long> changes = new HashMap<>();
     for (PoolSpec pool : document.pools()) {
       List<AgentState> members = new ArrayList<>();
       for (MemberSpec member : pool.members()) {
@@ -36,8 +39,11 @@
                 member.name(), name -> new AgentState(name, member.failureDomain())));
       }
       updated.put(pool.name(), List.copyOf(members));
+      MemberChange change = pool.memberChange();
+      changes.put(pool.name(), change == null ? 0 : change.atMillis());
     }
     pools = updated;
+    memberChanges = changes;
   }
 
   @Override
@@ -50,6 +56,11 @@
     return agents.get(name);
   }
 
+  @Override
+  public long membersChangedAt(String pool) {
+    return memberChanges.getOrDefault(pool, 0L);
+  }
+
   @Override
   public Optional<AgentState> homeOf(String pool, IdempotencyKey key) {
     List<String> names = agentsOf(pool).stream().map(AgentState::name).toList();
--- a/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
+++ b/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
@@ -133,6 +133,7 @@
             agent.incarnation(),
             submission.startBy(),
             !agent.isAvailable(),
+            directory.membersChangedAt(submission.spec().pool()),
             submission.spec()));
   }
 
--- a/src/main/java/org/wigeonstage/entry/EntryProcess.java
+++ b/src/main/java/org/wigeonstage/entry/EntryProcess.java
@@ -347,6 +347,7 @@
       Message.Hello peer = link.peer();
       roster.learnIncarnation(peer.name(), peer.incarnation());
       if (links.opened(link)) {
+        sendConfigurationIfOlder(link, peer.configVersion());
         dispatcher.run((target, directory) -> target.linkUp(peer.name(), peer.incarnation()));
       }
     }
@@ -361,14 +362,14 @@
         return;
       }
       if (message instanceof Message.Pong pong) {
-        sendConfigurationIfOlder(link, pong);
+        sendConfigurationIfOlder(link, pong.configVersion());
       }
       dispatcher.run((target, directory) -> target.receive(link.peer().name(), message));
     }
 
-    private void sendConfigurationIfOlder(Link link, Message.Pong pong) {
+    private void sendConfigurationIfOlder(Link link, long peerVersion) {
       var current = configuration.current();
-      if (pong.configVersion() < current.version()) {
+      if (peerVersion < current.version()) {
         link.send(new Message.ConfigSnapshot(current.version(), current.text()));
       }
     }
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -43,9 +43,17 @@
    * @param startBy the time after which the request must not be dispatched
    * @param joinOnly whether the agent may only give the answer of an earlier submission, because
    *     its host is about to leave
+   * @param membersChangedAt when the pool's members changed last, as far as the entry knows, in
+   *     milliseconds since the epoch; 0 for never
    * @param spec the request
    */
-  record Offer(RequestId id, long incarnation, Instant startBy, boolean joinOnly, RequestSpec spec)
+  record Offer(
+      RequestId id,
+      long incarnation,
+      Instant startBy,
+      boolean joinOnly,
+      long membersChangedAt,
+      RequestSpec spec)
       implements AboutRequest {}
 
   /**
--- a/src/main/java/org/wigeonstage/ledger/OfferRules.java
+++ b/src/main/java/org/wigeonstage/ledger/OfferRules.java
@@ -16,18 +16,21 @@
   private final InstantSource clock;
   private final Tombstones tombstones;
   private final ExecutionTable table;
+  private final KeyHomes homes;
 
   OfferRules(
       long incarnation,
       LedgerLimits limits,
       InstantSource clock,
       Tombstones tombstones,
-      ExecutionTable table) {
+      ExecutionTable table,
+      KeyHomes homes) {
     this.incarnation = incarnation;
     this.limits = limits;
     this.clock = clock;
     this.tombstones = tombstones;
     this.table = table;
+    this.homes = homes;
   }
 
   /** Returns the answer to an offer that is not for this incarnation or was withdrawn. */
@@ -59,7 +62,14 @@
     if (offer.startBy().isBefore(now)) {
       return Optional.of(unknown(offer, ErrorCode.DEADLINE));
     }
-    if (!table.keys().isKnownNew(key, now)) {
+    if (homes.isElsewhere(key)) {
+      return Optional.of(unknown(offer, ErrorCode.KEY_HOME_MOVED));
+    }
+    boolean isKnownNew =
+        !homes.isOlderThan(offer.membersChangedAt())
+            && table.keys().isKnownNew(key, now)
+            && !homes.mayHaveRunElsewhere(key, limits, now);
+    if (!isKnownNew) {
       return Optional.of(unknown(offer, ErrorCode.KEY_HISTORY_LOST));
     }
     return Optional.empty();
--- a/src/main/java/org/wigeonstage/ledger/RequestLedger.java
+++ b/src/main/java/org/wigeonstage/ledger/RequestLedger.java
@@ -16,6 +16,7 @@
 import org.wigeonstage.queue.TierQueue;
 import org.wigeonstage.queue.WaitingRequest;
 import org.wigeonstage.request.IdempotencyKey;
+import org.wigeonstage.request.MemberChange;
 import org.wigeonstage.request.Outcome;
 import org.wigeonstage.request.RequestId;
 import org.wigeonstage.request.Tier;
@@ -42,6 +43,7 @@
   private final ExecutionAge ages;
   private final Tombstones tombstones;
   private final ExecutionTable table;
+  private final KeyHomes homes;
   private final OfferRules rules;
   private final RunningLoad load = new RunningLoad();
   private Instant lastAging = Instant.EPOCH;
@@ -51,6 +53,7 @@
   /**
    * Creates an empty ledger.
    *
+   * @param agent the agent's name
    * @param incarnation a number that grows with each start of the agent
    * @param limits the bounds of what is remembered
    * @param queue where requests wait
@@ -59,6 +62,7 @@
    * @param effects what the ledger's decisions cause
    */
   public RequestLedger(
+      String agent,
       long incarnation,
       LedgerLimits limits,
       TierQueue queue,
@@ -75,7 +79,8 @@
     this.relay = new AnswerRelay(limits, effects);
     this.tombstones = new Tombstones(limits.maxRecords());
     this.table = new ExecutionTable(new KeyHistory(clock.instant(), limits));
-    this.rules = new OfferRules(incarnation, limits, clock, tombstones, table);
+    this.homes = new KeyHomes(agent);
+    this.rules = new OfferRules(incarnation, limits, clock, tombstones, table, homes);
   }
 
   /**
@@ -315,6 +320,16 @@
     table.keys().complete();
   }
 
+  /**
+   * Takes over who decides about idempotency keys.
+   *
+   * @param members the names of the agents of this agent's pool
+   * @param change the last change of the members, or null
+   */
+  public void updateMembers(List<String> members, @Nullable MemberChange change) {
+    homes.update(members, change);
+  }
+
   /** Takes no new requests from now on, and gives back those that wait. */
   public void leave() {
     leaving = true;
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -59,7 +59,8 @@
       throws IOException {
     return switch (type) {
       case OFFER ->
-          new Message.Offer(id, in.unpackLong(), readTime(in), in.unpackBoolean(), readSpec(in));
+          new Message.Offer(
+              id, in.unpackLong(), readTime(in), in.unpackBoolean(), in.unpackLong(), readSpec(in));
       case ACCEPTED -> new Message.Accepted(id);
       case REFUSED -> new Message.Refused(id, constant(ErrorCode.values(), in.unpackInt()));
       case REJECTED ->
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -58,7 +58,10 @@
       about(packer, MessageType.ACKNOWLEDGE, acknowledge).packLong(acknowledge.offset());
     } else if (message instanceof Message.Offer offer) {
       about(packer, MessageType.OFFER, offer).packLong(offer.incarnation());
-      packer.packLong(offer.startBy().toEpochMilli()).packBoolean(offer.joinOnly());
+      packer
+          .packLong(offer.startBy().toEpochMilli())
+          .packBoolean(offer.joinOnly())
+          .packLong(offer.membersChangedAt());
       writeSpec(packer, offer.spec());
     } else if (message instanceof Message.Accepted) {
       about(packer, MessageType.ACCEPTED, message);
--- a/src/test/java/org/wigeonstage/benchmark/DecisionBenchmark.java
+++ b/src/test/java/org/wigeonstage/benchmark/DecisionBenchmark.java
@@ -157,6 +157,7 @@
     public void create() {
       ledger =
           new RequestLedger(
+              "agent",
               1,
               new LedgerLimits(
                   100_000_000,
@@ -177,7 +178,7 @@
     void run(IdempotencyKey key) {
       RequestId id = RequestId.of("r" + next++);
       LinkId link = LinkId.of(1);
-      ledger.receive(link, new Message.Offer(id, 1, now.plusSeconds(10), false, spec(key)));
+      ledger.receive(link, new Message.Offer(id, 1, now.plusSeconds(10), false, 0, spec(key)));
       ledger.answerBegan(id, 200, null);
       ledger.answerContinued(id, new byte[10]);
       ledger.answerEnded(id, Outcome.COMPLETED);
--- a/src/test/java/org/wigeonstage/benchmark/MemoryBenchmark.java
+++ b/src/test/java/org/wigeonstage/benchmark/MemoryBenchmark.java
@@ -68,6 +68,7 @@
   private static Object ledger(int count, boolean keyed) {
     RequestLedger ledger =
         new RequestLedger(
+            "agent",
             1,
             LedgerLimits.DEFAULTS,
             new FairTierQueue(64),
@@ -82,7 +83,7 @@
       RequestSpec spec =
           new RequestSpec(
               "account", Tier.of(1), "pool", false, key, RequestCost.SERVICE_CALL, call, null);
-      ledger.receive(LinkId.of(1), new Message.Offer(id, 1, NOW.plusSeconds(10), false, spec));
+      ledger.receive(LinkId.of(1), new Message.Offer(id, 1, NOW.plusSeconds(10), false, 0, spec));
       ledger.answerBegan(id, 200, null);
       ledger.answerContinued(id, new byte[200]);
       ledger.answerEnded(id, Outcome.COMPLETED);
--- a/src/test/java/org/wigeonstage/config/ConfigurationWriterTest.java
+++ b/src/test/java/org/wigeonstage/config/ConfigurationWriterTest.java
@@ -70,6 +70,39 @@
             InvalidDocumentException.class, e -> assertThat(e.faults()).hasSize(2));
   }
 
+  private static JsonNode documentWithMembers(String... names) {
+    ObjectNode document = (ObjectNode) documentOf("tier");
+    ObjectNode pool = document.withArray("pools").addObject();
+    pool.put("name", "portal").put("kind", "service").put("checksFencing", true);
+    pool.putArray("models");
+    for (String name : names) {
+      pool.withArray("members").addObject().put("name", name).put("failureDomain", "fd");
+    }
+    return document;
+  }
+
+  private static JsonNode lastChange(FlakyStore store) {
+    StoredObject last = store.versions().get(store.versions().size() - 1);
+    return Json.read(last.value(), ConfigurationRecord.class)
+        .document()
+        .at("/pools/0/memberChange");
+  }
+
+  @Test
+  void aChangeOfMembersIsNotedInTheDocument() {
+    FlakyStore store = new FlakyStore(1, 0);
+    ConfigurationWriter writer = writer(store);
+    writer.submit(new ChangeRequest("a", "", "", 0, documentWithMembers("x")));
+    assertThat(lastChange(store).isMissingNode()).isTrue();
+    writer.submit(new ChangeRequest("b", "", "", 1, documentWithMembers("x", "y")));
+    assertThat(lastChange(store).toString())
+        .isEqualTo("{\"atMillis\":0,\"previousMembers\":[\"x\"]}");
+    writer.submit(new ChangeRequest("c", "", "", 2, documentWithMembers("x", "y")));
+    assertThat(lastChange(store).at("/previousMembers/0").asText()).isEqualTo("x");
+    writer.submit(new ChangeRequest("d", "", "", 3, documentWithMembers("z")));
+    assertThat(lastChange(store).path("previousMembers")).isEmpty();
+  }
+
   @Test
   void anOutageRefusesAtOnce() {
     FlakyStore store = new FlakyStore(1, 0);
--- a/src/test/java/org/wigeonstage/fuzz/FakeAgent.java
+++ b/src/test/java/org/wigeonstage/fuzz/FakeAgent.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.config.ConfigurationDocument;
+import org.wigeonstage.config.PoolSpec;
 import org.wigeonstage.handover.LinkId;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.ledger.LedgerEffects;
@@ -17,6 +19,7 @@
 import org.wigeonstage.queue.AdaptiveDispatchWindow;
 import org.wigeonstage.queue.FairTierQueue;
 import org.wigeonstage.queue.TierQueue;
+import org.wigeonstage.request.MemberChange;
 import org.wigeonstage.request.Outcome;
 import org.wigeonstage.request.RequestId;
 import org.wigeonstage.request.RequestSpec;
@@ -46,17 +49,30 @@
         new MutantQueue(new FairTierQueue(QUEUE_CAPACITY), QUEUE_CAPACITY, world.mutation);
     this.ledger =
         new RequestLedger(
+            name,
             incarnation,
             LedgerLimits.DEFAULTS,
             queue,
             new AdaptiveDispatchWindow(1, WINDOW, 0.1, Duration.ofMillis(34)),
             world.clock,
             this);
+    adopt(world.document);
     if (incarnation == 1 || world.mutation == Mutation.KEY_HISTORY_ASSUMED) {
       ledger.completeKeyHistory();
     }
   }
 
+  /** Follows a document; a mutant knows no homes, or not who the members were before. */
+  void adopt(ConfigurationDocument document) {
+    PoolSpec pool = document.pools().get(0);
+    boolean homesFollow = world.mutation == Mutation.KEY_HOME_FOLLOWS_CONNECTIONS;
+    MemberChange change = pool.memberChange();
+    boolean forgets = world.mutation == Mutation.MEMBER_CHANGE_FORGOTTEN && change != null;
+    ledger.updateMembers(
+        homesFollow ? List.of() : pool.memberNames(),
+        forgets ? new MemberChange(change.atMillis(), pool.memberNames()) : change);
+  }
+
   void receive(FakeLink link, Message message) {
     Message seen = mutate(message);
     if (seen instanceof Message.Offer offer) {
@@ -89,7 +105,12 @@
           new RequestSpec(
               s.account(), s.tier(), s.pool(), s.nonIdempotent(), null, s.cost(), s.call(), null);
       return new Message.Offer(
-          offer.id(), offer.incarnation(), offer.startBy(), offer.joinOnly(), bare);
+          offer.id(),
+          offer.incarnation(),
+          offer.startBy(),
+          offer.joinOnly(),
+          offer.membersChangedAt(),
+          bare);
     }
     return message;
   }
--- a/src/test/java/org/wigeonstage/fuzz/FakeEntry.java
+++ b/src/test/java/org/wigeonstage/fuzz/FakeEntry.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.config.ConfigurationDocument;
 import org.wigeonstage.dispatch.AgentDirectory;
 import org.wigeonstage.dispatch.DispatchResult;
 import org.wigeonstage.dispatch.DispatcherEffects;
@@ -27,6 +28,7 @@
 final class FakeEntry implements DispatcherEffects {
 
   private final World world;
+  private final PoolDirectory directory = new PoolDirectory();
   final RequestDispatcher dispatcher;
   final Map<String, FakeLink> links = new HashMap<>();
   final Set<RequestId> open = new HashSet<>();
@@ -35,8 +37,7 @@
 
   FakeEntry(World world, long seed) {
     this.world = world;
-    PoolDirectory directory = new PoolDirectory();
-    directory.update(world.document);
+    adopt(world.document);
     this.dispatcher =
         new RequestDispatcher(
             DispatcherLimits.DEFAULTS,
@@ -48,6 +49,10 @@
             this);
   }
 
+  void adopt(ConfigurationDocument document) {
+    directory.update(document);
+  }
+
   void connect(FakeLink link) {
     FakeLink previous = links.put(link.agent.name, link);
     if (previous != null) {
@@ -92,11 +97,21 @@
     if (world.mutation == Mutation.OFFERED_AGAIN && message instanceof Message.Resume resume) {
       Message.Offer offer = offers.get(resume.id());
       return new Message.Offer(
-          offer.id(), link.agent.incarnation, offer.startBy(), offer.joinOnly(), offer.spec());
+          offer.id(),
+          link.agent.incarnation,
+          offer.startBy(),
+          offer.joinOnly(),
+          offer.membersChangedAt(),
+          offer.spec());
     }
     if (world.mutation == Mutation.INCARNATION_IGNORED && message instanceof Message.Offer offer) {
       return new Message.Offer(
-          offer.id(), link.agent.incarnation, offer.startBy(), offer.joinOnly(), offer.spec());
+          offer.id(),
+          link.agent.incarnation,
+          offer.startBy(),
+          offer.joinOnly(),
+          offer.membersChangedAt(),
+          offer.spec());
     }
     return message;
   }
@@ -139,6 +154,11 @@
       return directory.agent(name);
     }
 
+    @Override
+    public long membersChangedAt(String pool) {
+      return directory.membersChangedAt(pool);
+    }
+
     @Override
     public Optional<AgentState> homeOf(String pool, IdempotencyKey key) {
       List<String> names =
--- a/src/test/java/org/wigeonstage/fuzz/Mutation.java
+++ b/src/test/java/org/wigeonstage/fuzz/Mutation.java
@@ -21,6 +21,8 @@
   KEY_HISTORY_ASSUMED,
   /** The agent that decides about a key is chosen among those that are connected. */
   KEY_HOME_FOLLOWS_CONNECTIONS,
+  /** An agent does not know that keys moved to it from another home. */
+  MEMBER_CHANGE_FORGOTTEN,
   /** A leaving agent goes on dispatching. */
   LEAVING_IGNORED,
   /** A request whose answer broke off is sent to the backend server again. */
--- a/src/test/java/org/wigeonstage/fuzz/Steps.java
+++ b/src/test/java/org/wigeonstage/fuzz/Steps.java
@@ -45,6 +45,8 @@
           new Step(1, "restartEntry", World::restartEntry),
           new Step(2, "pauseAgent", World::pauseAgent),
           new Step(1, "leaveAgent", World::leaveAgent),
+          new Step(1, "changeMembers", World::changeMembers),
+          new Step(3, "adopt", World::adopt),
           new Step(1, "callerGoes", World::callerGoes));
 
   private static final int TOTAL_WEIGHT = ALL.stream().mapToInt(Step::weight).sum();
--- a/src/test/java/org/wigeonstage/fuzz/World.java
+++ b/src/test/java/org/wigeonstage/fuzz/World.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
 import org.wigeonstage.config.ConfigurationDocument;
 import org.wigeonstage.config.MemberSpec;
 import org.wigeonstage.config.PoolSpec;
@@ -15,6 +16,7 @@
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.request.HttpCall;
 import org.wigeonstage.request.IdempotencyKey;
+import org.wigeonstage.request.MemberChange;
 import org.wigeonstage.request.RequestCost;
 import org.wigeonstage.request.RequestId;
 import org.wigeonstage.request.RequestSpec;
@@ -31,6 +33,7 @@
   private static final int ENTRIES = 2;
   private static final List<String> AGENTS = List.of("agent-1", "agent-2", "agent-3");
   private static final int TIERS = 4;
+  private static final Duration IN_FORCE_WITHIN = Duration.ofSeconds(18);
   private static final Duration RETRY_LIMIT = Duration.ofMinutes(9);
   private static final int QUIET_ROUNDS = 400;
 
@@ -39,23 +42,13 @@
   final Mutation mutation;
   final ManualClock clock = new ManualClock();
   final Oracle oracle = new Oracle();
-  final ConfigurationDocument document =
-      new ConfigurationDocument(
-          List.of(),
-          List.of(),
-          List.of(
-              new PoolSpec(
-                  POOL,
-                  PoolSpec.Kind.SERVICE,
-                  List.of(),
-                  AGENTS.stream().map(name -> new MemberSpec(name, "fd")).toList(),
-                  true)),
-          List.of());
+  ConfigurationDocument document = documentOf(AGENTS, null);
   private final List<FakeEntry> entries = new ArrayList<>();
   private final List<FakeAgent> agents = new ArrayList<>();
   private final List<FakeLink> links = new ArrayList<>();
   private final List<KeyUse> keys = new ArrayList<>();
   private final Map<RequestId, RequestSpec> specs = new HashMap<>();
+  private Instant inForceBy = Instant.MAX;
   private long nextNumber = 1;
 
   World(Mutation mutation) {
@@ -67,6 +60,14 @@
     entries.forEach(entry -> agents.forEach(agent -> connect(entry, agent)));
   }
 
+  private static ConfigurationDocument documentOf(
+      List<String> members, @Nullable MemberChange change) {
+    List<MemberSpec> specs = members.stream().map(name -> new MemberSpec(name, "fd")).toList();
+    PoolSpec pool =
+        new PoolSpec(POOL, PoolSpec.Kind.SERVICE, List.of(), specs, true).withMemberChange(change);
+    return new ConfigurationDocument(List.of(), List.of(), List.of(pool), List.of());
+  }
+
   private static <T> T pick(RandomGenerator random, List<T> list) {
     return list.get(random.nextInt(list.size()));
   }
@@ -168,7 +169,7 @@
 
   void advance(RandomGenerator random) {
     long[] millis = {5, 50, 500, 3000, 12_000, 40_000, 400_000};
-    clock.advance(Duration.ofMillis(millis[random.nextInt(millis.length)]));
+    pass(Duration.ofMillis(millis[random.nextInt(millis.length)]));
     for (FakeAgent agent : agents) {
       if (!agent.paused && random.nextInt(4) > 0) {
         agent.ledger.tick();
@@ -255,6 +256,51 @@
     }
   }
 
+  /** Accepts a document with other members; nodes adopt it later, each in its own time. */
+  void changeMembers(RandomGenerator random) {
+    List<String> members = new ArrayList<>(AGENTS);
+    members.remove(random.nextInt(members.size()));
+    if (random.nextBoolean()) {
+      members = AGENTS;
+    }
+    PoolSpec current = document.pools().get(0);
+    if (members.equals(current.memberNames())) {
+      return;
+    }
+    adoptEverywhere();
+    MemberChange earlier = current.memberChange();
+    long now = clock.millis();
+    boolean shortly =
+        earlier != null && earlier.atMillis() + Duration.ofMinutes(30).toMillis() > now;
+    MemberChange change = new MemberChange(now, shortly ? List.of() : current.memberNames());
+    document = documentOf(members, change);
+    inForceBy = clock.instant().plus(IN_FORCE_WITHIN);
+  }
+
+  void adopt(RandomGenerator random) {
+    if (random.nextBoolean()) {
+      pick(random, entries).adopt(document);
+    } else {
+      FakeAgent agent = pick(random, agents);
+      if (!agent.paused) {
+        agent.adopt(document);
+      }
+    }
+  }
+
+  /** A paused agent adopts nothing, and may act on what it was sent before. */
+  private void adoptEverywhere() {
+    entries.forEach(entry -> entry.adopt(document));
+    agents.stream().filter(agent -> !agent.paused).forEach(agent -> agent.adopt(document));
+  }
+
+  private void pass(Duration time) {
+    if (!clock.instant().plus(time).isBefore(inForceBy)) {
+      adoptEverywhere();
+    }
+    clock.advance(time);
+  }
+
   void callerGoes(RandomGenerator random) {
     FakeEntry entry = pick(random, entries);
     List<RequestId> open = entry.open.stream().sorted(World::byText).toList();
@@ -273,6 +319,7 @@
   /** Ends all faults, lets everything finish, and checks that every caller knows its outcome. */
   void settle() {
     agents.forEach(agent -> agent.paused = false);
+    adoptEverywhere();
     for (FakeLink link : List.copyOf(links)) {
       link.entry.close(link);
       while (deliverToAgent(link)) {
@@ -301,7 +348,7 @@
       }
     }
     agents.forEach(FakeAgent::completeAll);
-    clock.advance(Duration.ofMillis(500));
+    pass(Duration.ofMillis(500));
     agents.forEach(agent -> agent.ledger.tick());
     entries.forEach(entry -> entry.dispatcher.tick());
   }
--- a/src/test/java/org/wigeonstage/ledger/RequestLedgerTest.java
+++ b/src/test/java/org/wigeonstage/ledger/RequestLedgerTest.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.handover.LinkId;
@@ -15,11 +16,13 @@
 import org.wigeonstage.queue.FairTierQueue;
 import org.wigeonstage.request.HttpCall;
 import org.wigeonstage.request.IdempotencyKey;
+import org.wigeonstage.request.MemberChange;
 import org.wigeonstage.request.Outcome;
 import org.wigeonstage.request.RequestCost;
 import org.wigeonstage.request.RequestId;
 import org.wigeonstage.request.RequestSpec;
 import org.wigeonstage.request.Tier;
+import org.wigeonstage.routing.RendezvousHash;
 
 class RequestLedgerTest {
 
@@ -35,6 +38,7 @@
   private final List<String> calls = new ArrayList<>();
   private final RequestLedger ledger =
       new RequestLedger(
+          "agent-1",
           7,
           LedgerLimits.DEFAULTS,
           new FairTierQueue(2),
@@ -47,7 +51,7 @@
     RequestSpec spec =
         new RequestSpec(
             "account", Tier.of(tier), "pool", true, key, RequestCost.SERVICE_CALL, call, null);
-    return new Message.Offer(id, 7, now.plusSeconds(10), false, spec);
+    return new Message.Offer(id, 7, now.plusSeconds(10), false, 0, spec);
   }
 
   private void answer(RequestId id, String text) {
@@ -133,6 +137,68 @@
     assertThat(dispatched).containsExactly(ID);
   }
 
+  private IdempotencyKey keyHomedAtAgent1(Instant created) {
+    while (true) {
+      IdempotencyKey key =
+          new IdempotencyKey("account", RequestId.create(created).value(), "digest");
+      boolean isHere =
+          RendezvousHash.firstChoice(key.claimName(), List.of("agent-1", "agent-2"))
+              .equals(Optional.of("agent-1"));
+      if (isHere) {
+        return key;
+      }
+    }
+  }
+
+  @Test
+  void aKeyThatMayHaveRunAtItsFormerHomeIsNotTakenForNew() {
+    ledger.completeKeyHistory();
+    ledger.updateMembers(
+        List.of("agent-1", "agent-2"), new MemberChange(now.toEpochMilli(), List.of("agent-2")));
+    ledger.receive(LINK, offer(ID, 0, keyHomedAtAgent1(now.minusSeconds(5))));
+    assertThat(sent)
+        .containsExactly(new Message.Rejected(ID, ErrorCode.KEY_HISTORY_LOST, Outcome.UNKNOWN));
+  }
+
+  @Test
+  void aKeyMadeAfterTheMembersChangedEverywhereIsNew() {
+    ledger.completeKeyHistory();
+    ledger.updateMembers(
+        List.of("agent-1", "agent-2"), new MemberChange(now.toEpochMilli(), List.of("agent-2")));
+    now = now.plusSeconds(30);
+    ledger.receive(LINK, offer(ID, 0, keyHomedAtAgent1(now)));
+    assertThat(dispatched).containsExactly(ID);
+  }
+
+  @Test
+  void aKeyThatStayedAtItsHomeIsStillKnown() {
+    ledger.completeKeyHistory();
+    IdempotencyKey key = keyHomedAtAgent1(now);
+    ledger.updateMembers(
+        List.of("agent-1", "agent-2"), new MemberChange(now.toEpochMilli(), List.of("agent-1")));
+    ledger.receive(LINK, offer(ID, 0, key));
+    assertThat(dispatched).containsExactly(ID);
+  }
+
+  @Test
+  void anAgentThatDoesNotKnowOfTheLastChangeDecidesAboutNoNewKey() {
+    ledger.completeKeyHistory();
+    Message.Offer known = offer(ID, 0, KEY);
+    ledger.receive(
+        LINK, new Message.Offer(ID, 7, known.startBy(), false, now.toEpochMilli(), known.spec()));
+    assertThat(sent)
+        .containsExactly(new Message.Rejected(ID, ErrorCode.KEY_HISTORY_LOST, Outcome.UNKNOWN));
+  }
+
+  @Test
+  void aKeyOfAnotherHomeIsRejected() {
+    ledger.completeKeyHistory();
+    ledger.updateMembers(List.of("agent-2"), null);
+    ledger.receive(LINK, offer(ID, 0, KEY));
+    assertThat(sent)
+        .containsExactly(new Message.Rejected(ID, ErrorCode.KEY_HOME_MOVED, Outcome.UNKNOWN));
+  }
+
   @Test
   void aLateKeyedOfferIsNotSaidNotToHaveRun() {
     ledger.completeKeyHistory();
@@ -183,7 +249,13 @@
     AdaptiveDispatchWindow window = new AdaptiveDispatchWindow(1, 8, 0, Duration.ofMillis(34));
     RequestLedger wide =
         new RequestLedger(
-            7, LedgerLimits.DEFAULTS, new FairTierQueue(2), window, () -> now, new Recorder());
+            "agent-1",
+            7,
+            LedgerLimits.DEFAULTS,
+            new FairTierQueue(2),
+            window,
+            () -> now,
+            new Recorder());
     for (int i = 0; i < 200; i++) {
       RequestId id = RequestId.of("short-" + i);
       wide.receive(LINK, offer(id, 0, null));
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -43,9 +43,9 @@
     List<Message> messages =
         List.of(
             new Message.Hello(1, "entry", "entry-1", 5, 7),
-            new Message.Offer(ID, 3, Instant.ofEpochMilli(12345), true, spec(null)),
+            new Message.Offer(ID, 3, Instant.ofEpochMilli(12345), true, 77, spec(null)),
             new Message.Offer(
-                ID, 3, Instant.EPOCH, false, spec(IdempotencyKey.of("portal", "k", CALL))),
+                ID, 3, Instant.EPOCH, false, 0, spec(IdempotencyKey.of("portal", "k", CALL))),
             new Message.Accepted(ID),
             new Message.Refused(ID, ErrorCode.OVERLOADED),
             new Message.Rejected(ID, ErrorCode.KEY_CONFLICT, Outcome.NOT_RUN),
