--- /dev/null
+++ b/src/main/java/org/wigeonstage/ledger/Promises.java
@@ -0,0 +1,43 @@
+package org.wigeonstage.ledger;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.handover.LinkId;
+import org.wigeonstage.handover.Message;
+import org.wigeonstage.request.Outcome;
+import org.wigeonstage.request.RequestId;
+
+/** Promises to entries that requests will never be dispatched. */
+final class Promises {
+
+  private final LedgerLimits limits;
+  private final InstantSource clock;
+  private final Tombstones tombstones;
+  private final LedgerEffects effects;
+
+  Promises(LedgerLimits limits, InstantSource clock, Tombstones tombstones, LedgerEffects effects) {
+    this.limits = limits;
+    this.clock = clock;
+    this.tombstones = tombstones;
+    this.effects = effects;
+  }
+
+  /** Answers about a request that is not in the ledger, and may have been forgotten. */
+  void answerUnseen(LinkId link, RequestId id, Instant startBy) {
+    if (clock.instant().isAfter(limits.certainUntil(startBy))) {
+      effects.send(link, new Message.Rejected(id, ErrorCode.ANSWER_LOST, Outcome.UNKNOWN));
+    } else {
+      promiseNever(link, id, startBy, ErrorCode.OFFER_UNSEEN);
+    }
+  }
+
+  /** Promises that a request will never be dispatched, if there is room to remember that. */
+  boolean promiseNever(LinkId link, RequestId id, Instant startBy, ErrorCode reason) {
+    boolean promised = tombstones.add(id, limits.tombstoneExpiry(startBy));
+    if (promised) {
+      effects.send(link, new Message.Refused(id, reason));
+    }
+    return promised;
+  }
+}
--- a/src/main/java/org/wigeonstage/ledger/RequestLedger.java
+++ b/src/main/java/org/wigeonstage/ledger/RequestLedger.java
@@ -42,6 +42,7 @@
   private final AnswerRelay relay;
   private final ExecutionAge ages;
   private final Tombstones tombstones;
+  private final Promises promises;
   private final ExecutionTable table;
   private final KeyHomes homes;
   private final OfferRules rules;
@@ -78,6 +79,7 @@
     this.ages = new ExecutionAge(limits);
     this.relay = new AnswerRelay(limits, effects);
     this.tombstones = new Tombstones(limits.maxRecords());
+    this.promises = new Promises(limits, clock, tombstones, effects);
     this.table = new ExecutionTable(new KeyHistory(clock.instant(), limits));
     this.homes = new KeyHomes(agent);
     this.rules = new OfferRules(incarnation, limits, clock, tombstones, table, homes);
@@ -199,7 +201,7 @@
     }
     Attachment attachment = table.attachment(withdraw.id());
     if (attachment == null) {
-      answerUnseen(link, withdraw.id(), withdraw.startBy());
+      promises.answerUnseen(link, withdraw.id(), withdraw.startBy());
       return;
     }
     Execution execution = attachment.execution();
@@ -208,30 +210,12 @@
       effects.send(link, new Message.Dispatched(withdraw.id()));
       return;
     }
-    if (promiseNever(link, withdraw.id(), withdraw.startBy(), ErrorCode.WITHDRAWN)) {
+    if (promises.promiseNever(link, withdraw.id(), withdraw.startBy(), ErrorCode.WITHDRAWN)) {
       queue.remove(execution.id());
       table.remove(execution);
     }
   }
 
-  /** Answers about a request that is not in the ledger, and may have been forgotten. */
-  private void answerUnseen(LinkId link, RequestId id, Instant startBy) {
-    if (clock.instant().isAfter(limits.certainUntil(startBy))) {
-      reject(link, id, ErrorCode.ANSWER_LOST, Outcome.UNKNOWN);
-    } else {
-      promiseNever(link, id, startBy, ErrorCode.OFFER_UNSEEN);
-    }
-  }
-
-  /** Promises that a request will never be dispatched, if there is room to remember that. */
-  private boolean promiseNever(LinkId link, RequestId id, Instant startBy, ErrorCode reason) {
-    boolean promised = tombstones.add(id, limits.tombstoneExpiry(startBy));
-    if (promised) {
-      effects.send(link, new Message.Refused(id, reason));
-    }
-    return promised;
-  }
-
   private void resume(LinkId link, Message.Resume resume) {
     if (resume.incarnation() != incarnation) {
       reject(link, resume.id(), ErrorCode.ANSWER_LOST, Outcome.UNKNOWN);
@@ -239,7 +223,7 @@
     }
     Attachment attachment = table.attachment(resume.id());
     if (attachment == null) {
-      answerUnseen(link, resume.id(), resume.startBy());
+      promises.answerUnseen(link, resume.id(), resume.startBy());
       return;
     }
     attachment.attach(link);
