Give up agents that stay out of reach, and test the dispatcher on its own

Cause: requests dispatched to an agent that was gone for good stayed open until the caller's deadline, up to 15 minutes, though agents cancel the work of absent entries after 10 s. They now end as unknown after 15 s.

--- a/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
+++ b/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
@@ -312,7 +312,7 @@
   public void linkDown(String agentName) {
     AgentState agent = directory.agent(agentName);
     if (agent != null) {
-      agent.linkDown();
+      agent.linkDown(clock.instant());
     }
   }
 
@@ -357,6 +357,11 @@
   }
 
   private void age(Submission submission, Instant now) {
+    AgentState agent = submission.agent();
+    if (agent != null && agent.isUnreachableFor(limits.unreachableGrace(), now)) {
+      finish(submission, DispatchResult.unknown(ErrorCode.ANSWER_LOST));
+      return;
+    }
     switch (submission.phase()) {
       case ROUTING -> route(submission);
       case OFFERED -> ageOffered(submission, now);
--- a/src/main/java/org/wigeonstage/routing/AgentState.java
+++ b/src/main/java/org/wigeonstage/routing/AgentState.java
@@ -1,6 +1,8 @@
 package org.wigeonstage.routing;
 
 import com.google.common.primitives.Ints;
+import java.time.Duration;
+import java.time.Instant;
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.request.Tier;
 
@@ -26,6 +28,7 @@
 
   private long incarnation;
   private boolean linked;
+  private Instant unlinkedSince = Instant.EPOCH;
   private boolean leaving;
   private boolean suspected;
   private int outstanding;
@@ -79,11 +82,29 @@
     linked = true;
   }
 
-  /** Notes that no connection to the agent is open. */
-  public void linkDown() {
+  /**
+   * Notes that no connection to the agent is open.
+   *
+   * @param now the current time
+   */
+  public void linkDown(Instant now) {
+    if (linked) {
+      unlinkedSince = now;
+    }
     linked = false;
   }
 
+  /**
+   * Tells whether no connection to the agent has been open for a time.
+   *
+   * @param time the time
+   * @param now the current time
+   * @return whether the agent has been out of reach for longer
+   */
+  public boolean isUnreachableFor(Duration time, Instant now) {
+    return !linked && unlinkedSince.plus(time).isBefore(now);
+  }
+
   /**
    * Returns the incarnation that the agent gave on its last connection.
    *
--- /dev/null
+++ b/src/test/java/org/wigeonstage/dispatch/RequestDispatcherTest.java
@@ -0,0 +1,196 @@
+package org.wigeonstage.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.config.ConfigurationDocument;
+import org.wigeonstage.config.MemberSpec;
+import org.wigeonstage.config.PoolSpec;
+import org.wigeonstage.handover.LoadReport;
+import org.wigeonstage.handover.Message;
+import org.wigeonstage.request.HttpCall;
+import org.wigeonstage.request.IdempotencyKey;
+import org.wigeonstage.request.Outcome;
+import org.wigeonstage.request.RequestCost;
+import org.wigeonstage.request.RequestId;
+import org.wigeonstage.request.RequestSpec;
+import org.wigeonstage.request.Tier;
+import org.wigeonstage.routing.RoutingPolicy;
+
+class RequestDispatcherTest {
+
+  private static final RequestId ID = RequestId.of("r-1");
+
+  private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+  private final List<String> offeredTo = new ArrayList<>();
+  private final List<Message> sent = new ArrayList<>();
+  private final List<DispatchResult> results = new ArrayList<>();
+  private final PoolDirectory directory = new PoolDirectory();
+  private final RequestDispatcher dispatcher =
+      new RequestDispatcher(
+          DispatcherLimits.DEFAULTS,
+          directory,
+          RoutingPolicy.ROUND_ROBIN.createRouter(new SplittableRandom(1)),
+          () -> now,
+          new Recorder());
+
+  @BeforeEach
+  void connectTwoAgents() {
+    PoolSpec pool =
+        new PoolSpec(
+            "pool",
+            PoolSpec.Kind.SERVICE,
+            List.of(),
+            List.of(new MemberSpec("a", "fd"), new MemberSpec("b", "fd")),
+            true);
+    directory.update(new ConfigurationDocument(List.of(), List.of(), List.of(pool), List.of()));
+    dispatcher.linkUp("a", 1);
+    dispatcher.linkUp("b", 1);
+  }
+
+  private void submit(@Nullable IdempotencyKey key) {
+    HttpCall call = new HttpCall("POST", "/", null, new byte[0]);
+    RequestSpec spec =
+        new RequestSpec(
+            "account", Tier.of(1), "pool", false, key, RequestCost.SERVICE_CALL, call, null);
+    dispatcher.submit(ID, spec, now.plusSeconds(10), now.plusSeconds(60));
+  }
+
+  private String other() {
+    return offeredTo.get(0).equals("a") ? "b" : "a";
+  }
+
+  @Test
+  void aRefusedRequestIsOfferedToAnotherAgent() {
+    submit(null);
+    dispatcher.receive(offeredTo.get(0), new Message.Refused(ID, ErrorCode.OVERLOADED));
+    assertThat(offeredTo).hasSize(2).doesNotHaveDuplicates();
+  }
+
+  @Test
+  void aRequestThatAllAgentsRefuseDidNotRun() {
+    submit(null);
+    dispatcher.receive(offeredTo.get(0), new Message.Refused(ID, ErrorCode.OVERLOADED));
+    dispatcher.receive(offeredTo.get(1), new Message.Refused(ID, ErrorCode.OVERLOADED));
+    assertThat(results).containsExactly(DispatchResult.notRun(ErrorCode.OVERLOADED));
+  }
+
+  @Test
+  void aLateRefusalOfAFormerAgentIsIgnored() {
+    submit(null);
+    String first = offeredTo.get(0);
+    dispatcher.receive(first, new Message.Refused(ID, ErrorCode.OVERLOADED));
+    dispatcher.receive(first, new Message.Refused(ID, ErrorCode.OFFER_UNSEEN));
+    assertThat(offeredTo).hasSize(2);
+    assertThat(results).isEmpty();
+  }
+
+  @Test
+  void aRequestAtARestartedAgentIsUnknown() {
+    submit(null);
+    dispatcher.linkUp(offeredTo.get(0), 2);
+    assertThat(results).containsExactly(DispatchResult.unknown(ErrorCode.ANSWER_LOST));
+  }
+
+  @Test
+  void aRequestIsResumedOnANewConnection() {
+    submit(null);
+    dispatcher.linkDown(offeredTo.get(0));
+    dispatcher.linkUp(offeredTo.get(0), 1);
+    assertThat(sent).contains(new Message.Resume(ID, 1, now.plusSeconds(10), 0));
+  }
+
+  @Test
+  void anAgentOutOfReachIsGivenUpAfterAWhile() {
+    submit(null);
+    dispatcher.receive(offeredTo.get(0), new Message.Dispatched(ID));
+    dispatcher.linkDown(offeredTo.get(0));
+    now = now.plusSeconds(14);
+    dispatcher.tick();
+    assertThat(results).isEmpty();
+    now = now.plusSeconds(2);
+    dispatcher.tick();
+    assertThat(results).containsExactly(DispatchResult.unknown(ErrorCode.ANSWER_LOST));
+  }
+
+  @Test
+  void aWaitingRequestMovesToAnAgentWithRoom() {
+    submit(null);
+    String first = offeredTo.get(0);
+    dispatcher.receive(first, new Message.Accepted(ID));
+    LoadReport full = new LoadReport(16, 16, 5, 100, 10, 1, Collections.nCopies(8, -5));
+    dispatcher.receive(first, new Message.Pong(1, 1, full));
+    now = now.plusMillis(300);
+    dispatcher.tick();
+    assertThat(sent).contains(new Message.Withdraw(ID, 1, now.minusMillis(300).plusSeconds(10)));
+    dispatcher.receive(first, new Message.Refused(ID, ErrorCode.WITHDRAWN));
+    assertThat(offeredTo).containsExactly(first, other());
+  }
+
+  @Test
+  void aWithdrawalThatComesTooLateDoesNotMoveTheRequest() {
+    submit(null);
+    now = now.plusMillis(300);
+    dispatcher.tick();
+    dispatcher.receive(offeredTo.get(0), new Message.Dispatched(ID));
+    dispatcher.receive(offeredTo.get(0), new Message.Head(ID, 200, null));
+    dispatcher.receive(offeredTo.get(0), new Message.End(ID, 0, Outcome.COMPLETED));
+    assertThat(offeredTo).hasSize(1);
+    assertThat(results).containsExactly(DispatchResult.COMPLETED);
+  }
+
+  @Test
+  void aKeyedRequestWaitsForItsHomeAlone() {
+    IdempotencyKey key = new IdempotencyKey("account", "key", "digest");
+    String home = directory.homeOf("pool", key).orElseThrow().name();
+    dispatcher.linkDown(home);
+    submit(key);
+    assertThat(offeredTo).isEmpty();
+    now = now.plusSeconds(11);
+    dispatcher.tick();
+    assertThat(results).containsExactly(DispatchResult.unknown(ErrorCode.KEY_HOME_UNREACHABLE));
+  }
+
+  @Test
+  void anAnswerThatIsNotWholeIsNotCompleted() {
+    submit(null);
+    dispatcher.receive(offeredTo.get(0), new Message.Head(ID, 200, null));
+    dispatcher.receive(offeredTo.get(0), new Message.Chunk(ID, 0, new byte[3]));
+    dispatcher.receive(offeredTo.get(0), new Message.End(ID, 4, Outcome.COMPLETED));
+    assertThat(results).containsExactly(DispatchResult.unknown(ErrorCode.ANSWER_LOST));
+  }
+
+  /** Records what the dispatcher causes. */
+  private final class Recorder implements DispatcherEffects {
+
+    @Override
+    public void send(String agent, Message message) {
+      sent.add(message);
+      if (message instanceof Message.Offer) {
+        offeredTo.add(agent);
+      }
+    }
+
+    @Override
+    public void connect(String agent) {}
+
+    @Override
+    public void answerBegan(RequestId id, int status, @Nullable String contentType) {}
+
+    @Override
+    public void answerContinued(RequestId id, byte[] data) {}
+
+    @Override
+    public void finished(RequestId id, DispatchResult result) {
+      results.add(result);
+    }
+  }
+}
