Add an overload scenario, and spread connections on demand

The new scenario asks for several times what the engines can do, in the two lower tiers; its bounds are that the bottom tier is shed and none more than one below it.

Connections on demand went to the first two agents of a pool for every request; they now follow the request's identifier.

--- a/src/main/java/org/wigeonstage/agent/BackendCaller.java
+++ b/src/main/java/org/wigeonstage/agent/BackendCaller.java
@@ -68,7 +68,7 @@
   }
 
   boolean canResume() {
-    return resumable;
+    return resumable && !control.isShutdown();
   }
 
   @Override
--- a/src/main/java/org/wigeonstage/bench/Bench.java
+++ b/src/main/java/org/wigeonstage/bench/Bench.java
@@ -63,6 +63,11 @@
       if (scenario.name().equals("steady")) {
         steady = summary;
         compareWasted(plan, scenario, summary);
+      } else if (scenario.name().equals("overload")) {
+        bounds.addAll(Bounds.ofOverload(summary));
+        if (steady != null) {
+          bounds.addAll(Bounds.ofBurst(steady, summary));
+        }
       } else if (scenario.name().equals("burst")) {
         compareBurst(plan, scenario, steady, summary);
       }
--- a/src/main/java/org/wigeonstage/bench/Bounds.java
+++ b/src/main/java/org/wigeonstage/bench/Bounds.java
@@ -62,6 +62,32 @@
     return bounds;
   }
 
+  /** Returns the bounds of shedding: the bottom tier is shed, and none more than one below it. */
+  static List<Bound> ofOverload(LoadSummary overload) {
+    List<Bound> bounds = new ArrayList<>();
+    List<TierSummary> tiers = overload.tiers();
+    for (int i = 0; i < tiers.size() - 1; i++) {
+      double excess = shedShare(tiers.get(i)) - shedShare(tiers.get(i + 1));
+      bounds.add(
+          new Bound(
+              overload.name() + " share shed of tier " + i + " above the next",
+              Math.max(0, excess),
+              Relation.AT_MOST,
+              0));
+    }
+    bounds.add(
+        new Bound(
+            overload.name() + " requests shed of the bottom tier",
+            tiers.get(tiers.size() - 1).notRun(),
+            Relation.AT_LEAST,
+            1));
+    return bounds;
+  }
+
+  private static double shedShare(TierSummary tier) {
+    return tier.sent() == 0 ? 0 : (double) tier.notRun() / tier.sent();
+  }
+
   /** Returns the bound of wasted prefill against least outstanding. */
   static Bound ofWastedPrefill(LoadSummary own, LoadSummary leastOutstanding) {
     double ratio = (double) own.prefillWasted() / Math.max(1, leastOutstanding.prefillWasted());
--- a/src/main/java/org/wigeonstage/bench/Scenario.java
+++ b/src/main/java/org/wigeonstage/bench/Scenario.java
@@ -17,6 +17,11 @@
   private static final double BURST_FACTOR = 3;
   private static final int SLOW_FACTOR = 10;
 
+  /** A factor by which the two lower tiers alone ask for several times what the engines can do. */
+  private static final double OVERLOAD_FACTOR = 20;
+
+  private static final int OVERLOADED_FROM_TIER = 2;
+
   /** Makes the lists immutable. */
   public Scenario {
     bursts = List.copyOf(bursts);
@@ -35,7 +40,14 @@
     return List.of(
         new Scenario("steady", List.of(), List.of()),
         new Scenario(
-            "burst", List.of(new Experiment.Burst(FAULT_SECOND, seconds, BURST_FACTOR)), List.of()),
+            "burst",
+            List.of(new Experiment.Burst(FAULT_SECOND, seconds, BURST_FACTOR, 0)),
+            List.of()),
+        new Scenario(
+            "overload",
+            List.of(
+                new Experiment.Burst(FAULT_SECOND, seconds, OVERLOAD_FACTOR, OVERLOADED_FROM_TIER)),
+            List.of()),
         withFault("slow-engine", new Fault.SlowEngine(FAULT_SECOND, 0, SLOW_FACTOR)),
         withFault("domain-lost", new Fault.FailureDomainLoss(FAULT_SECOND, failureDomain)),
         withFault("rolling-restart", new Fault.RollingRestart(FAULT_SECOND)),
--- a/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
+++ b/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
@@ -97,7 +97,7 @@
       return Optional.empty();
     }
     if (candidates.isEmpty()) {
-      demandOthers(agents);
+      demandOthers(submission.id(), agents);
     }
     return router.choose(spec, candidates);
   }
@@ -109,12 +109,16 @@
         .toList();
   }
 
-  /** Opens some connections beyond the live ones, none of which leads to an available agent. */
-  private void demandOthers(List<AgentState> agents) {
-    agents.stream()
-        .filter(agent -> !agent.isLinked())
-        .limit(DEMANDED_LINKS)
-        .forEach(agent -> effects.connect(agent.name()));
+  /**
+   * Opens some connections beyond the live ones, none of which leads to an available agent. The
+   * request's identifier spreads them.
+   */
+  private void demandOthers(RequestId id, List<AgentState> agents) {
+    List<AgentState> others = agents.stream().filter(agent -> !agent.isLinked()).toList();
+    for (int i = 0; i < Math.min(DEMANDED_LINKS, others.size()); i++) {
+      int index = Math.floorMod(id.hashCode() + i, others.size());
+      effects.connect(others.get(index).name());
+    }
   }
 
   /** Returns the only agent that may decide about a key, once it is connected. */
--- a/src/main/java/org/wigeonstage/load/ArrivalPlanner.java
+++ b/src/main/java/org/wigeonstage/load/ArrivalPlanner.java
@@ -40,7 +40,7 @@
     }
     double second = 0;
     while (true) {
-      double rate = requestClass.ratePerSecond() * experiment.factorAt(second);
+      double rate = requestClass.ratePerSecond() * experiment.factorAt(second, requestClass.tier());
       second -= Math.log(1 - chance.nextDouble()) / rate;
       if (second >= experiment.seconds()) {
         return;
--- a/src/main/java/org/wigeonstage/load/Experiment.java
+++ b/src/main/java/org/wigeonstage/load/Experiment.java
@@ -21,9 +21,10 @@
    *
    * @param fromSecond when it begins, in seconds from the start
    * @param toSecond when it ends, in seconds from the start
-   * @param factor the factor on all rates
+   * @param factor the factor on the rates
+   * @param fromTier the rank of the highest tier that the factor applies to
    */
-  public record Burst(int fromSecond, int toSecond, double factor) {}
+  public record Burst(int fromSecond, int toSecond, double factor, int fromTier) {}
 
   /** Checks the duration. */
   public Experiment {
@@ -33,14 +34,19 @@
   }
 
   /**
-   * Returns the factor on all rates at a time.
+   * Returns the factor on a tier's rates at a time.
    *
    * @param second the time in seconds from the start
+   * @param tier the tier's rank
    * @return 1 outside of bursts
    */
-  public double factorAt(double second) {
+  public double factorAt(double second, int tier) {
     return bursts.stream()
-        .filter(burst -> second >= burst.fromSecond() && second < burst.toSecond())
+        .filter(
+            burst ->
+                second >= burst.fromSecond()
+                    && second < burst.toSecond()
+                    && tier >= burst.fromTier())
         .mapToDouble(Burst::factor)
         .findFirst()
         .orElse(1);
