Read bodies behind an offer to upgrade to HTTP/2

Cause: Grizzly takes the body of a request that offers an upgrade for another protocol and never delivers it, so a POST of Java's own HTTP client, which offers HTTP/2 by default, hung until its timeout. Found when the OTLP exporter was tried against a stand-in; against a plain listener the same export arrived, which ruled the exporter out.

Listeners now ignore the offer.

--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -9,6 +9,8 @@
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.glassfish.grizzly.utils.DelayedExecutor;
+import org.glassfish.grizzly.utils.IdleTimeoutFilter;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.WigeonstageException;
 
@@ -19,11 +21,15 @@
 
   private final org.glassfish.grizzly.http.server.HttpServer server;
   private final NetworkListener listener;
+  private final DelayedExecutor idleConnections;
 
   private HttpServer(
-      org.glassfish.grizzly.http.server.HttpServer server, NetworkListener listener) {
+      org.glassfish.grizzly.http.server.HttpServer server,
+      NetworkListener listener,
+      DelayedExecutor idleConnections) {
     this.server = server;
     this.listener = listener;
+    this.idleConnections = idleConnections;
   }
 
   /**
@@ -47,6 +53,9 @@
     NetworkListener listener = new NetworkListener(name, endpoint.host(), endpoint.port());
     listener.setTransport(transport);
     listener.getFileCache().setEnabled(false);
+    DelayedExecutor idleConnections = IdleTimeoutFilter.createDefaultIdleDelayedExecutor();
+    idleConnections.start();
+    PlainHttpFilter.install(listener, idleConnections);
     org.glassfish.grizzly.http.server.HttpServer server =
         new org.glassfish.grizzly.http.server.HttpServer();
     server.addListener(listener);
@@ -56,7 +65,7 @@
     } catch (IOException e) {
       throw new WigeonstageException(ErrorCode.IO, "can't listen on " + endpoint, e);
     }
-    return new HttpServer(server, listener);
+    return new HttpServer(server, listener, idleConnections);
   }
 
   /**
@@ -91,5 +100,6 @@
   @Override
   public void close() {
     server.shutdownNow();
+    idleConnections.destroy();
   }
 }
--- a/src/test/java/org/wigeonstage/http/HttpExchangeTest.java
+++ b/src/test/java/org/wigeonstage/http/HttpExchangeTest.java
@@ -4,6 +4,9 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -51,6 +54,26 @@
     }
   }
 
+  @Test
+  void aBodyBehindAnOfferToUpgradeIsRead() throws Exception {
+    try (HttpServer server =
+        HttpServer.start(
+            "test",
+            ANY_PORT,
+            1000,
+            exchange -> exchange.respond(200, "text/plain", exchange.text()))) {
+      HttpRequest request =
+          HttpRequest.newBuilder(URI.create("http://" + server.endpoint() + "/"))
+              .timeout(TIMEOUT)
+              .POST(HttpRequest.BodyPublishers.ofString("hello"))
+              .build();
+      HttpResponse<String> answer =
+          java.net.http.HttpClient.newHttpClient()
+              .send(request, HttpResponse.BodyHandlers.ofString());
+      assertThat(answer.body()).isEqualTo("hello");
+    }
+  }
+
   @Test
   void anAbortedAnswerDoesNotLookWhole() throws IOException {
     try (HttpServer server =
