--- a/src/test/java/org/wigeonstage/membership/EntrySharesTest.java
+++ b/src/test/java/org/wigeonstage/membership/EntrySharesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Arrays;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.wigeonstage.platform.ObjectList;
@@ -13,7 +14,7 @@
 
   private static ObjectList entries(String... names) {
     return new ObjectList(
-        1, java.util.Arrays.stream(names).map(name -> new StoredObject(name, 1, "{}")).toList());
+        1, Arrays.stream(names).map(name -> new StoredObject(name, 1, "{}")).toList());
   }
 
   @Test
--- a/src/test/java/org/wigeonstage/membership/LiveLinksTest.java
+++ b/src/test/java/org/wigeonstage/membership/LiveLinksTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -39,7 +40,7 @@
   @Test
   void aFleetOfEntriesReachesNearlyEveryAgent() {
     ConfigurationDocument document = document();
-    Set<String> reached = new java.util.HashSet<>();
+    Set<String> reached = new HashSet<>();
     for (int i = 0; i < ENTRIES; i++) {
       reached.addAll(new LiveLinks("entry-" + i, "fd-" + i % 24, LINKS).select(document));
     }
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import java.util.Arrays;
 import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -85,7 +86,7 @@
   @Test
   void bytesBehindAMessageAreRefused() {
     byte[] frame = MessageEncoder.encode(new Message.Leaving());
-    byte[] longer = java.util.Arrays.copyOf(frame, frame.length + 1);
+    byte[] longer = Arrays.copyOf(frame, frame.length + 1);
     assertThatThrownBy(() -> MessageDecoder.decode(longer))
         .isInstanceOf(BadFrameException.class)
         .hasMessage("frame has bytes behind its message");
