Hash keys, answer probes and withdraw in one place each

Cause: reading the whole change again. Keys were hashed in four places and compared in constant time in two; entry and agent each answered the same four pages of probes and metrics; the dispatcher built the same withdrawal twice. The ledger had a switch to stop dispatch that nothing used, and the check whether a waiting request is better off elsewhere built a list on each tick only to look for one member.

KeyHash, ProbePages and sendWithdraw serve all of them now; the switch is gone.

No measurement was made of the tick.

--- a/src/main/java/org/wigeonstage/agent/AgentOperatorsHandler.java
+++ b/src/main/java/org/wigeonstage/agent/AgentOperatorsHandler.java
@@ -10,36 +10,30 @@
 import org.wigeonstage.http.Problem;
 import org.wigeonstage.http.RequestHandler;
 import org.wigeonstage.http.ServerExchange;
-import org.wigeonstage.telemetry.MetricsPage;
+import org.wigeonstage.telemetry.ProbePages;
 
 /** Answers operators and probes at an agent. */
 final class AgentOperatorsHandler implements RequestHandler {
 
   private static final String JSON = "application/json";
   private static final int OK = 200;
-  private static final int UNAVAILABLE = 503;
 
   private final AgentProcess agent;
-  private final MetricsPage metrics;
+  private final ProbePages probes;
   private final OperatorKeys keys;
 
   AgentOperatorsHandler(AgentProcess agent, OperatorKeys keys, MetricRegistry registry) {
     this.keys = keys;
     this.agent = agent;
-    this.metrics = new MetricsPage(registry);
+    this.probes = new ProbePages(registry, agent::isReady);
   }
 
   @Override
   public void handle(ServerExchange exchange) {
+    if (probes.handle(exchange)) {
+      return;
+    }
     switch (exchange.method() + " " + exchange.path()) {
-      case "GET /healthz" -> exchange.respond(OK, "text/plain", "ok\n");
-      case "GET /readyz" ->
-          exchange.respond(
-              agent.isReady() ? OK : UNAVAILABLE,
-              "text/plain",
-              agent.isReady() ? "ready\n" : "not ready\n");
-      case "GET /metrics" -> exchange.respond(OK, MetricsPage.TEXT_TYPE, metrics.text());
-      case "GET /metrics.json" -> exchange.respond(OK, JSON, metrics.json());
       case "GET /v1/status" -> exchange.respond(OK, JSON, status().toString());
       case "POST /v1/drain" -> {
         keys.require(exchange.header("Authorization"));
--- a/src/main/java/org/wigeonstage/console/ConsoleHandler.java
+++ b/src/main/java/org/wigeonstage/console/ConsoleHandler.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.wigeonstage.common.Json;
+import org.wigeonstage.common.KeyHash;
 import org.wigeonstage.config.AcceptedChange;
 import org.wigeonstage.config.ConfigurationRecord;
 import org.wigeonstage.config.ConfigurationWriter;
@@ -102,7 +103,7 @@
 
   private void post(ServerExchange exchange, String formToken) {
     FormData form = FormData.of(exchange.text());
-    if (!OperatorKeys.areEqual(form.get("formToken"), formToken)) {
+    if (!KeyHash.areEqual(form.get("formToken"), formToken)) {
       Html page = new Html().message("error", "This form does not belong to your session.");
       exchange.respond(FORBIDDEN, HTML, page.page("Refused"));
       return;
--- a/src/main/java/org/wigeonstage/console/FormMapper.java
+++ b/src/main/java/org/wigeonstage/console/FormMapper.java
@@ -4,11 +4,10 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.StringJoiner;
+import org.wigeonstage.common.KeyHash;
 
 /** Turns objects of a document into the values of form fields, and back. */
 final class FormMapper {
@@ -108,8 +107,7 @@
 
   private static void addKey(ObjectNode object, String key) {
     if (!key.isEmpty()) {
-      String hash = Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
-      object.withArray("keyHashes").add(hash);
+      object.withArray("keyHashes").add(KeyHash.of(key));
     }
   }
 }
--- a/src/main/java/org/wigeonstage/console/Sessions.java
+++ b/src/main/java/org/wigeonstage/console/Sessions.java
@@ -7,6 +7,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.KeyHash;
 import org.wigeonstage.http.OperatorKeys;
 
 /**
@@ -49,7 +50,7 @@
       return Optional.empty();
     }
     return keys.hashes().stream()
-        .filter(hash -> OperatorKeys.areEqual(sign(hash, "session " + expiry), signature))
+        .filter(hash -> KeyHash.areEqual(sign(hash, "session " + expiry), signature))
         .map(hash -> sign(hash, "form " + expiry))
         .findFirst();
   }
--- a/src/main/java/org/wigeonstage/demo/DeploymentPlan.java
+++ b/src/main/java/org/wigeonstage/demo/DeploymentPlan.java
@@ -1,6 +1,5 @@
 package org.wigeonstage.demo;
 
-import com.google.common.hash.Hashing;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
@@ -8,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.wigeonstage.common.Json;
+import org.wigeonstage.common.KeyHash;
 import org.wigeonstage.config.AccountSpec;
 import org.wigeonstage.config.ConfigurationDocument;
 import org.wigeonstage.config.MemberSpec;
@@ -74,7 +74,7 @@
                 account ->
                     new AccountSpec(
                         account.name(),
-                        List.of(hashOf(account.key())),
+                        List.of(KeyHash.of(account.key())),
                         account.tier(),
                         account.requestsPerSecond()))
             .toList();
@@ -97,8 +97,4 @@
   static String agentName(Pool pool, int index) {
     return pool.name() + "-" + (index + 1);
   }
-
-  private static String hashOf(String key) {
-    return Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
-  }
 }
--- a/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
+++ b/src/main/java/org/wigeonstage/dispatch/RequestDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.dispatch.Submission.Phase;
 import org.wigeonstage.handover.Message;
@@ -90,23 +91,21 @@
     if (key != null) {
       return chooseHome(spec.pool(), key);
     }
-    List<AgentState> agents = directory.agentsOf(spec.pool());
-    List<AgentState> candidates = candidatesFor(submission);
+    List<AgentState> candidates = candidatesFor(submission).toList();
     if (candidates.isEmpty() && submission.refusals() > 0) {
       finish(submission, DispatchResult.notRun(submission.lastRefusal()));
       return Optional.empty();
     }
     if (candidates.isEmpty()) {
-      demandOthers(submission.id(), agents);
+      demandOthers(submission.id(), directory.agentsOf(spec.pool()));
     }
     return router.choose(spec, candidates);
   }
 
-  private List<AgentState> candidatesFor(Submission submission) {
+  private Stream<AgentState> candidatesFor(Submission submission) {
     return directory.agentsOf(submission.spec().pool()).stream()
         .filter(AgentState::isAvailable)
-        .filter(agent -> !submission.wasRefusedBy(agent))
-        .toList();
+        .filter(agent -> !submission.wasRefusedBy(agent));
   }
 
   /**
@@ -294,9 +293,7 @@
     if (submission.incarnation() != agent.incarnation()) {
       finish(submission, DispatchResult.unknown(ErrorCode.ANSWER_LOST));
     } else if (submission.withdrawnAt() != null) {
-      effects.send(
-          agent.name(),
-          new Message.Withdraw(submission.id(), submission.incarnation(), submission.startBy()));
+      sendWithdraw(submission, agent);
     } else {
       effects.send(
           agent.name(),
@@ -395,7 +392,7 @@
     boolean mayMove =
         spec.key() == null && submission.offeredAt().plus(limits.reofferAfter()).isBefore(now);
     return mayMove
-        && candidatesFor(submission).stream()
+        && candidatesFor(submission)
             .anyMatch(
                 agent -> !submission.isAt(agent.name()) && agent.expectedRoom(spec.tier()) > 0);
   }
@@ -404,12 +401,16 @@
     submission.withdrawnAt(now);
     AgentState agent = submission.agent();
     if (agent != null) {
-      effects.send(
-          agent.name(),
-          new Message.Withdraw(submission.id(), submission.incarnation(), submission.startBy()));
+      sendWithdraw(submission, agent);
     }
   }
 
+  private void sendWithdraw(Submission submission, AgentState agent) {
+    effects.send(
+        agent.name(),
+        new Message.Withdraw(submission.id(), submission.incarnation(), submission.startBy()));
+  }
+
   private void ageDispatched(Submission submission, Instant now) {
     if (!submission.finishBy().isBefore(now)) {
       return;
--- a/src/main/java/org/wigeonstage/entry/EntryOperatorsHandler.java
+++ b/src/main/java/org/wigeonstage/entry/EntryOperatorsHandler.java
@@ -16,17 +16,16 @@
 import org.wigeonstage.http.ServerExchange;
 import org.wigeonstage.platform.ObjectStore;
 import org.wigeonstage.routing.AgentState;
-import org.wigeonstage.telemetry.MetricsPage;
+import org.wigeonstage.telemetry.ProbePages;
 
 /** Answers operators and probes at an entry. */
 final class EntryOperatorsHandler implements RequestHandler {
 
   private static final String JSON = "application/json";
   private static final int OK = 200;
-  private static final int UNAVAILABLE = 503;
 
   private final EntryProcess entry;
-  private final MetricsPage metrics;
+  private final ProbePages probes;
   private final OperatorKeys keys;
   private final ConfigurationApi configuration;
   private final ConsoleHandler console;
@@ -34,7 +33,7 @@
   EntryOperatorsHandler(
       EntryProcess entry, ObjectStore store, InstantSource clock, MetricRegistry registry) {
     this.entry = entry;
-    this.metrics = new MetricsPage(registry);
+    this.probes = new ProbePages(registry, entry::isReady);
     this.keys = new OperatorKeys(entry.settings().operatorKeyHashes());
     ConfigurationWriter writer = new ConfigurationWriter(store, clock);
     this.configuration = new ConfigurationApi(entry.configuration(), store, writer);
@@ -44,6 +43,9 @@
   @Override
   public void handle(ServerExchange exchange) {
     String path = exchange.path();
+    if (probes.handle(exchange)) {
+      return;
+    }
     if (path.startsWith(ConsoleHandler.ROOT)) {
       console.handle(exchange);
     } else if (path.startsWith("/v1/configuration") || path.equals("/v1/drain")) {
@@ -73,14 +75,6 @@
 
   private void handleOpen(ServerExchange exchange) {
     switch (exchange.method() + " " + exchange.path()) {
-      case "GET /healthz" -> exchange.respond(OK, "text/plain", "ok\n");
-      case "GET /readyz" ->
-          exchange.respond(
-              entry.isReady() ? OK : UNAVAILABLE,
-              "text/plain",
-              entry.isReady() ? "ready\n" : "not ready\n");
-      case "GET /metrics" -> exchange.respond(OK, MetricsPage.TEXT_TYPE, metrics.text());
-      case "GET /metrics.json" -> exchange.respond(OK, JSON, metrics.json());
       case "GET /v1/status" -> exchange.respond(OK, JSON, status().toString());
       case "GET /v1/snapshot" -> exchange.respond(OK, JSON, Json.write(entry.snapshot()));
       default -> notFound(exchange);
--- a/src/main/java/org/wigeonstage/http/OperatorKeys.java
+++ b/src/main/java/org/wigeonstage/http/OperatorKeys.java
@@ -1,18 +1,14 @@
 package org.wigeonstage.http;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.KeyHash;
 import org.wigeonstage.common.WigeonstageException;
 
 /** Checks operators' keys against their hashes, in constant time. */
 public final class OperatorKeys {
 
-  private static final String SCHEME = "Bearer ";
-
   private final List<String> hashes;
 
   /**
@@ -35,10 +31,7 @@
       throw new WigeonstageException(
           ErrorCode.FORBIDDEN, "no operator keys are set in this entry's settings");
     }
-    boolean valid =
-        authorization != null
-            && authorization.startsWith(SCHEME)
-            && hashOf(authorization.substring(SCHEME.length()).trim()) != null;
+    boolean valid = KeyHash.ofBearer(authorization).map(this::find).isPresent();
     if (!valid) {
       throw new WigeonstageException(ErrorCode.UNAUTHORIZED, "an operator's key is required");
     }
@@ -51,10 +44,14 @@
    * @return its hash, or null where the key is not valid
    */
   public @Nullable String hashOf(String key) {
-    String hash = Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
+    return find(KeyHash.of(key));
+  }
+
+  /** Compares with every hash; returns the one that is equal, or null. */
+  private @Nullable String find(String hash) {
     String found = null;
     for (String candidate : hashes) {
-      if (areEqual(candidate, hash)) {
+      if (KeyHash.areEqual(candidate, hash)) {
         found = candidate;
       }
     }
@@ -69,16 +66,4 @@
   public List<String> hashes() {
     return hashes;
   }
-
-  /**
-   * Compares two texts in constant time.
-   *
-   * @param left a text
-   * @param right another one
-   * @return whether they are equal
-   */
-  public static boolean areEqual(String left, String right) {
-    return MessageDigest.isEqual(
-        left.getBytes(StandardCharsets.UTF_8), right.getBytes(StandardCharsets.UTF_8));
-  }
 }
--- a/src/main/java/org/wigeonstage/ledger/RequestLedger.java
+++ b/src/main/java/org/wigeonstage/ledger/RequestLedger.java
@@ -49,7 +49,6 @@
   private final RunningLoad load = new RunningLoad();
   private Instant lastAging = Instant.EPOCH;
   private boolean leaving;
-  private boolean fenced;
 
   /**
    * Creates an empty ledger.
@@ -320,16 +319,6 @@
     queue.removeAll().forEach(waiting -> refuseWaiting(waiting.id(), ErrorCode.LEAVING));
   }
 
-  /**
-   * Stops or allows dispatch. While dispatch is stopped, requests wait.
-   *
-   * @param stopped whether no request may be dispatched
-   */
-  public void stopDispatch(boolean stopped) {
-    fenced = stopped;
-    dispatchWaiting();
-  }
-
   /**
    * Tells whether nothing waits, runs or has an answer that an entry still needs.
    *
@@ -380,7 +369,7 @@
   private void dispatchWaiting() {
     Instant now = clock.instant();
     Optional<WaitingRequest> next = queue.peek();
-    while (next.isPresent() && !fenced && window.hasRoom(next.get().tier(), load.running())) {
+    while (next.isPresent() && window.hasRoom(next.get().tier(), load.running())) {
       WaitingRequest waiting = next.get();
       queue.remove(waiting.id());
       if (waiting.startBy().isBefore(now)) {
