--- a/src/main/java/org/wigeonstage/bench/PropagationProbe.java
+++ b/src/main/java/org/wigeonstage/bench/PropagationProbe.java
@@ -14,7 +14,7 @@
 import org.wigeonstage.demo.DeploymentOptions;
 import org.wigeonstage.demo.DeploymentPlan;
 import org.wigeonstage.http.HttpClient;
-import org.wigeonstage.platform.HttpObjectStore;
+import org.wigeonstage.store.HttpObjectStore;
 
 /** Measures how long an accepted change takes until it is in force in every process. */
 final class PropagationProbe {
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/GatewayCommand.java
@@ -0,0 +1,51 @@
+package org.wigeonstage.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.wigeonstage.gateway.GatewayProcess;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.platform.PlatformAdapter;
+import org.wigeonstage.settings.GatewaySettings;
+import org.wigeonstage.settings.SettingsLoader;
+import org.wigeonstage.telemetry.LogSetup;
+
+/** Runs a gateway until it is signalled. */
+final class GatewayCommand implements Command {
+
+  @Override
+  public String name() {
+    return "gateway";
+  }
+
+  @Override
+  public String summary() {
+    return "run a gateway: an entry that reaches backend servers itself, on the users' platform";
+  }
+
+  @Override
+  public Options options() {
+    return new Options()
+        .addOption(Arguments.required("settings", "file", "the settings, in JSON"))
+        .addOption(Arguments.flag("check", "check the settings and exit"));
+  }
+
+  @Override
+  public int run(CommandLine line, Console console) throws IOException, InterruptedException {
+    GatewaySettings settings = SettingsLoader.loadGateway(Path.of(line.getOptionValue("settings")));
+    if (line.hasOption("check")) {
+      console.out().println("settings are valid");
+      return SUCCESS;
+    }
+    LogSetup.applyBounded(settings.name(), settings.log());
+    try (HttpClient client = HttpClient.start("store", 1)) {
+      PlatformAdapter adapter = new PlatformAdapter(client, Endpoint.of(settings.store()));
+      try (GatewayProcess process =
+          GatewayProcess.start(settings, adapter.fleetStore(), adapter.headerDialect())) {
+        return ShutdownSignal.await(process::drain);
+      }
+    }
+  }
+}
--- a/src/main/java/org/wigeonstage/cli/Main.java
+++ b/src/main/java/org/wigeonstage/cli/Main.java
@@ -21,6 +21,7 @@
     return List.of(
         new EntryCommand(),
         new AgentCommand(),
+        new GatewayCommand(),
         new ConfigGetCommand(),
         new ConfigValidateCommand(),
         new ConfigApplyCommand(),
--- a/src/main/java/org/wigeonstage/common/ErrorCode.java
+++ b/src/main/java/org/wigeonstage/common/ErrorCode.java
@@ -54,6 +54,8 @@
   VERSION_CONFLICT(409),
   /** The platform's object API can't be reached or refuses calls. */
   STORE_UNAVAILABLE(503),
+  /** The configuration is unknown, or was not confirmed within the time that keys are good for. */
+  CONFIGURATION_UNCONFIRMED(503),
   /** Whether a write to the platform's object API took effect is not known. */
   WRITE_UNDECIDED(504),
   /** The command line can't be understood. */
--- a/src/main/java/org/wigeonstage/config/ConfigurationWriter.java
+++ b/src/main/java/org/wigeonstage/config/ConfigurationWriter.java
@@ -8,9 +8,9 @@
 import java.util.Optional;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.Json;
-import org.wigeonstage.platform.ObjectStore;
-import org.wigeonstage.platform.StoreException;
-import org.wigeonstage.platform.StoredObject;
+import org.wigeonstage.store.ObjectStore;
+import org.wigeonstage.store.StoreException;
+import org.wigeonstage.store.StoredObject;
 
 /**
  * Writes configuration documents to the platform: whole, or not at all.
--- a/src/main/java/org/wigeonstage/console/ConsoleHandler.java
+++ b/src/main/java/org/wigeonstage/console/ConsoleHandler.java
@@ -17,8 +17,8 @@
 import org.wigeonstage.http.OperatorKeys;
 import org.wigeonstage.http.RequestHandler;
 import org.wigeonstage.http.ServerExchange;
-import org.wigeonstage.platform.ObjectStore;
-import org.wigeonstage.platform.StoreException;
+import org.wigeonstage.store.ObjectStore;
+import org.wigeonstage.store.StoreException;
 
 /** Serves the console. Its methods block while they call the platform. */
 public final class ConsoleHandler implements RequestHandler {
--- a/src/main/java/org/wigeonstage/console/EditPages.java
+++ b/src/main/java/org/wigeonstage/console/EditPages.java
@@ -18,10 +18,10 @@
 import org.wigeonstage.config.ConfigurationDocument;
 import org.wigeonstage.config.ConfigurationRecord;
 import org.wigeonstage.config.ConfigurationWriter;
-import org.wigeonstage.platform.ObjectStore;
-import org.wigeonstage.platform.StoreException;
-import org.wigeonstage.platform.StoredObject;
 import org.wigeonstage.request.RequestId;
+import org.wigeonstage.store.ObjectStore;
+import org.wigeonstage.store.StoreException;
+import org.wigeonstage.store.StoredObject;
 
 /** The pages that list and edit the objects of the configuration document. */
 final class EditPages {
--- a/src/main/java/org/wigeonstage/demo/Deployment.java
+++ b/src/main/java/org/wigeonstage/demo/Deployment.java
@@ -21,7 +21,6 @@
 import org.wigeonstage.entry.EntryProcess;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpClient;
-import org.wigeonstage.platform.HttpObjectStore;
 import org.wigeonstage.settings.AgentSettings;
 import org.wigeonstage.settings.EntrySettings;
 import org.wigeonstage.settings.TelemetrySettings;
@@ -29,6 +28,7 @@
 import org.wigeonstage.standin.EngineStandin;
 import org.wigeonstage.standin.PlatformStandin;
 import org.wigeonstage.standin.ServiceStandin;
+import org.wigeonstage.store.HttpObjectStore;
 
 /** A deployment in one process: entries, agents, and stand-ins for all that is outside. */
 public final class Deployment implements Closeable {
--- a/src/main/java/org/wigeonstage/entry/ConfigurationApi.java
+++ b/src/main/java/org/wigeonstage/entry/ConfigurationApi.java
@@ -12,7 +12,7 @@
 import org.wigeonstage.config.ConfigurationVersion;
 import org.wigeonstage.config.ConfigurationWriter;
 import org.wigeonstage.http.ServerExchange;
-import org.wigeonstage.platform.ObjectStore;
+import org.wigeonstage.store.ObjectStore;
 
 /** The operators' calls about the configuration, in JSON. */
 final class ConfigurationApi {
--- a/src/main/java/org/wigeonstage/entry/EntryOperatorsHandler.java
+++ b/src/main/java/org/wigeonstage/entry/EntryOperatorsHandler.java
@@ -14,8 +14,8 @@
 import org.wigeonstage.http.Problem;
 import org.wigeonstage.http.RequestHandler;
 import org.wigeonstage.http.ServerExchange;
-import org.wigeonstage.platform.ObjectStore;
 import org.wigeonstage.routing.AgentState;
+import org.wigeonstage.store.ObjectStore;
 import org.wigeonstage.telemetry.ProbePages;
 
 /** Answers operators and probes at an entry. */
--- /dev/null
+++ b/src/main/java/org/wigeonstage/forward/RequestFields.java
@@ -0,0 +1,30 @@
+package org.wigeonstage.forward;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.wigeonstage.request.HeaderFields;
+
+/**
+ * What the header fields of a caller's request say.
+ *
+ * @param id names this sending of the request; empty where the caller gave none
+ * @param deadline how long the caller waits for the whole answer
+ * @param key the key that shows the client account
+ * @param promptTokens the tokens of the prompt, or 0
+ * @param outputTokens the most tokens that may be generated, or 0
+ * @param declaredTokens the tokens that count against a quota, or -1 where none are declared
+ * @param promptTail names the last part of the prompt, which a session's requests share
+ * @param resumeAfter the last event that the caller has of a stream it resumes
+ * @param passedOn the fields that a backend server gets as they are
+ */
+public record RequestFields(
+    String id,
+    Optional<Duration> deadline,
+    Optional<String> key,
+    long promptTokens,
+    long outputTokens,
+    long declaredTokens,
+    Optional<String> promptTail,
+    OptionalLong resumeAfter,
+    HeaderFields passedOn) {}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/gateway/Beliefs.java
@@ -0,0 +1,53 @@
+package org.wigeonstage.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.ClockReader;
+import org.wigeonstage.common.ClockReading;
+import org.wigeonstage.fleet.RoutingRevision;
+
+/**
+ * What the gateway believes of its configuration, and how old that is.
+ *
+ * <p>The age counts from when the store was asked, because anything may have changed since. A
+ * configuration never gives way to an older one.
+ */
+final class Beliefs {
+
+  private final ClockReader clocks;
+  private final Duration maxAge;
+  private volatile @Nullable Confirmed confirmed;
+
+  /** A configuration and when it was asked for. */
+  private record Confirmed(RoutingRevision routing, ClockReading askedAt) {}
+
+  Beliefs(ClockReader clocks, Duration maxAge) {
+    this.clocks = clocks;
+    this.maxAge = maxAge;
+  }
+
+  /** Takes an answer of the store; returns whether it brought a newer configuration. */
+  synchronized boolean confirm(RoutingRevision routing, ClockReading askedAt) {
+    Confirmed current = confirmed;
+    if (current != null && routing.revision() < current.routing().revision()) {
+      return false;
+    }
+    confirmed = new Confirmed(routing, askedAt);
+    return current == null || routing.revision() > current.routing().revision();
+  }
+
+  Optional<RoutingRevision> routing() {
+    return Optional.ofNullable(confirmed).map(Confirmed::routing);
+  }
+
+  boolean isRoutingFresh() {
+    Confirmed current = confirmed;
+    return current != null && clocks.read().since(current.askedAt()).compareTo(maxAge) < 0;
+  }
+
+  /** Returns the age of the configuration, or empty where none is known. */
+  Optional<Duration> routingAge() {
+    return Optional.ofNullable(confirmed).map(held -> clocks.read().since(held.askedAt()));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -0,0 +1,463 @@
+package org.wigeonstage.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.forward.AnswerFields;
+import org.wigeonstage.forward.AttemptContext;
+import org.wigeonstage.forward.AttemptEnd;
+import org.wigeonstage.forward.AttemptFields;
+import org.wigeonstage.forward.AttemptPolicy;
+import org.wigeonstage.forward.EventSplitter;
+import org.wigeonstage.forward.Verdict;
+import org.wigeonstage.http.AnswerHead;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.OutboundCall;
+import org.wigeonstage.http.ServerExchange;
+import org.wigeonstage.placement.AttemptResult;
+import org.wigeonstage.placement.PlacedRequest;
+import org.wigeonstage.placement.Refusal;
+import org.wigeonstage.placement.ServerEstimate;
+import org.wigeonstage.routes.Route;
+import org.wigeonstage.routes.RouteKind;
+
+/**
+ * One caller's request from its placement to the end of its answer. All methods are called under
+ * the lock of the {@link GatewayCore}.
+ */
+final class ForwardedRequest {
+
+  /** Bodies up to this size are held until they are whole, so that a broken one can be replaced. */
+  private static final int MAX_HELD_BYTES = 64 * 1024;
+
+  /** Reading from the backend server pauses while the caller is this far behind. */
+  private static final long MAX_BACKLOG_BYTES = 256 * 1024;
+
+  /** The least time with which another attempt is worth making. */
+  private static final Duration MIN_REMAINING = Duration.ofMillis(60);
+
+  private static final int OK = 200;
+  private static final int MULTIPLE_CHOICES = 300;
+  private static final int SERVER_ERROR = 500;
+  private static final int MISDIRECTED = 421;
+
+  private final GatewayCore core;
+  private final InboundCall call;
+  private final Route route;
+  private final String pool;
+  private final PlacedRequest placed;
+  private final Duration deadline;
+  private final RequestTrail trail;
+  private final EventSplitter splitter = new EventSplitter();
+  private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+  private @Nullable Attempt attempt;
+  private @Nullable AnswerHead head;
+  private int attempts;
+  private boolean mayHaveRun;
+  private boolean begun;
+  private boolean finished;
+  private boolean paused;
+  private long lastEventId = -1;
+
+  ForwardedRequest(
+      GatewayCore core,
+      InboundCall call,
+      String pool,
+      PlacedRequest placed,
+      Duration deadline,
+      RequestTrail trail) {
+    this.core = core;
+    this.call = call;
+    this.route = call.route();
+    this.pool = pool;
+    this.placed = placed;
+    this.deadline = deadline;
+    this.trail = trail;
+    call.fields().resumeAfter().ifPresent(id -> lastEventId = id);
+  }
+
+  PlacedRequest placed() {
+    return placed;
+  }
+
+  String pool() {
+    return pool;
+  }
+
+  InboundCall call() {
+    return call;
+  }
+
+  RequestTrail trail() {
+    return trail;
+  }
+
+  boolean mayHaveRun() {
+    return mayHaveRun;
+  }
+
+  private ServerExchange exchange() {
+    return call.exchange();
+  }
+
+  /** Sends the request to a backend server. */
+  void start(BackendServer server, ServerEstimate estimate) {
+    Duration now = core.now();
+    Duration remaining = deadline.minus(now);
+    trail
+        .step("placed")
+        .put("server", server.id())
+        .put("running", estimate.running())
+        .put("runningElsewhere", estimate.runningElsewhere())
+        .put("slots", estimate.slots())
+        .put("expectedFirstPartMillis", estimate.firstPart().toMillis())
+        .put("waitedMillis", now.minus(placed.arrivedAt()).toMillis())
+        .put("attempt", attempts + 1);
+    head = null;
+    held.reset();
+    AttemptFields fields =
+        new AttemptFields(
+            server.id(),
+            remaining,
+            call.account().map(account -> account.name()),
+            lastEventId >= 0 ? OptionalLong.of(lastEventId) : OptionalLong.empty());
+    OutboundCall outbound =
+        new OutboundCall(
+            exchange().method(),
+            exchange().pathAndQuery(),
+            Optional.ofNullable(exchange().header("Host")).orElse(""),
+            core.dialect().encodeRequest(call.fields(), fields),
+            exchange().body());
+    Attempt next = new Attempt(this, core, server, now);
+    attempt = next;
+    attempts++;
+    next.send(Endpoint.of(server.address()), outbound, !route.mayRepeat());
+  }
+
+  /** Refuses the request because no backend server can take it. */
+  void refuse(Refusal reason, Duration retryAfter) {
+    if (mayHaveRun) {
+      fail(ErrorCode.ANSWER_LOST, "the answer was lost, and no other server is free");
+      return;
+    }
+    ErrorCode code =
+        reason == Refusal.NO_SERVER ? ErrorCode.NO_BACKEND_SERVER : ErrorCode.OVERLOADED;
+    reject(Rejection.retryable(code, detailOf(reason), retryAfter));
+  }
+
+  private static String detailOf(Refusal reason) {
+    return switch (reason) {
+      case NO_SERVER -> "no backend server of the pool is ready";
+      case QUEUE_TOO_LONG -> "too many requests wait";
+      case WAITED_TOO_LONG -> "no backend server had a place in time";
+    };
+  }
+
+  /** Takes the beginning of an answer. */
+  void answered(Attempt source, AnswerHead newHead) {
+    if (source != attempt || finished) {
+      return;
+    }
+    AnswerFields fields = core.dialect().decodeAnswer(newHead.fields());
+    head = newHead;
+    source.headArrived(core.now());
+    if (fields.isLeaving()) {
+      core.serverClosesConnections(source.server());
+    }
+    Optional<AttemptEnd> end = endOf(newHead, fields);
+    if (end.isPresent()) {
+      attemptEnded(source, end.get(), resultOf(end.get()));
+    }
+  }
+
+  /** Returns how the attempt ended if this head can't begin the caller's answer. */
+  private Optional<AttemptEnd> endOf(AnswerHead newHead, AnswerFields fields) {
+    boolean isForeign =
+        fields.requestId().isPresent() && !fields.requestId().get().equals(call.fields().id());
+    int status = newHead.status();
+    if (isForeign) {
+      return Optional.of(AttemptEnd.INVALID);
+    }
+    if (status == MISDIRECTED) {
+      return Optional.of(AttemptEnd.MISDIRECTED);
+    }
+    if (fields.isNotRun()) {
+      return Optional.of(AttemptEnd.DECLINED);
+    }
+    boolean isSuccess = status >= OK && status < MULTIPLE_CHOICES;
+    if (isSuccess && (!fields.isSigned() || fields.isEncoded())) {
+      return Optional.of(AttemptEnd.INVALID);
+    }
+    if (status >= SERVER_ERROR && (begun || canRepeatFailure())) {
+      return Optional.of(AttemptEnd.FAILED);
+    }
+    return begun && !isSuccess ? Optional.of(AttemptEnd.INVALID) : Optional.empty();
+  }
+
+  private boolean canRepeatFailure() {
+    return route.mayRepeat() && hasAttemptsLeft() && core.tryRepeat(pool);
+  }
+
+  private static AttemptResult resultOf(AttemptEnd end) {
+    return switch (end) {
+      case NOT_SENT, LOST -> AttemptResult.UNREACHABLE;
+      case TIMED_OUT -> AttemptResult.NEUTRAL;
+      case DECLINED, MISDIRECTED, INVALID, FAILED, CUT -> AttemptResult.FAILED;
+    };
+  }
+
+  /** Takes part of an answer's body. */
+  void continued(Attempt source, byte[] data) {
+    AnswerHead current = head;
+    if (source != attempt || finished || current == null) {
+      return;
+    }
+    source.dataArrived(core.now());
+    if (isEventStream(current)) {
+      for (EventSplitter.Event event : splitter.feed(data)) {
+        event.id().ifPresent(id -> lastEventId = id);
+        source.eventArrived(core.now());
+        write(current, event.bytes());
+      }
+    } else if (begun) {
+      exchange().write(data);
+    } else {
+      held.writeBytes(data);
+      if (held.size() > MAX_HELD_BYTES) {
+        write(current, held.toByteArray());
+        held.reset();
+      }
+    }
+    pauseIfBehind(source);
+  }
+
+  private boolean isEventStream(AnswerHead current) {
+    return route.kind() == RouteKind.STREAMING
+        && current.status() == OK
+        && current
+            .fields()
+            .first("Content-Type")
+            .map(type -> type.startsWith("text/event-stream"))
+            .orElse(false);
+  }
+
+  private void write(AnswerHead current, byte[] data) {
+    if (!begun) {
+      begun = true;
+      boolean isWhole = isEventStream(current) || attempts > 1;
+      begin(current, isWhole ? -1 : current.contentLength());
+    }
+    exchange().write(data);
+  }
+
+  private void begin(AnswerHead current, long contentLength) {
+    exchange()
+        .begin(
+            current.status(),
+            core.closing(core.dialect().decodeAnswer(current.fields()).passedBack()),
+            contentLength);
+  }
+
+  private void pauseIfBehind(Attempt source) {
+    if (exchange().backlog() > MAX_BACKLOG_BYTES) {
+      paused = true;
+      source.pause();
+    }
+  }
+
+  /** Goes on reading once the caller has caught up. */
+  void consumed() {
+    Attempt current = attempt;
+    if (paused && current != null && exchange().backlog() == 0) {
+      paused = false;
+      current.resume();
+    }
+  }
+
+  /** Takes the end of an answer. */
+  void ended(Attempt source) {
+    AnswerHead current = head;
+    if (source != attempt || finished || current == null) {
+      return;
+    }
+    source.report(AttemptResult.SERVED);
+    attempt = null;
+    finished = true;
+    if (isEventStream(current)) {
+      byte[] rest = splitter.takeRest();
+      if (!begun) {
+        begin(current, -1);
+      }
+      exchange().write(rest);
+      exchange().end();
+    } else if (begun) {
+      exchange().end();
+    } else {
+      byte[] body = held.toByteArray();
+      begin(current, body.length);
+      exchange().write(body);
+      exchange().end();
+    }
+    trail
+        .step("answered")
+        .put("status", current.status())
+        .put("server", source.server().id())
+        .put("firstPartMillis", source.firstPartSince(placed.arrivedAt()).toMillis())
+        .put("totalMillis", core.now().minus(placed.arrivedAt()).toMillis());
+    core.finished(this, true);
+  }
+
+  /** Takes the loss of an attempt. */
+  void lost(Attempt source, boolean wasSent) {
+    if (source != attempt || finished) {
+      return;
+    }
+    AttemptEnd end = AttemptEnd.NOT_SENT;
+    if (wasSent) {
+      end = head == null ? AttemptEnd.LOST : AttemptEnd.CUT;
+    }
+    attemptEnded(source, end, resultOf(end));
+  }
+
+  /** Ends an attempt and decides what follows. */
+  private void attemptEnded(Attempt source, AttemptEnd end, AttemptResult result) {
+    attempt = null;
+    splitter.takeRest();
+    if (end == AttemptEnd.NOT_SENT) {
+      attempts--;
+    }
+    Verdict verdict = decide(end);
+    mayHaveRun |= !end.isNotRun();
+    trail
+        .step("attempt-ended")
+        .put("server", source.server().id())
+        .put("end", end.name())
+        .put("begun", begun)
+        .put("verdict", verdict.name())
+        .notable();
+    if (end == AttemptEnd.DECLINED || end == AttemptEnd.FAILED) {
+      source.leave(result);
+    } else {
+      source.abandon(result);
+    }
+    follow(verdict, end);
+  }
+
+  private Verdict decide(AttemptEnd end) {
+    boolean isFree = end == AttemptEnd.NOT_SENT || end == AttemptEnd.FAILED;
+    boolean canTry = hasAttemptsLeft() && deadline.minus(core.now()).compareTo(MIN_REMAINING) > 0;
+    Verdict wish = AttemptPolicy.decide(end, context(canTry));
+    boolean isRepeat = wish == Verdict.RETRY || wish == Verdict.RESUME;
+    if (!isRepeat || isFree || core.tryRepeat(pool)) {
+      return wish;
+    }
+    return AttemptPolicy.decide(end, context(false));
+  }
+
+  private boolean hasAttemptsLeft() {
+    return attempts < route.maxAttempts();
+  }
+
+  private AttemptContext context(boolean canRetry) {
+    return new AttemptContext(
+        route.mayRepeat(), route.kind() == RouteKind.STREAMING, begun, mayHaveRun, canRetry);
+  }
+
+  private void follow(Verdict verdict, AttemptEnd end) {
+    switch (verdict) {
+      case RETRY, RESUME -> core.submitAgain(this);
+      case REFUSE ->
+          reject(
+              Rejection.retryable(
+                  ErrorCode.NO_BACKEND_SERVER,
+                  "the backend server declined the request",
+                  core.declinedRetryAfter()));
+      case REPORT_UNKNOWN, PASS_ON ->
+          fail(ErrorCode.ANSWER_LOST, "the backend server's answer was lost: " + end);
+      case REPORT_TIMEOUT -> fail(ErrorCode.DEADLINE, "the time of the request is used up");
+      case BREAK_OFF -> breakOff();
+    }
+  }
+
+  /** Applies the passage of time. */
+  void tick(Duration now) {
+    if (finished) {
+      return;
+    }
+    if (now.compareTo(deadline) >= 0) {
+      timeOut();
+      return;
+    }
+    Attempt current = attempt;
+    if (current != null && current.isSilent(now, route, hasAttemptsLeft())) {
+      AttemptEnd end = AttemptEnd.NOT_SENT;
+      if (current.wasSent()) {
+        end = head == null ? AttemptEnd.LOST : AttemptEnd.CUT;
+      }
+      attemptEnded(current, end, AttemptResult.UNREACHABLE);
+    }
+  }
+
+  private void timeOut() {
+    Attempt current = attempt;
+    if (current != null) {
+      boolean wasSent = current.wasSent();
+      attemptEnded(current, AttemptEnd.TIMED_OUT, AttemptResult.NEUTRAL);
+      mayHaveRun |= wasSent;
+      return;
+    }
+    core.withdraw(this);
+    if (begun) {
+      breakOff();
+    } else if (mayHaveRun) {
+      fail(ErrorCode.DEADLINE, "the time of the request is used up");
+    } else {
+      reject(
+          Rejection.retryable(
+              ErrorCode.OVERLOADED, "no place became free in time", Duration.ofMillis(200)));
+    }
+  }
+
+  /** Ends the request because the caller closed its connection. */
+  void callerGone() {
+    if (finished) {
+      return;
+    }
+    finished = true;
+    trail.step("caller-gone").put("begun", begun).notable();
+    Attempt current = attempt;
+    attempt = null;
+    if (current != null) {
+      current.abandon(AttemptResult.NEUTRAL);
+    }
+    core.withdraw(this);
+    core.finished(this, false);
+  }
+
+  private void breakOff() {
+    finished = true;
+    trail.step("broken-off").put("lastEvent", lastEventId).notable();
+    exchange().abort();
+    core.finished(this, false);
+  }
+
+  private void fail(ErrorCode code, String detail) {
+    reject(Rejection.of(code, detail));
+  }
+
+  private void reject(Rejection rejection) {
+    finished = true;
+    core.answer(call, rejection, trail);
+    core.finished(this, false);
+  }
+
+  /** Returns what the request shows on the status page. */
+  Map<String, Object> describe() {
+    return Map.of("id", placed.id(), "pool", pool, "attempts", attempts, "begun", begun);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/gateway/FreshnessFilter.java
@@ -0,0 +1,34 @@
+package org.wigeonstage.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.wigeonstage.common.ErrorCode;
+
+/** Ends requests while the configuration is unknown or too old to trust its keys. */
+final class FreshnessFilter implements InboundFilter {
+
+  private static final Duration RETRY_AFTER = Duration.ofMillis(500);
+
+  private final Beliefs beliefs;
+
+  FreshnessFilter(Beliefs beliefs) {
+    this.beliefs = beliefs;
+  }
+
+  @Override
+  public Optional<Rejection> apply(InboundCall call) {
+    if (beliefs.routing().isEmpty()) {
+      return unavailable("no configuration is known yet");
+    }
+    if (!beliefs.isRoutingFresh()) {
+      return unavailable("the configuration was not confirmed for too long");
+    }
+    call.table(beliefs.routing().get().table());
+    return Optional.empty();
+  }
+
+  private static Optional<Rejection> unavailable(String detail) {
+    return Optional.of(
+        Rejection.retryable(ErrorCode.CONFIGURATION_UNCONFIRMED, detail, RETRY_AFTER));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -0,0 +1,354 @@
+package org.wigeonstage.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.fleet.ServerList;
+import org.wigeonstage.forward.HeaderDialect;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.PooledHttpClient;
+import org.wigeonstage.http.Problem;
+import org.wigeonstage.placement.AttemptResult;
+import org.wigeonstage.placement.PlacedRequest;
+import org.wigeonstage.placement.PlacementEffects;
+import org.wigeonstage.placement.PoolScheduler;
+import org.wigeonstage.placement.Refusal;
+import org.wigeonstage.placement.SchedulingLimits;
+import org.wigeonstage.placement.ServerEstimate;
+import org.wigeonstage.placement.Urgency;
+import org.wigeonstage.quota.AccountQuotas;
+import org.wigeonstage.quota.RetryBudget;
+import org.wigeonstage.quota.RetryLimits;
+import org.wigeonstage.request.HeaderFields;
+import org.wigeonstage.routes.Route;
+import org.wigeonstage.routes.RouteKind;
+import org.wigeonstage.routes.RoutingTable;
+import org.wigeonstage.telemetry.DecisionLog;
+
+/**
+ * Ties the decisions on requests together. All of its state, and that of open requests, belongs to
+ * whoever holds its lock; nothing in it blocks.
+ */
+final class GatewayCore {
+
+  /** Callers leave a silent stream after this time, or after the multiples below if longer. */
+  private static final Duration STREAM_PATIENCE = Duration.ofSeconds(2);
+
+  private static final int PATIENCE_OBJECTIVES = 4;
+  private static final int PATIENCE_PAUSES = 8;
+
+  /** Refusals must reach the caller before it leaves. */
+  private static final Duration PATIENCE_MARGIN = Duration.ofMillis(300);
+
+  /** The part of its time that a plain request may wait for a place. */
+  private static final double PLAIN_PATIENCE = 0.6;
+
+  /** The part of the objective that a request may wait and still be on time. */
+  private static final double ON_TIME_SHARE = 0.8;
+
+  private static final Duration DECLINED_RETRY_AFTER = Duration.ofMillis(300);
+
+  private final MonotonicClock clock;
+  private final HeaderDialect dialect;
+  private final PooledHttpClient client;
+  private final MetricRegistry metrics;
+  private final RetryLimits retryLimits;
+  private final AccountQuotas quotas = new AccountQuotas();
+  private final SplittableRandom random = new SplittableRandom();
+  private final TrailSampler sampler = new TrailSampler();
+  private final Map<String, PoolScheduler> pools = new HashMap<>();
+  private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final Map<PlacedRequest, ForwardedRequest> open = new HashMap<>();
+  private List<BackendServer> servers = List.of();
+  private Set<String> knownServers = Set.of();
+  private int gateways = 1;
+  private boolean leaving;
+
+  GatewayCore(
+      MonotonicClock clock,
+      HeaderDialect dialect,
+      PooledHttpClient client,
+      MetricRegistry metrics,
+      RetryLimits retryLimits) {
+    this.clock = clock;
+    this.dialect = dialect;
+    this.client = client;
+    this.metrics = metrics;
+    this.retryLimits = retryLimits;
+  }
+
+  /** Runs an action with the state to itself. */
+  synchronized void run(Runnable action) {
+    action.run();
+  }
+
+  Duration now() {
+    return clock.elapsed();
+  }
+
+  HeaderDialect dialect() {
+    return dialect;
+  }
+
+  PooledHttpClient client() {
+    return client;
+  }
+
+  AccountQuotas quotas() {
+    return quotas;
+  }
+
+  /** Takes a request that passed all filters. */
+  void accept(InboundCall call) {
+    Route route = call.route();
+    String pool = route.poolFor(random.nextDouble());
+    Duration arrivedAt = call.arrivedAt();
+    Duration allowed = call.fields().deadline().orElse(route.timeout());
+    Duration limit = allowed.compareTo(route.timeout()) < 0 ? allowed : route.timeout();
+    PlacedRequest placed =
+        new PlacedRequest(
+            call.fields().id(),
+            new Urgency(
+                call.account().map(account -> account.priority()).orElse(0), route.priority()),
+            arrivedAt,
+            arrivedAt.plus(scale(route.firstPartObjective(), ON_TIME_SHARE)),
+            arrivedAt.plus(patience(route, limit)),
+            call.fields().promptTokens(),
+            call.fields().promptTail());
+    RequestTrail trail = new RequestTrail(call.fields().id(), arrivedAt);
+    trail
+        .step("accepted")
+        .put("route", route.name())
+        .put("kind", route.kind().name())
+        .put("pool", pool)
+        .put("account", call.account().map(account -> account.name()).orElse(""))
+        .put("promptTokens", call.fields().promptTokens())
+        .put("configurationVersion", call.table().version())
+        .put("timeLimitMillis", limit.toMillis());
+    ForwardedRequest request =
+        new ForwardedRequest(this, call, pool, placed, arrivedAt.plus(limit), trail);
+    open.put(placed, request);
+    call.exchange().onGone(() -> run(request::callerGone));
+    call.exchange().onConsumed(offset -> run(request::consumed));
+    budget(pool).requested(arrivedAt);
+    pool(pool).submit(placed, arrivedAt);
+  }
+
+  private static Duration patience(Route route, Duration limit) {
+    Duration patience = scale(limit, PLAIN_PATIENCE);
+    if (route.kind() == RouteKind.STREAMING) {
+      Duration byObjective = route.firstPartObjective().multipliedBy(PATIENCE_OBJECTIVES);
+      Duration byPause = route.pauseObjective().multipliedBy(PATIENCE_PAUSES);
+      patience = max(STREAM_PATIENCE, max(byObjective, byPause)).minus(PATIENCE_MARGIN);
+    }
+    Duration latest = limit.minus(PATIENCE_MARGIN);
+    return patience.compareTo(latest) < 0 ? patience : latest;
+  }
+
+  private static Duration max(Duration left, Duration right) {
+    return left.compareTo(right) >= 0 ? left : right;
+  }
+
+  private static Duration scale(Duration duration, double factor) {
+    return Duration.ofNanos((long) (duration.toNanos() * factor));
+  }
+
+  /** Places a request again whose attempt ended. */
+  void submitAgain(ForwardedRequest request) {
+    pool(request.pool()).submit(request.placed(), now());
+  }
+
+  void withdraw(ForwardedRequest request) {
+    pool(request.pool()).withdraw(request.placed());
+  }
+
+  void firstPart(ForwardedRequest request, BackendServer server, Duration sinceStart) {
+    pool(request.pool()).firstPart(request.placed(), server.id(), sinceStart);
+  }
+
+  void eventPace(ForwardedRequest request, BackendServer server, Duration perEvent) {
+    pool(request.pool()).eventPace(server.id(), perEvent);
+  }
+
+  void attemptReported(ForwardedRequest request, BackendServer server, AttemptResult result) {
+    if (result == AttemptResult.UNREACHABLE) {
+      client.forget(Endpoint.of(server.address()));
+    }
+    pool(request.pool()).ended(request.placed(), server.id(), result, now());
+  }
+
+  /**
+   * Notes that a server closes its connections, which it does when it leaves and at other times.
+   */
+  void serverClosesConnections(BackendServer server) {
+    metrics.counter("servers.closing").inc();
+  }
+
+  boolean tryRepeat(String pool) {
+    return budget(pool).tryRepeat(gateways, now());
+  }
+
+  Duration declinedRetryAfter() {
+    return DECLINED_RETRY_AFTER;
+  }
+
+  /** Forgets a request whose answer is given. */
+  void finished(ForwardedRequest request, boolean served) {
+    open.remove(request.placed());
+    InboundCall call = request.call();
+    if (!served && !request.mayHaveRun() && call.account().isPresent()) {
+      quotas.giveBack(call.account().get().name(), call.quotaUnits(), now());
+    }
+    metrics.counter(served ? "requests.served" : "requests.unserved").inc();
+    sampler.write(request.trail(), now());
+  }
+
+  /** Gives an answer of the gateway's own. */
+  void answer(InboundCall call, Rejection rejection, RequestTrail trail) {
+    trail
+        .step("rejected")
+        .put("code", rejection.code().text())
+        .put("detail", rejection.detail())
+        .put("afterMillis", now().minus(call.arrivedAt()).toMillis())
+        .notable();
+    HeaderFields fields = HeaderFields.NONE.with("Content-Type", Problem.MEDIA_TYPE);
+    if (rejection.retryAfter().isPresent()) {
+      double seconds = rejection.retryAfter().get().toMillis() / 1000.0;
+      fields = fields.with("Retry-After", Double.toString(seconds));
+    }
+    metrics.counter("rejections." + rejection.code().text()).inc();
+    call.exchange()
+        .respond(
+            rejection.code().httpStatus(),
+            closing(fields),
+            Problem.object(rejection.code(), rejection.detail())
+                .toString()
+                .getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Ends a request that did not pass a filter. */
+  void rejectEarly(InboundCall call, Rejection rejection) {
+    RequestTrail trail = new RequestTrail(call.fields().id(), call.arrivedAt());
+    answer(call, rejection, trail);
+    sampler.write(trail, now());
+  }
+
+  /** Asks the caller to close its connection while this process leaves. */
+  HeaderFields closing(HeaderFields fields) {
+    return leaving ? fields.with("Connection", "close") : fields;
+  }
+
+  void leave() {
+    leaving = true;
+  }
+
+  boolean isLeaving() {
+    return leaving;
+  }
+
+  int openRequests() {
+    return open.size();
+  }
+
+  /** Takes over a configuration. */
+  void configure(RoutingTable table) {
+    quotas.configure(table.accounts(), now());
+    table.pools().forEach(definition -> pool(definition.name()));
+  }
+
+  /** Takes over the list of backend servers. */
+  void update(ServerList list) {
+    servers = list.servers();
+    Set<String> ids = servers.stream().map(BackendServer::id).collect(Collectors.toSet());
+    logChanges(ids, list);
+    knownServers = ids;
+    Map<String, List<BackendServer>> byPool =
+        servers.stream().collect(Collectors.groupingBy(BackendServer::pool));
+    Duration now = now();
+    Set<String> names = new HashSet<>(pools.keySet());
+    names.addAll(byPool.keySet());
+    names.forEach(name -> pool(name).update(byPool.getOrDefault(name, List.of()), now));
+  }
+
+  private void logChanges(Set<String> ids, ServerList list) {
+    if (!ids.equals(knownServers)) {
+      Set<String> added = new HashSet<>(ids);
+      added.removeAll(knownServers);
+      Set<String> removed = new HashSet<>(knownServers);
+      removed.removeAll(ids);
+      DecisionLog.write(
+          "servers-changed",
+          "revision",
+          list.revision(),
+          "added",
+          added,
+          "removed",
+          removed,
+          "unreadable",
+          list.unreadable());
+    }
+  }
+
+  /** Sets the number of gateways that share limits, this one included. */
+  void gateways(int count) {
+    gateways = Math.max(1, count);
+  }
+
+  /** Applies the passage of time. */
+  void tick() {
+    Duration now = now();
+    List.copyOf(open.values()).forEach(request -> request.tick(now));
+    pools.values().forEach(pool -> pool.tick(now));
+  }
+
+  private PoolScheduler pool(String name) {
+    return pools.computeIfAbsent(
+        name, key -> new PoolScheduler(SchedulingLimits.DEFAULTS, new Starter()));
+  }
+
+  private RetryBudget budget(String pool) {
+    return budgets.computeIfAbsent(pool, key -> new RetryBudget(retryLimits));
+  }
+
+  /** Carries out decisions of the schedulers. */
+  private final class Starter implements PlacementEffects {
+
+    @Override
+    public void start(PlacedRequest placed, BackendServer server, ServerEstimate estimate) {
+      Optional.ofNullable(open.get(placed)).ifPresent(request -> request.start(server, estimate));
+    }
+
+    @Override
+    public void refuse(PlacedRequest placed, Refusal reason, Duration retryAfter) {
+      ForwardedRequest request = open.get(placed);
+      if (request != null) {
+        request.trail().step("refused").put("reason", reason.name());
+        request.refuse(reason, retryAfter);
+      }
+    }
+  }
+
+  /** Returns the open requests, for the status page. */
+  List<Map<String, Object>> describe() {
+    List<Map<String, Object>> requests = new ArrayList<>();
+    open.values().forEach(request -> requests.add(request.describe()));
+    return requests;
+  }
+
+  /** Returns the error that tells callers that the process leaves. */
+  static Rejection leavingRejection() {
+    return Rejection.retryable(ErrorCode.LEAVING, "the process is leaving", Duration.ofMillis(100));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -0,0 +1,156 @@
+package org.wigeonstage.gateway;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.jvm.MemoryUsageGaugeSet;
+import com.google.common.flogger.FluentLogger;
+import com.google.common.io.Closer;
+import java.io.Closeable;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.wigeonstage.common.ClockReader;
+import org.wigeonstage.common.ControlThreads;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.common.Polling;
+import org.wigeonstage.fleet.FleetStore;
+import org.wigeonstage.forward.HeaderDialect;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.HttpServer;
+import org.wigeonstage.http.PooledHttpClient;
+import org.wigeonstage.http.ServerOptions;
+import org.wigeonstage.quota.RetryLimits;
+import org.wigeonstage.settings.GatewaySettings;
+import org.wigeonstage.telemetry.DecisionLog;
+import org.wigeonstage.telemetry.ProbePages;
+
+/** An entry that reaches backend servers itself, without agents beside them. */
+public final class GatewayProcess implements Closeable {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration TICK = Duration.ofMillis(20);
+
+  /** The part of the revocation bound that is used; the rest covers the request's way here. */
+  private static final double FRESHNESS_SHARE = 0.9;
+
+  /** The part of the shared retry allowance that is used. */
+  private static final double RETRY_SAFETY = 0.8;
+
+  /** Requests with 16 KB of header fields are accepted. */
+  private static final int MAX_HEAD_BYTES = 32 * 1024;
+
+  private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
+  private static final int HANDLER_THREADS = 2;
+  private static final int PROBE_BODY_BYTES = 1024;
+
+  /** Leaving processes go on taking requests until the balancer has noticed. */
+  private static final Duration BALANCER_NOTICES = Duration.ofMillis(2500);
+
+  /** The part of the grace after which open requests are given up. */
+  private static final double GRACE_SHARE = 0.9;
+
+  private final GatewaySettings settings;
+  private final Closer closer = Closer.create();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final GatewayCore core;
+  private final Beliefs beliefs;
+  private final PooledHttpClient client;
+  private final HttpServer callers;
+  private final HttpServer readiness;
+  private final StoreFollower follower;
+  private final ScheduledExecutorService control = ControlThreads.single("control");
+
+  private GatewayProcess(GatewaySettings settings, FleetStore store, HeaderDialect dialect) {
+    this.settings = settings;
+    MonotonicClock clock = MonotonicClock.system();
+    ClockReader clocks = ClockReader.system();
+    this.client = closer.register(PooledHttpClient.start("backend", 1, clock));
+    RetryLimits retryLimits =
+        new RetryLimits(
+            settings.retryRatio(),
+            settings.retryFixed(),
+            Duration.ofSeconds(settings.retryWindowSeconds()),
+            RETRY_SAFETY);
+    this.core = new GatewayCore(clock, dialect, client, metrics, retryLimits);
+    Duration maxAge =
+        Duration.ofMillis((long) (settings.revocation().toMillis() * FRESHNESS_SHARE));
+    this.beliefs = new Beliefs(clocks, maxAge);
+    this.follower = closer.register(new StoreFollower(store, clocks, beliefs, core));
+    this.readiness =
+        closer.register(
+            HttpServer.start(
+                "readiness",
+                Endpoint.of(settings.readiness()),
+                new ServerOptions(MAX_HEAD_BYTES, PROBE_BODY_BYTES, IDLE_TIMEOUT, 1),
+                new ProbeHandler(new ProbePages(metrics, this::isReady))));
+    this.callers =
+        closer.register(
+            HttpServer.start(
+                "callers",
+                Endpoint.of(settings.callers()),
+                new ServerOptions(MAX_HEAD_BYTES, MAX_BODY_BYTES, IDLE_TIMEOUT, HANDLER_THREADS),
+                new CallersEndpoint(core, beliefs)));
+    metrics.registerAll("jvm.memory", new MemoryUsageGaugeSet());
+    metrics.register(
+        "configuration.ageMillis",
+        (Gauge<Long>) () -> beliefs.routingAge().map(Duration::toMillis).orElse(-1L));
+    metrics.register("backend.connects", (Gauge<Long>) client::connectsStarted);
+  }
+
+  /**
+   * Starts a gateway.
+   *
+   * @param settings its settings
+   * @param store where it learns of its configuration and of backend servers
+   * @param dialect the meaning of header fields
+   * @return the running gateway
+   */
+  public static GatewayProcess start(
+      GatewaySettings settings, FleetStore store, HeaderDialect dialect) {
+    GatewayProcess process = new GatewayProcess(settings, store, dialect);
+    process.follower.start();
+    process.control.scheduleWithFixedDelay(
+        process::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
+    DecisionLog.write("started", "callers", settings.callers(), "store", settings.store());
+    return process;
+  }
+
+  private void tick() {
+    try {
+      core.run(core::tick);
+      client.closeExpired();
+    } catch (RuntimeException e) {
+      logger.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(e).log("control task failed");
+    }
+  }
+
+  private boolean isReady() {
+    return !core.isLeaving() && beliefs.isRoutingFresh();
+  }
+
+  /**
+   * Leaves, and waits until callers have their answers.
+   *
+   * @return whether all was finished within the grace
+   * @throws InterruptedException where the thread is interrupted
+   */
+  public boolean drain() throws InterruptedException {
+    DecisionLog.write("leaving", "openRequests", core.openRequests());
+    core.run(core::leave);
+    Thread.sleep(BALANCER_NOTICES.toMillis());
+    Duration rest =
+        Duration.ofMillis((long) (settings.grace().toMillis() * GRACE_SHARE))
+            .minus(BALANCER_NOTICES);
+    boolean finished = Polling.await(() -> core.openRequests() == 0, rest);
+    DecisionLog.write("stopped", "openRequests", core.openRequests());
+    return finished;
+  }
+
+  @Override
+  public void close() throws IOException {
+    control.shutdownNow();
+    closer.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/gateway/QuotaFilter.java
@@ -0,0 +1,38 @@
+package org.wigeonstage.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.quota.AccountQuotas;
+import org.wigeonstage.routes.ClientAccount;
+
+/** Takes a request's cost from its account's quota. */
+final class QuotaFilter implements InboundFilter {
+
+  private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
+
+  private final AccountQuotas quotas;
+
+  QuotaFilter(AccountQuotas quotas) {
+    this.quotas = quotas;
+  }
+
+  @Override
+  public Optional<Rejection> apply(InboundCall call) {
+    if (call.account().isEmpty()) {
+      return Optional.empty();
+    }
+    ClientAccount account = call.account().get();
+    long units = account.quota().costOf(call.fields().declaredTokens());
+    if (!quotas.tryTake(account.name(), units, call.arrivedAt())) {
+      Duration wait = quotas.timeUntil(account.name(), units, call.arrivedAt());
+      return Optional.of(
+          Rejection.retryable(
+              ErrorCode.ACCOUNT_LIMIT,
+              "the account is over its limit",
+              wait.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : wait));
+    }
+    call.quotaUnits(units);
+    return Optional.empty();
+  }
+}
--- a/src/main/java/org/wigeonstage/http/AnswerFilter.java
+++ b/src/main/java/org/wigeonstage/http/AnswerFilter.java
@@ -1,25 +1,35 @@
 package org.wigeonstage.http;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+import org.wigeonstage.request.HeaderFields;
 
 /** Passes the parts of an answer to its {@link ClientExchange}. */
 final class AnswerFilter extends BaseFilter {
 
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+
   @Override
   public NextAction handleRead(FilterChainContext context) {
     ClientExchange exchange = ClientExchange.ATTRIBUTE.get(context.getConnection());
     HttpContent content = context.getMessage();
     if (exchange == null) {
+      context.getConnection().closeSilently();
       return context.getStopAction();
     }
     HttpResponsePacket response = (HttpResponsePacket) content.getHttpHeader();
-    exchange.answered(response.getStatus(), response.getContentType());
+    exchange.answered(() -> headOf(response));
     Buffer buffer = content.getContent();
     if (buffer.hasRemaining()) {
       byte[] data = new byte[buffer.remaining()];
@@ -29,13 +39,39 @@
     boolean last = content.isLast();
     content.recycle();
     if (last) {
-      exchange.completed();
-      context.getConnection().closeSilently();
+      exchange.completed(context.getConnection(), isReusable(response));
       return context.getStopAction();
     }
     return exchange.suspendIfPaused(context) ? context.getSuspendAction() : context.getStopAction();
   }
 
+  private static AnswerHead headOf(HttpResponsePacket response) {
+    List<HeaderFields.Field> fields = new ArrayList<>();
+    MimeHeaders headers = response.getHeaders();
+    for (int i = 0; i < headers.size(); i++) {
+      fields.add(
+          new HeaderFields.Field(headers.getName(i).toString(), headers.getValue(i).toString()));
+    }
+    return new AnswerHead(
+        response.getStatus(),
+        new HeaderFields(fields),
+        response.getContentLength(),
+        isFramed(response));
+  }
+
+  private static boolean isFramed(HttpResponsePacket response) {
+    return response.isChunked()
+        || response.getContentLength() >= 0
+        || response.getStatus() == NO_CONTENT
+        || response.getStatus() == NOT_MODIFIED;
+  }
+
+  private static boolean isReusable(HttpResponsePacket response) {
+    String connection = response.getHeader("Connection");
+    boolean closes = connection != null && connection.toLowerCase(Locale.ROOT).contains("close");
+    return isFramed(response) && !closes && response.getProtocol() == Protocol.HTTP_1_1;
+  }
+
   @Override
   public NextAction handleClose(FilterChainContext context) {
     ClientExchange exchange = ClientExchange.ATTRIBUTE.get(context.getConnection());
--- a/src/main/java/org/wigeonstage/http/AnswerListener.java
+++ b/src/main/java/org/wigeonstage/http/AnswerListener.java
@@ -5,6 +5,15 @@
 /** Follows the answer to one HTTP call. Exactly one of the last three methods ends the call. */
 public interface AnswerListener {
 
+  /**
+   * Called with the whole beginning of the answer, before anything else of it.
+   *
+   * @param head status and header fields
+   */
+  default void head(AnswerHead head) {
+    began(head.status(), head.fields().first("Content-Type").orElse(null));
+  }
+
   /**
    * Takes the beginning of the answer.
    *
--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -1,8 +1,13 @@
 package org.wigeonstage.http;
 
 import java.io.IOException;
+import java.net.SocketAddress;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpPacket;
@@ -14,18 +19,34 @@
   static final Attribute<ClientExchange> ATTRIBUTE =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("wigeonstage.clientExchange");
 
+  /** Takes over a connection whose answer is complete. */
+  @FunctionalInterface
+  interface Releaser {
+
+    /** Closes the connection or keeps it for the next call. */
+    void release(Connection<?> connection, boolean reusable);
+  }
+
   private final AnswerListener listener;
+  private final Releaser releaser;
   private @Nullable Connection<?> connection;
   private @Nullable FilterChainContext suspended;
   private boolean paused;
   private boolean aborted;
   private boolean ended;
   private boolean began;
+  private volatile boolean written;
 
   ClientExchange(AnswerListener listener) {
+    this(listener, (connection, reusable) -> connection.closeSilently());
+  }
+
+  ClientExchange(AnswerListener listener, Releaser releaser) {
     this.listener = listener;
+    this.releaser = releaser;
   }
 
+  @SuppressWarnings("unchecked") // connections of a TCP transport have socket addresses
   void connected(Connection<?> newConnection, HttpPacket packet) {
     ATTRIBUTE.set(newConnection, this);
     boolean send;
@@ -34,7 +55,7 @@
       send = !aborted;
     }
     if (send) {
-      newConnection.write(packet);
+      ((Connection<SocketAddress>) newConnection).write(packet, whenWritten());
     } else {
       end();
       newConnection.closeSilently();
@@ -42,16 +63,25 @@
     }
   }
 
+  private CompletionHandler<WriteResult<Object, SocketAddress>> whenWritten() {
+    return new EmptyCompletionHandler<>() {
+      @Override
+      public void completed(WriteResult<Object, SocketAddress> result) {
+        written();
+      }
+    };
+  }
+
   void connectFailed(Throwable cause) {
     if (end()) {
       listener.notConnected(cause);
     }
   }
 
-  void answered(int status, @Nullable String contentType) {
+  void answered(Supplier<AnswerHead> head) {
     if (!began) {
       began = true;
-      listener.began(status, contentType);
+      listener.head(head.get());
     }
   }
 
@@ -59,12 +89,25 @@
     listener.continued(data);
   }
 
-  void completed() {
-    if (end()) {
+  void completed(Connection<?> source, boolean reusable) {
+    ATTRIBUTE.remove(source);
+    boolean first = end();
+    releaser.release(source, reusable && first && written);
+    if (first) {
       listener.ended();
     }
   }
 
+  /** Notes that the whole request has been handed to the system. */
+  void written() {
+    written = true;
+  }
+
+  /** Returns whether the connection was established. */
+  public synchronized boolean isConnected() {
+    return connection != null;
+  }
+
   void closed(Throwable cause) {
     if (end()) {
       listener.broken(cause);
--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -17,8 +17,6 @@
 /** An HTTP server with one handler for all paths. */
 public final class HttpServer implements Closeable {
 
-  private static final int HANDLER_THREADS = 4;
-
   private final org.glassfish.grizzly.http.server.HttpServer server;
   private final NetworkListener listener;
   private final DelayedExecutor idleConnections;
@@ -43,23 +41,41 @@
    */
   public static HttpServer start(
       String name, Endpoint endpoint, int maxBodyBytes, RequestHandler handler) {
+    return start(name, endpoint, ServerOptions.withBodyLimit(maxBodyBytes), handler);
+  }
+
+  /**
+   * Starts a server.
+   *
+   * @param name the prefix of the names of its threads
+   * @param endpoint where to listen
+   * @param options its limits
+   * @param handler answers the requests
+   * @return the server
+   */
+  public static HttpServer start(
+      String name, Endpoint endpoint, ServerOptions options, RequestHandler handler) {
     TCPNIOTransport transport = Transports.create(name, 2);
     transport.setWorkerThreadPoolConfig(
         ThreadPoolConfig.defaultConfig()
             .setPoolName(name + "-handler")
-            .setCorePoolSize(HANDLER_THREADS)
-            .setMaxPoolSize(HANDLER_THREADS)
+            .setCorePoolSize(options.handlerThreads())
+            .setMaxPoolSize(options.handlerThreads())
             .setDaemon(true));
     NetworkListener listener = new NetworkListener(name, endpoint.host(), endpoint.port());
     listener.setTransport(transport);
     listener.getFileCache().setEnabled(false);
+    listener.getKeepAlive().setIdleTimeoutInSeconds((int) options.idleTimeout().toSeconds());
+    listener.getKeepAlive().setMaxRequestsCount(-1);
     DelayedExecutor idleConnections = IdleTimeoutFilter.createDefaultIdleDelayedExecutor();
     idleConnections.start();
-    PlainHttpFilter.install(listener, idleConnections);
+    PlainHttpFilter.install(listener, idleConnections, options.maxHeadBytes());
     org.glassfish.grizzly.http.server.HttpServer server =
         new org.glassfish.grizzly.http.server.HttpServer();
     server.addListener(listener);
-    server.getServerConfiguration().addHttpHandler(new BodyReader(maxBodyBytes, handler), "/");
+    server
+        .getServerConfiguration()
+        .addHttpHandler(new BodyReader(options.maxBodyBytes(), handler), "/");
     try {
       server.start();
     } catch (IOException e) {
@@ -77,6 +93,15 @@
     return new Endpoint(listener.getHost(), listener.getPort());
   }
 
+  /**
+   * Sets how long connections are kept open without a request.
+   *
+   * @param timeout the time, in whole seconds
+   */
+  public void idleTimeout(Duration timeout) {
+    listener.getKeepAlive().setIdleTimeoutInSeconds((int) timeout.toSeconds());
+  }
+
   /**
    * Takes no new connections and waits until the open requests are answered.
    *
--- a/src/main/java/org/wigeonstage/http/PlainHttpFilter.java
+++ b/src/main/java/org/wigeonstage/http/PlainHttpFilter.java
@@ -1,6 +1,6 @@
 package org.wigeonstage.http;
 
-import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import com.google.common.base.CharMatcher;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpServerFilter;
@@ -9,7 +9,8 @@
 import org.glassfish.grizzly.utils.DelayedExecutor;
 
 /**
- * Reads requests as plain HTTP/1.1 also where the client offers an upgrade.
+ * Reads requests as plain HTTP/1.1 also where the client offers an upgrade, and refuses those whose
+ * framing is ambiguous.
  *
  * <p>Clients that prefer HTTP/2 offer it with their first request. A server may ignore that;
  * Grizzly by itself takes the body of such a request for another protocol and never delivers it.
@@ -18,10 +19,18 @@
 
   private static final String UPGRADE = "Upgrade";
 
-  private PlainHttpFilter(NetworkListener listener, DelayedExecutor executor) {
+  private static final String CONTENT_LENGTH = "Content-Length";
+  private static final String TRANSFER_ENCODING = "Transfer-Encoding";
+  private static final CharMatcher TOKEN =
+      CharMatcher.inRange('a', 'z')
+          .or(CharMatcher.inRange('A', 'Z'))
+          .or(CharMatcher.inRange('0', '9'))
+          .or(CharMatcher.anyOf("!#$%&'*+-.^_`|~"));
+
+  private PlainHttpFilter(NetworkListener listener, DelayedExecutor executor, int maxHeadBytes) {
     super(
         listener.isChunkingEnabled(),
-        DEFAULT_MAX_HTTP_PACKET_HEADER_SIZE,
+        maxHeadBytes,
         null,
         listener.getKeepAlive(),
         executor,
@@ -30,21 +39,57 @@
   }
 
   /** Puts a filter of this kind in the place of a listener's usual one. */
-  static void install(NetworkListener listener, DelayedExecutor executor) {
-    listener.registerAddOn((owner, builder) -> replaceCodec(owner, builder, executor));
-  }
-
-  private static void replaceCodec(
-      NetworkListener listener, FilterChainBuilder builder, DelayedExecutor executor) {
-    int index = builder.indexOfType(HttpServerFilter.class);
-    builder.set(index, new PlainHttpFilter(listener, executor));
+  static void install(NetworkListener listener, DelayedExecutor executor, int maxHeadBytes) {
+    listener.registerAddOn(
+        (owner, builder) ->
+            builder.set(
+                builder.indexOfType(HttpServerFilter.class),
+                new PlainHttpFilter(owner, executor, maxHeadBytes)));
   }
 
   @Override
   protected void onHttpHeadersParsed(
       HttpHeader header, MimeHeaders fields, FilterChainContext context) {
+    checkFraming(fields);
     super.onHttpHeadersParsed(header, fields, context);
     header.getUpgradeDC().recycle();
     fields.removeHeader(UPGRADE);
   }
+
+  /**
+   * Refuses requests whose end two readers could place differently; such a request could carry
+   * another one past this server.
+   */
+  private static void checkFraming(MimeHeaders fields) {
+    int lengths = 0;
+    int encodings = 0;
+    int hosts = 0;
+    for (int i = 0; i < fields.size(); i++) {
+      String name = fields.getName(i).toString();
+      if (name.isEmpty() || !TOKEN.matchesAllOf(name)) {
+        throw new IllegalStateException("malformed header field name");
+      }
+      String value = fields.getValue(i).toString();
+      if (name.equalsIgnoreCase(CONTENT_LENGTH)) {
+        lengths++;
+        refuseUnless(isLength(value));
+      } else if (name.equalsIgnoreCase(TRANSFER_ENCODING)) {
+        encodings++;
+        refuseUnless(value.equalsIgnoreCase("chunked"));
+      } else if (name.equalsIgnoreCase("Host")) {
+        hosts++;
+      }
+    }
+    refuseUnless(lengths + encodings <= 1 && hosts <= 1);
+  }
+
+  private static boolean isLength(String value) {
+    return !value.isEmpty() && CharMatcher.inRange('0', '9').matchesAllOf(value);
+  }
+
+  private static void refuseUnless(boolean isSound) {
+    if (!isSound) {
+      throw new IllegalStateException("ambiguous framing");
+    }
+  }
 }
--- /dev/null
+++ b/src/main/java/org/wigeonstage/http/PooledHttpClient.java
@@ -0,0 +1,302 @@
+package org.wigeonstage.http;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpPacket;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.common.WigeonstageException;
+import org.wigeonstage.request.HeaderFields;
+
+/**
+ * Makes HTTP calls on connections that are kept for further calls to the same server.
+ *
+ * <p>A kept connection may be closed by its server just as a call is sent on it. Callers that must
+ * not send twice therefore ask for a new connection.
+ */
+public final class PooledHttpClient implements Closeable {
+
+  /** How long a connection is kept where the server does not tell; servers close after seconds. */
+  private static final Duration DEFAULT_IDLE_LIMIT = Duration.ofSeconds(4);
+
+  /** The most connections kept to one server: the slots of one engine. */
+  private static final int MAX_IDLE_PER_SERVER = 16;
+
+  private final TCPNIOTransport transport;
+  private final FilterChain chain;
+  private final MonotonicClock clock;
+  private final Map<Endpoint, Deque<IdleConnection>> idle = new ConcurrentHashMap<>();
+  private final AtomicLong connectsStarted = new AtomicLong();
+
+  /** A connection without a call, and since when. */
+  private record IdleConnection(Connection<?> connection, Duration since, Duration limit) {}
+
+  private PooledHttpClient(TCPNIOTransport transport, MonotonicClock clock) {
+    this.transport = transport;
+    this.clock = clock;
+    this.chain =
+        FilterChainBuilder.stateless()
+            .add(new TransportFilter())
+            .add(new HttpClientFilter())
+            .add(new AnswerFilter())
+            .build();
+  }
+
+  /**
+   * Starts a client.
+   *
+   * @param name the prefix of the names of its threads
+   * @param threads the number of its threads
+   * @param clock measures how long connections are idle
+   * @return the client
+   */
+  public static PooledHttpClient start(String name, int threads, MonotonicClock clock) {
+    TCPNIOTransport transport = Transports.create(name, threads);
+    try {
+      transport.start();
+    } catch (IOException e) {
+      throw new WigeonstageException(ErrorCode.IO, "can't start the HTTP client", e);
+    }
+    return new PooledHttpClient(transport, clock);
+  }
+
+  /**
+   * Makes a call.
+   *
+   * @param server where to
+   * @param call what to send
+   * @param fresh whether a new connection must be used
+   * @param listener what follows the answer; called on the client's threads
+   * @return the call, to pause or abort it
+   */
+  public ClientExchange send(
+      Endpoint server, OutboundCall call, boolean fresh, AnswerListener listener) {
+    IdleLimit idleLimit = new IdleLimit(listener);
+    ClientExchange exchange =
+        new ClientExchange(
+            idleLimit,
+            (connection, reusable) -> release(server, connection, reusable, idleLimit.limit()));
+    HttpPacket packet = packetOf(call);
+    Connection<?> kept = fresh ? null : take(server);
+    if (kept != null) {
+      exchange.connected(kept, packet);
+    } else {
+      connect(server, exchange, packet);
+    }
+    return exchange;
+  }
+
+  /**
+   * Returns how many new connections were started.
+   *
+   * @return the number
+   */
+  public long connectsStarted() {
+    return connectsStarted.get();
+  }
+
+  /**
+   * Closes the idle connections to a server.
+   *
+   * @param server the server
+   */
+  public void forget(Endpoint server) {
+    Deque<IdleConnection> connections = idle.remove(server);
+    if (connections != null) {
+      synchronized (connections) {
+        connections.forEach(entry -> entry.connection().closeSilently());
+      }
+    }
+  }
+
+  /** Closes connections that were idle for too long. */
+  public void closeExpired() {
+    Duration now = clock.elapsed();
+    idle.values()
+        .forEach(
+            connections -> {
+              synchronized (connections) {
+                connections.removeIf(entry -> isExpired(entry, now));
+              }
+            });
+  }
+
+  private static boolean isExpired(IdleConnection entry, Duration now) {
+    boolean expired =
+        !entry.connection().isOpen() || now.minus(entry.since()).compareTo(entry.limit()) > 0;
+    if (expired) {
+      entry.connection().closeSilently();
+    }
+    return expired;
+  }
+
+  private @Nullable Connection<?> take(Endpoint server) {
+    Deque<IdleConnection> connections = idle.get(server);
+    if (connections == null) {
+      return null;
+    }
+    Duration now = clock.elapsed();
+    synchronized (connections) {
+      Iterator<IdleConnection> newestFirst = connections.descendingIterator();
+      while (newestFirst.hasNext()) {
+        IdleConnection entry = newestFirst.next();
+        newestFirst.remove();
+        if (!isExpired(entry, now)) {
+          return entry.connection();
+        }
+      }
+    }
+    return null;
+  }
+
+  private void release(
+      Endpoint server, Connection<?> connection, boolean reusable, Duration limit) {
+    if (!reusable || !connection.isOpen() || limit.isZero()) {
+      connection.closeSilently();
+      return;
+    }
+    Deque<IdleConnection> connections = idle.computeIfAbsent(server, key -> new ArrayDeque<>());
+    synchronized (connections) {
+      connections.addLast(new IdleConnection(connection, clock.elapsed(), limit));
+      if (connections.size() > MAX_IDLE_PER_SERVER) {
+        connections.removeFirst().connection().closeSilently();
+      }
+    }
+  }
+
+  private void connect(Endpoint server, ClientExchange exchange, HttpPacket packet) {
+    connectsStarted.incrementAndGet();
+    CompletionHandler<Connection> whenConnected =
+        new EmptyCompletionHandler<>() {
+          @Override
+          public void completed(Connection connection) {
+            exchange.connected(connection, packet);
+          }
+
+          @Override
+          public void failed(Throwable cause) {
+            exchange.connectFailed(cause);
+          }
+
+          @Override
+          public void cancelled() {
+            exchange.connectFailed(new IOException("connection attempt cancelled"));
+          }
+        };
+    TCPNIOConnectorHandler.builder(transport)
+        .processor(chain)
+        .build()
+        .connect(server.socketAddress(), null, whenConnected);
+  }
+
+  private static HttpPacket packetOf(OutboundCall call) {
+    HttpRequestPacket.Builder builder =
+        HttpRequestPacket.builder()
+            .method(call.method())
+            .uri(call.target())
+            .protocol("HTTP/1.1")
+            .host(call.host());
+    if (call.body().length > 0 || !call.method().equals("GET")) {
+      builder.contentLength(call.body().length);
+    }
+    for (HeaderFields.Field field : call.fields().fields()) {
+      builder.header(field.name(), field.value());
+    }
+    return HttpContent.builder(builder.build())
+        .content(Buffers.wrap(null, call.body()))
+        .last(true)
+        .build();
+  }
+
+  @Override
+  public void close() throws IOException {
+    transport.shutdownNow();
+  }
+
+  /** Passes an answer on, and reads from it how long its connection may be kept. */
+  private static final class IdleLimit implements AnswerListener {
+
+    /** Connections are given up this long before the server's own limit. */
+    private static final Duration MARGIN = Duration.ofMillis(700);
+
+    private final AnswerListener target;
+    private volatile Duration limit = DEFAULT_IDLE_LIMIT;
+
+    IdleLimit(AnswerListener target) {
+      this.target = target;
+    }
+
+    Duration limit() {
+      return limit;
+    }
+
+    @Override
+    public void head(AnswerHead head) {
+      head.fields().first("Keep-Alive").ifPresent(value -> limit = limitOf(value));
+      target.head(head);
+    }
+
+    private static Duration limitOf(String keepAlive) {
+      for (String parameter : keepAlive.split(",", -1)) {
+        String[] parts = parameter.trim().split("=", 2);
+        if (parts.length == 2 && parts[0].trim().equalsIgnoreCase("timeout")) {
+          return parseLimit(parts[1].trim());
+        }
+      }
+      return DEFAULT_IDLE_LIMIT;
+    }
+
+    private static Duration parseLimit(String seconds) {
+      if (!seconds.matches("[0-9]{1,6}")) {
+        return Duration.ZERO;
+      }
+      Duration limit = Duration.ofSeconds(Long.parseLong(seconds)).minus(MARGIN);
+      return limit.isNegative() ? Duration.ZERO : limit;
+    }
+
+    @Override
+    public void began(int status, @Nullable String contentType) {
+      throw new IllegalStateException("only whole heads are passed on");
+    }
+
+    @Override
+    public void continued(byte[] data) {
+      target.continued(data);
+    }
+
+    @Override
+    public void ended() {
+      target.ended();
+    }
+
+    @Override
+    public void notConnected(Throwable cause) {
+      target.notConnected(cause);
+    }
+
+    @Override
+    public void broken(Throwable cause) {
+      target.broken(cause);
+    }
+  }
+}
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongConsumer;
@@ -14,7 +16,9 @@
 import org.glassfish.grizzly.http.io.NIOOutputStream;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.request.HeaderFields;
 import org.wigeonstage.request.HttpCall;
 
 /**
@@ -91,6 +95,21 @@
     return request.getHeader(name);
   }
 
+  /**
+   * Returns all header fields as they were sent.
+   *
+   * @return the fields, in order
+   */
+  public HeaderFields fields() {
+    MimeHeaders headers = request.getRequest().getHeaders();
+    List<HeaderFields.Field> fields = new ArrayList<>();
+    for (int i = 0; i < headers.size(); i++) {
+      fields.add(
+          new HeaderFields.Field(headers.getName(i).toString(), headers.getValue(i).toString()));
+    }
+    return new HeaderFields(fields);
+  }
+
   /**
    * Returns the body.
    *
@@ -164,6 +183,43 @@
     headers.forEach(response::setHeader);
   }
 
+  /**
+   * Begins an answer with exactly the given fields.
+   *
+   * @param status the HTTP status
+   * @param fields the header fields, without those that describe the body's length
+   * @param contentLength the length of the body in bytes, or -1 where it is not known
+   */
+  public synchronized void begin(int status, HeaderFields fields, long contentLength) {
+    response.setStatus(status);
+    fields.fields().forEach(field -> response.addHeader(field.name(), field.value()));
+    if (contentLength >= 0) {
+      response.setContentLengthLong(contentLength);
+    }
+  }
+
+  /**
+   * Answers the whole request with exactly the given fields.
+   *
+   * @param status the HTTP status
+   * @param fields the header fields, without those that describe the body's length
+   * @param data the body
+   */
+  public void respond(int status, HeaderFields fields, byte[] data) {
+    begin(status, fields, data.length);
+    write(data);
+    end();
+  }
+
+  /**
+   * Returns how many bytes of the answer the peer has not taken yet.
+   *
+   * @return the number of bytes kept here
+   */
+  public synchronized long backlog() {
+    return pending.stream().mapToLong(data -> data.length).sum();
+  }
+
   /**
    * Adds to the answer's body.
    *
--- a/src/main/java/org/wigeonstage/membership/EntryShares.java
+++ b/src/main/java/org/wigeonstage/membership/EntryShares.java
@@ -5,10 +5,10 @@
 import java.util.Set;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.Json;
-import org.wigeonstage.platform.ObjectList;
-import org.wigeonstage.platform.ObjectStore;
-import org.wigeonstage.platform.StoreException;
-import org.wigeonstage.platform.StoredObject;
+import org.wigeonstage.store.ObjectList;
+import org.wigeonstage.store.ObjectStore;
+import org.wigeonstage.store.StoreException;
+import org.wigeonstage.store.StoredObject;
 
 /**
  * Counts the entries, so that each can keep to its share of every account's limit. Safe for use by
--- a/src/main/java/org/wigeonstage/membership/HostList.java
+++ b/src/main/java/org/wigeonstage/membership/HostList.java
@@ -3,7 +3,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.wigeonstage.platform.ListedHost;
+import org.wigeonstage.store.ListedHost;
 
 /**
  * Reads the platform's lagging list of hosts with caution: a process is suspected to leave when the
--- a/src/main/java/org/wigeonstage/membership/Registrar.java
+++ b/src/main/java/org/wigeonstage/membership/Registrar.java
@@ -6,9 +6,9 @@
 import java.util.concurrent.TimeUnit;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.Json;
-import org.wigeonstage.platform.ObjectStore;
-import org.wigeonstage.platform.StoreException;
-import org.wigeonstage.platform.StoredObject;
+import org.wigeonstage.store.ObjectStore;
+import org.wigeonstage.store.StoreException;
+import org.wigeonstage.store.StoredObject;
 
 /**
  * Registers an agent in the platform's object API, once, trying again while the platform is down.
--- a/src/main/java/org/wigeonstage/membership/StoreWatch.java
+++ b/src/main/java/org/wigeonstage/membership/StoreWatch.java
@@ -5,8 +5,8 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.wigeonstage.common.WigeonstageException;
-import org.wigeonstage.platform.ObjectList;
-import org.wigeonstage.platform.ObjectStore;
+import org.wigeonstage.store.ObjectList;
+import org.wigeonstage.store.ObjectStore;
 
 /** Follows all objects of a kind in a thread of its own, with one waiting call at a time. */
 public final class StoreWatch implements Runnable {
--- a/src/main/java/org/wigeonstage/orders/LoadSlots.java
+++ b/src/main/java/org/wigeonstage/orders/LoadSlots.java
@@ -8,9 +8,9 @@
 import java.util.Optional;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.Json;
-import org.wigeonstage.platform.ObjectStore;
-import org.wigeonstage.platform.StoreException;
-import org.wigeonstage.platform.StoredObject;
+import org.wigeonstage.store.ObjectStore;
+import org.wigeonstage.store.StoreException;
+import org.wigeonstage.store.StoredObject;
 
 /**
  * Bounds how many agents of a pool load from the weight store at once, through one object of the
--- a/src/main/java/org/wigeonstage/orders/OrderCarrier.java
+++ b/src/main/java/org/wigeonstage/orders/OrderCarrier.java
@@ -20,9 +20,9 @@
 import org.wigeonstage.http.HttpAnswer;
 import org.wigeonstage.http.HttpClient;
 import org.wigeonstage.membership.AgentRegistration;
-import org.wigeonstage.platform.ObjectStore;
-import org.wigeonstage.platform.StoredObject;
 import org.wigeonstage.request.HttpCall;
+import org.wigeonstage.store.ObjectStore;
+import org.wigeonstage.store.StoredObject;
 
 /** Brings one backend server to the state that its pool's document asks for. Methods block. */
 public final class OrderCarrier {
--- /dev/null
+++ b/src/main/java/org/wigeonstage/placement/PlacedRequest.java
@@ -0,0 +1,93 @@
+package org.wigeonstage.placement;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** A request as the scheduler sees it. Not safe for use by several threads. */
+public final class PlacedRequest {
+
+  private final String id;
+  private final Urgency urgency;
+  private final Duration arrivedAt;
+  private final Duration onTimeUntil;
+  private final Duration startBy;
+  private final long promptTokens;
+  private final Optional<String> affinity;
+  private final Set<String> triedServers = new HashSet<>();
+
+  /**
+   * Creates a request.
+   *
+   * @param id its identifier
+   * @param urgency its urgency
+   * @param arrivedAt when it arrived
+   * @param onTimeUntil the latest start with which its first part is on time
+   * @param startBy the latest start that is of use
+   * @param promptTokens the length of its prompt, or 0
+   * @param affinity what requests share that profit from the same server
+   */
+  public PlacedRequest(
+      String id,
+      Urgency urgency,
+      Duration arrivedAt,
+      Duration onTimeUntil,
+      Duration startBy,
+      long promptTokens,
+      Optional<String> affinity) {
+    this.id = id;
+    this.urgency = urgency;
+    this.arrivedAt = arrivedAt;
+    this.onTimeUntil = onTimeUntil;
+    this.startBy = startBy;
+    this.promptTokens = promptTokens;
+    this.affinity = affinity;
+  }
+
+  /**
+   * Returns the identifier.
+   *
+   * @return the identifier
+   */
+  public String id() {
+    return id;
+  }
+
+  Urgency urgency() {
+    return urgency;
+  }
+
+  /**
+   * Returns when the request arrived.
+   *
+   * @return the time
+   */
+  public Duration arrivedAt() {
+    return arrivedAt;
+  }
+
+  Duration startBy() {
+    return startBy;
+  }
+
+  boolean isLate(Duration now) {
+    return now.compareTo(onTimeUntil) > 0;
+  }
+
+  long promptTokens() {
+    return promptTokens;
+  }
+
+  Optional<String> affinity() {
+    return affinity;
+  }
+
+  void tried(String serverId) {
+    triedServers.add(serverId);
+  }
+
+  boolean hasTried(String serverId) {
+    return triedServers.contains(serverId);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -0,0 +1,274 @@
+package org.wigeonstage.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.wigeonstage.fleet.BackendServer;
+
+/**
+ * Decides where and when the requests of one pool run.
+ *
+ * <p>Backend servers admit requests in order of arrival and know no tiers, so requests wait here:
+ * in tier order, and within a tier first those that can still be on time. A server gets no more
+ * requests than it runs at once. Lower tiers leave places to higher ones.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class PoolScheduler {
+
+  /** The time that a failed request costs its caller, for weighing servers that fail some. */
+  private static final double FAILURE_COST_MILLIS = 1500;
+
+  private static final Duration NO_SERVER_RETRY = Duration.ofSeconds(1);
+  private static final Duration MIN_RETRY = Duration.ofMillis(200);
+  private static final Duration MAX_RETRY = Duration.ofSeconds(3);
+
+  private final SchedulingLimits limits;
+  private final PlacementEffects effects;
+  private final TreeMap<Urgency, List<PlacedRequest>> waiting = new TreeMap<>();
+  private final Map<String, ServerLoad> servers = new HashMap<>();
+  private final DepartureRate departures;
+  private Map<String, Integer> runningElsewhere = Map.of();
+
+  /**
+   * Creates a scheduler without servers.
+   *
+   * @param limits its limits
+   * @param effects carries out its decisions
+   */
+  public PoolScheduler(SchedulingLimits limits, PlacementEffects effects) {
+    this.limits = limits;
+    this.effects = effects;
+    this.departures = new DepartureRate(limits.departureWindow());
+  }
+
+  /**
+   * Takes over the registered servers of the pool.
+   *
+   * @param registered the servers
+   * @param now the time
+   */
+  public void update(List<BackendServer> registered, Duration now) {
+    Map<String, BackendServer> byId = new HashMap<>();
+    registered.forEach(server -> byId.put(server.id(), server));
+    servers.values().removeIf(load -> !byId.containsKey(load.server().id()));
+    byId.forEach(
+        (id, server) -> {
+          ServerLoad load = servers.computeIfAbsent(id, key -> new ServerLoad(server, limits));
+          load.update(server);
+          load.runningElsewhere(runningElsewhere.getOrDefault(id, 0));
+        });
+    dispatch(now);
+  }
+
+  /**
+   * Takes over what other gateways run.
+   *
+   * @param counts requests by server
+   * @param now the time
+   */
+  public void runningElsewhere(Map<String, Integer> counts, Duration now) {
+    runningElsewhere = Map.copyOf(counts);
+    servers.forEach((id, load) -> load.runningElsewhere(counts.getOrDefault(id, 0)));
+    dispatch(now);
+  }
+
+  /**
+   * Takes a request. It is started, kept waiting or refused.
+   *
+   * @param request the request
+   * @param now the time
+   */
+  public void submit(PlacedRequest request, Duration now) {
+    if (servers.values().stream().allMatch(load -> load.server().isLeaving())) {
+      effects.refuse(request, Refusal.NO_SERVER, NO_SERVER_RETRY);
+      return;
+    }
+    Duration wait = expectedWait(request.urgency(), now);
+    if (now.plus(wait).compareTo(request.startBy()) > 0) {
+      effects.refuse(request, Refusal.QUEUE_TOO_LONG, retryAfter(wait));
+      return;
+    }
+    waiting.computeIfAbsent(request.urgency(), key -> new ArrayList<>()).add(request);
+    dispatch(now);
+  }
+
+  /**
+   * Takes a request out of the queue.
+   *
+   * @param request a request that may wait
+   */
+  public void withdraw(PlacedRequest request) {
+    List<PlacedRequest> queue = waiting.get(request.urgency());
+    if (queue != null) {
+      queue.remove(request);
+    }
+  }
+
+  /**
+   * Notes the first part of an answer.
+   *
+   * @param request the request
+   * @param serverId the server that answers
+   * @param sinceStart the time since the request was sent there
+   */
+  public void firstPart(PlacedRequest request, String serverId, Duration sinceStart) {
+    load(serverId).ifPresent(load -> load.firstPart(request, sinceStart));
+  }
+
+  /**
+   * Notes how fast a server makes the events of a stream.
+   *
+   * @param serverId the server
+   * @param perEvent the mean time between two events
+   */
+  public void eventPace(String serverId, Duration perEvent) {
+    load(serverId).ifPresent(load -> load.eventPace(perEvent.toNanos() / 1e6));
+  }
+
+  /**
+   * Notes the end of an attempt.
+   *
+   * @param request the request
+   * @param serverId the server that had it
+   * @param result what it says about the server
+   * @param now the time
+   */
+  public void ended(PlacedRequest request, String serverId, AttemptResult result, Duration now) {
+    departures.departed(now);
+    load(serverId)
+        .ifPresent(
+            load -> {
+              load.finished(request);
+              switch (result) {
+                case SERVED -> load.succeeded();
+                case FAILED -> load.failed();
+                case UNREACHABLE -> load.unreachable(now);
+                case NEUTRAL -> {}
+              }
+            });
+    dispatch(now);
+  }
+
+  /**
+   * Applies the passage of time.
+   *
+   * @param now the time
+   */
+  public void tick(Duration now) {
+    refuseExpired(now);
+    dispatch(now);
+  }
+
+  /**
+   * Returns the number of waiting requests.
+   *
+   * @return the number
+   */
+  public int waitingCount() {
+    return waiting.values().stream().mapToInt(List::size).sum();
+  }
+
+  /**
+   * Returns how many requests of this gateway each server runs.
+   *
+   * @return counts by server
+   */
+  public Map<String, Integer> running() {
+    Map<String, Integer> counts = new HashMap<>();
+    servers.forEach((id, load) -> counts.put(id, load.occupied() - elsewhere(id)));
+    return counts;
+  }
+
+  private int elsewhere(String id) {
+    return runningElsewhere.getOrDefault(id, 0);
+  }
+
+  private Optional<ServerLoad> load(String serverId) {
+    return Optional.ofNullable(servers.get(serverId));
+  }
+
+  private void refuseExpired(Duration now) {
+    List<PlacedRequest> expired = new ArrayList<>();
+    for (List<PlacedRequest> queue : waiting.values()) {
+      Iterator<PlacedRequest> requests = queue.iterator();
+      while (requests.hasNext()) {
+        PlacedRequest request = requests.next();
+        if (now.compareTo(request.startBy()) >= 0) {
+          requests.remove();
+          expired.add(request);
+        }
+      }
+    }
+    expired.forEach(
+        request ->
+            effects.refuse(
+                request,
+                Refusal.WAITED_TOO_LONG,
+                retryAfter(expectedWait(request.urgency(), now))));
+  }
+
+  private void dispatch(Duration now) {
+    for (List<PlacedRequest> queue : List.copyOf(waiting.values())) {
+      while (!queue.isEmpty()) {
+        PlacedRequest next = nextOf(queue, now);
+        Optional<ServerLoad> place = choose(next, now);
+        if (place.isEmpty()) {
+          return;
+        }
+        queue.remove(next);
+        start(next, place.get());
+      }
+    }
+  }
+
+  private static PlacedRequest nextOf(List<PlacedRequest> queue, Duration now) {
+    return queue.stream()
+        .filter(request -> !request.isLate(now))
+        .findFirst()
+        .orElseGet(() -> queue.get(0));
+  }
+
+  private void start(PlacedRequest request, ServerLoad load) {
+    ServerEstimate estimate = load.estimate(request);
+    request.tried(load.server().id());
+    load.started(request);
+    effects.start(request, load.server(), estimate);
+  }
+
+  private Optional<ServerLoad> choose(PlacedRequest request, Duration now) {
+    int reserved = limits.reservedPerRank() * request.urgency().routeRank();
+    List<ServerLoad> open =
+        servers.values().stream()
+            .filter(load -> load.hasPlace(reserved) && !load.isAvoided(now))
+            .toList();
+    List<ServerLoad> untried =
+        open.stream().filter(load -> !request.hasTried(load.server().id())).toList();
+    return (untried.isEmpty() ? open : untried)
+        .stream().min(Comparator.comparingDouble(load -> cost(load, request)));
+  }
+
+  private static double cost(ServerLoad load, PlacedRequest request) {
+    return load.expectedFirstPart(request).toNanos() / 1e6
+        + load.failureRate() * FAILURE_COST_MILLIS;
+  }
+
+  /** Returns how long requests of the same or a higher tier that wait will take to start. */
+  private Duration expectedWait(Urgency urgency, Duration now) {
+    int ahead = waiting.headMap(urgency, true).values().stream().mapToInt(List::size).sum();
+    return departures.timeFor(ahead, now);
+  }
+
+  private static Duration retryAfter(Duration wait) {
+    if (wait.compareTo(MIN_RETRY) < 0) {
+      return MIN_RETRY;
+    }
+    return wait.compareTo(MAX_RETRY) > 0 ? MAX_RETRY : wait;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/placement/SchedulingLimits.java
@@ -0,0 +1,26 @@
+package org.wigeonstage.placement;
+
+import java.time.Duration;
+
+/**
+ * Limits of a {@link PoolScheduler}.
+ *
+ * @param reservedPerRank places of each server that a tier leaves to each tier above it
+ * @param extraPlaces requests that a server gets beyond its slots
+ * @param departureWindow the time over which the rate of finished requests is measured
+ * @param avoidAfterFailure how long a server is avoided after a first failure to reach it; doubled
+ *     with each further one
+ * @param maxAvoid the longest time for which a server is avoided
+ */
+public record SchedulingLimits(
+    int reservedPerRank,
+    int extraPlaces,
+    Duration departureWindow,
+    Duration avoidAfterFailure,
+    Duration maxAvoid) {
+
+  /** For engines and services that admit in order of arrival. */
+  public static final SchedulingLimits DEFAULTS =
+      new SchedulingLimits(
+          1, 0, Duration.ofSeconds(2), Duration.ofMillis(400), Duration.ofMillis(3000));
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/placement/ServerLoad.java
@@ -0,0 +1,126 @@
+package org.wigeonstage.placement;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.wigeonstage.fleet.BackendServer;
+
+/** What is believed of one backend server. */
+final class ServerLoad {
+
+  /** The weight of the newest value in running averages. */
+  private static final double GAIN = 0.1;
+
+  /** The failure rate that one failed request adds. */
+  private static final double FAILURE_GAIN = 0.2;
+
+  /** What a prompt's token costs before anything was learned: engines read about 100 in a ms. */
+  private static final double INITIAL_MILLIS_PER_TOKEN = 0.01;
+
+  /** The time to the first part of a short prompt before anything was learned. */
+  private static final double INITIAL_FIRST_PART_MILLIS = 40;
+
+  private final SchedulingLimits limits;
+  private final Map<PlacedRequest, Boolean> running = new HashMap<>();
+  private BackendServer server;
+  private int runningElsewhere;
+  private double millisPerEvent;
+  private double firstPartMillis = INITIAL_FIRST_PART_MILLIS;
+  private double failureRate;
+  private int unreachableInARow;
+  private Duration avoidUntil = Duration.ZERO;
+
+  ServerLoad(BackendServer server, SchedulingLimits limits) {
+    this.server = server;
+    this.limits = limits;
+  }
+
+  BackendServer server() {
+    return server;
+  }
+
+  void update(BackendServer newer) {
+    server = newer;
+  }
+
+  void runningElsewhere(int count) {
+    runningElsewhere = count;
+  }
+
+  void started(PlacedRequest request) {
+    running.put(request, Boolean.FALSE);
+  }
+
+  void firstPart(PlacedRequest request, Duration sinceStart) {
+    if (running.replace(request, Boolean.TRUE) == null) {
+      return;
+    }
+    double own = sinceStart.toMillis() - request.promptTokens() * INITIAL_MILLIS_PER_TOKEN;
+    firstPartMillis += GAIN * (Math.max(own, 0) - firstPartMillis);
+    unreachableInARow = 0;
+  }
+
+  void eventPace(double millis) {
+    millisPerEvent =
+        millisPerEvent == 0 ? millis : millisPerEvent + GAIN * (millis - millisPerEvent);
+  }
+
+  void finished(PlacedRequest request) {
+    running.remove(request);
+  }
+
+  void succeeded() {
+    failureRate -= GAIN * failureRate;
+    unreachableInARow = 0;
+  }
+
+  void failed() {
+    failureRate += FAILURE_GAIN * (1 - failureRate);
+  }
+
+  void unreachable(Duration now) {
+    failed();
+    Duration pause = limits.avoidAfterFailure().multipliedBy(1L << Math.min(unreachableInARow, 6));
+    unreachableInARow++;
+    avoidUntil = now.plus(pause.compareTo(limits.maxAvoid()) < 0 ? pause : limits.maxAvoid());
+  }
+
+  boolean isAvoided(Duration now) {
+    return now.compareTo(avoidUntil) < 0;
+  }
+
+  int occupied() {
+    return running.size() + runningElsewhere;
+  }
+
+  boolean isIdle() {
+    return running.isEmpty();
+  }
+
+  boolean hasPlace(int reserved) {
+    return !server.isLeaving() && occupied() < server.slots() + limits.extraPlaces() - reserved;
+  }
+
+  double failureRate() {
+    return failureRate;
+  }
+
+  /** Returns the expected time to the first part of the request's answer. */
+  Duration expectedFirstPart(PlacedRequest request) {
+    long unread = request.promptTokens();
+    for (Map.Entry<PlacedRequest, Boolean> entry : running.entrySet()) {
+      if (!entry.getValue()) {
+        unread += entry.getKey().promptTokens();
+      }
+    }
+    double pace = Math.max(millisPerEvent, 1);
+    double load = (double) occupied() / Math.max(server.slots(), 1);
+    double millis = firstPartMillis + unread * INITIAL_MILLIS_PER_TOKEN + pace * load;
+    return Duration.ofNanos((long) (millis * 1e6));
+  }
+
+  ServerEstimate estimate(PlacedRequest request) {
+    return new ServerEstimate(
+        running.size(), runningElsewhere, server.slots(), expectedFirstPart(request));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/platform/PlatformFleetStore.java
@@ -0,0 +1,70 @@
+package org.wigeonstage.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.fleet.FleetStore;
+import org.wigeonstage.fleet.Peer;
+import org.wigeonstage.fleet.RoutingRevision;
+import org.wigeonstage.fleet.ServerList;
+
+/** Configuration, runners and gateways in the platform's store. */
+final class PlatformFleetStore implements FleetStore {
+
+  private static final String CONFIGURATION_KIND = "config";
+  private static final String CONFIGURATION_NAME = "main";
+  private static final String SERVER_KIND = "servers";
+  private static final String GATEWAY_KIND = "gateways";
+
+  private final PlatformObjects objects;
+
+  PlatformFleetStore(PlatformObjects objects) {
+    this.objects = objects;
+  }
+
+  @Override
+  public Optional<RoutingRevision> readRouting() {
+    return objects
+        .get(CONFIGURATION_KIND, CONFIGURATION_NAME)
+        .map(
+            object ->
+                new RoutingRevision(
+                    object.path("metadata").path("revision").asLong(),
+                    RoutingDecoder.decode(object.path("spec"))));
+  }
+
+  @Override
+  public ServerList readServers() {
+    PlatformObjects.Listing listing = objects.list(SERVER_KIND);
+    List<BackendServer> servers = new ArrayList<>();
+    for (JsonNode object : listing.objects()) {
+      ServerDecoder.decode(PlatformObjects.nameOf(object), object.path("spec"))
+          .ifPresent(servers::add);
+    }
+    return new ServerList(listing.revision(), servers, listing.objects().size() - servers.size());
+  }
+
+  @Override
+  public List<Peer> readPeers() {
+    List<Peer> peers = new ArrayList<>();
+    for (JsonNode object : objects.list(GATEWAY_KIND).objects()) {
+      JsonNode address = object.path("spec").path("address");
+      if (address.isTextual()) {
+        peers.add(new Peer(PlatformObjects.nameOf(object), address.asText()));
+      }
+    }
+    return peers;
+  }
+
+  @Override
+  public void register(Peer peer) {
+    ObjectNode object = JsonNodeFactory.instance.objectNode();
+    object.putObject("metadata").put("name", peer.name());
+    object.putObject("spec").put("address", peer.address());
+    objects.put(GATEWAY_KIND, peer.name(), object);
+  }
+}
--- a/src/main/java/org/wigeonstage/platform/package-info.java
+++ b/src/main/java/org/wigeonstage/platform/package-info.java
@@ -1,4 +1,4 @@
-/** Access to the platform's object API and its list of hosts. */
+/** Adapter for the users' platform: its store, configuration, list of runners and header fields. */
 @NullMarked
 package org.wigeonstage.platform;
 
--- /dev/null
+++ b/src/main/java/org/wigeonstage/quota/TokenBucket.java
@@ -0,0 +1,62 @@
+package org.wigeonstage.quota;
+
+import java.time.Duration;
+
+/** A bucket that fills at a steady rate up to a limit. It may be overdrawn by {@link #charge}. */
+final class TokenBucket {
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private double perSecond;
+  private double capacity;
+  private double level;
+  private Duration updatedAt;
+
+  TokenBucket(double perSecond, double capacity, double level, Duration now) {
+    this.perSecond = perSecond;
+    this.capacity = capacity;
+    this.level = level;
+    this.updatedAt = now;
+  }
+
+  /** Changes rate and capacity. */
+  void resize(double newPerSecond, double newCapacity, Duration now) {
+    refill(now);
+    perSecond = newPerSecond;
+    capacity = newCapacity;
+    level = Math.min(level, capacity);
+  }
+
+  /** Takes units if there are as many, or if the bucket is full and can't hold as many. */
+  boolean tryTake(double units, Duration now) {
+    refill(now);
+    if (level < Math.min(units, capacity)) {
+      return false;
+    }
+    level -= units;
+    return true;
+  }
+
+  /** Takes units that were used already; gives back where negative. */
+  void charge(double units, Duration now) {
+    refill(now);
+    level = Math.min(capacity, level - units);
+  }
+
+  /** Returns how long it takes until the units are there. */
+  Duration timeUntil(double units, Duration now) {
+    refill(now);
+    double missing = Math.min(units, capacity) - level;
+    return missing <= 0
+        ? Duration.ZERO
+        : Duration.ofNanos((long) (missing / perSecond * NANOS_PER_SECOND));
+  }
+
+  private void refill(Duration now) {
+    double seconds = now.minus(updatedAt).toNanos() / NANOS_PER_SECOND;
+    if (seconds > 0) {
+      level = Math.min(capacity, level + seconds * perSecond);
+      updatedAt = now;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/quota/package-info.java
@@ -0,0 +1,5 @@
+/** Limits that all gateways share: token quotas of client accounts and retry budgets of pools. */
+@NullMarked
+package org.wigeonstage.quota;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/src/main/java/org/wigeonstage/settings/GatewaySettings.java
@@ -0,0 +1,58 @@
+package org.wigeonstage.settings;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import java.time.Duration;
+
+/**
+ * Settings of a gateway. Addresses are written as IP number, colon and port.
+ *
+ * @param name the gateway's name, unique over all processes
+ * @param failureDomain the failure domain of its host
+ * @param callers where to listen for callers
+ * @param readiness where to listen for the balancer's readiness checks
+ * @param peers where to listen for other gateways
+ * @param metrics where to serve metrics
+ * @param store the address of the platform's store
+ * @param isFirstStart whether the whole system starts for the first time
+ * @param revocationMillis how long after its removal a key may still be accepted
+ * @param retryRatio attempts after first ones for each request
+ * @param retryFixed attempts after first ones beside those, over all gateways
+ * @param retryWindowSeconds the window of both
+ * @param graceSeconds how long a leaving process may finish its work
+ * @param log {@code json} or {@code text}
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+public record GatewaySettings(
+    String name,
+    String failureDomain,
+    String callers,
+    String readiness,
+    String peers,
+    String metrics,
+    String store,
+    boolean isFirstStart,
+    long revocationMillis,
+    double retryRatio,
+    int retryFixed,
+    int retryWindowSeconds,
+    int graceSeconds,
+    String log) {
+
+  /**
+   * Returns how long after its removal a key may still be accepted.
+   *
+   * @return the time
+   */
+  public Duration revocation() {
+    return Duration.ofMillis(revocationMillis);
+  }
+
+  /**
+   * Returns how long a leaving process may finish its work.
+   *
+   * @return the time
+   */
+  public Duration grace() {
+    return Duration.ofSeconds(graceSeconds);
+  }
+}
--- a/src/main/java/org/wigeonstage/settings/SettingsLoader.java
+++ b/src/main/java/org/wigeonstage/settings/SettingsLoader.java
@@ -21,6 +21,9 @@
 public final class SettingsLoader {
 
   private static final int MAX_PORT = 65_535;
+  private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,63}";
+  private static final String ADDRESS = "[0-9.]{7,15}:[0-9]{1,5}";
+  private static final String GATEWAY_FILE = "the file of the gateway's settings";
 
   private SettingsLoader() {}
 
@@ -75,6 +78,65 @@
     return Json.read(tree, AgentSettings.class);
   }
 
+  /**
+   * Reads the settings of a gateway.
+   *
+   * @param file the JSON file
+   * @return the settings
+   */
+  public static GatewaySettings loadGateway(Path file) {
+    return gatewayOf(readFile(file));
+  }
+
+  /**
+   * Returns the settings of a gateway. They are checked here and not by a schema, because loading
+   * the validator takes a large part of a gateway's start.
+   *
+   * @param text the JSON text
+   * @return the settings
+   */
+  public static GatewaySettings gatewayOf(String text) {
+    JsonNode tree = complete("gateway", text);
+    List<Fault> faults = new ArrayList<>();
+    if (!tree.isObject()) {
+      faults.add(new Fault("", "must be an object"));
+      refuseIfFaulty(GATEWAY_FILE, faults);
+    }
+    for (String field : List.of("name", "failureDomain")) {
+      checkText(tree, field, NAME, faults);
+    }
+    List<String> addresses = List.of("callers", "readiness", "peers", "metrics", "store");
+    for (String field : addresses) {
+      checkText(tree, field, ADDRESS, faults);
+    }
+    checkPorts(tree, addresses, faults);
+    checkText(tree, "log", "json|text", faults);
+    checkNumber(tree, "revocationMillis", 1, 600_000, faults);
+    checkNumber(tree, "retryRatio", 0, 10, faults);
+    checkNumber(tree, "retryFixed", 0, 1_000_000, faults);
+    checkNumber(tree, "retryWindowSeconds", 1, 3600, faults);
+    checkNumber(tree, "graceSeconds", 1, 3600, faults);
+    refuseIfFaulty(GATEWAY_FILE, faults);
+    return Json.read(tree, GatewaySettings.class);
+  }
+
+  private static void checkText(JsonNode tree, String field, String pattern, List<Fault> faults) {
+    JsonNode value = tree.path(field);
+    if (!value.isTextual()) {
+      faults.add(new Fault("/" + field, "must be given as text"));
+    } else if (!value.asText().matches(pattern)) {
+      faults.add(new Fault("/" + field, "must match " + pattern));
+    }
+  }
+
+  private static void checkNumber(
+      JsonNode tree, String field, double min, double max, List<Fault> faults) {
+    JsonNode value = tree.path(field);
+    if (!value.isNumber() || value.asDouble() < min || value.asDouble() > max) {
+      faults.add(new Fault("/" + field, "must be a number from " + min + " to " + max));
+    }
+  }
+
   private static JsonNode complete(String role, String text) {
     JsonNode given = Json.parse(text);
     JsonNode defaults = Json.parse(resource(role + ".defaults.json"));
--- a/src/main/java/org/wigeonstage/standin/ObjectTable.java
+++ b/src/main/java/org/wigeonstage/standin/ObjectTable.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
-import org.wigeonstage.platform.ObjectList;
-import org.wigeonstage.platform.StoredObject;
+import org.wigeonstage.store.ObjectList;
+import org.wigeonstage.store.StoredObject;
 
 /** Versioned objects in memory, and those who wait for a write. Safe for use by several threads. */
 final class ObjectTable {
--- a/src/main/java/org/wigeonstage/standin/PlatformStandin.java
+++ b/src/main/java/org/wigeonstage/standin/PlatformStandin.java
@@ -20,9 +20,9 @@
 import org.wigeonstage.http.HttpServer;
 import org.wigeonstage.http.Problem;
 import org.wigeonstage.http.ServerExchange;
-import org.wigeonstage.platform.ListedHost;
-import org.wigeonstage.platform.ObjectList;
-import org.wigeonstage.platform.StoredObject;
+import org.wigeonstage.store.ListedHost;
+import org.wigeonstage.store.ObjectList;
+import org.wigeonstage.store.StoredObject;
 
 /**
  * Stands in for the platform: an object API with versions, conditional writes, watches and rate
--- a/src/main/java/org/wigeonstage/platform/HttpObjectStore.java
+++ b/src/main/java/org/wigeonstage/store/HttpObjectStore.java
@@ -1,4 +1,4 @@
-package org.wigeonstage.platform;
+package org.wigeonstage.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/org/wigeonstage/platform/ListedHost.java
+++ b/src/main/java/org/wigeonstage/store/ListedHost.java
@@ -1,4 +1,4 @@
-package org.wigeonstage.platform;
+package org.wigeonstage.store;
 
 /**
  * A host in the platform's list.
--- a/src/main/java/org/wigeonstage/platform/ObjectList.java
+++ b/src/main/java/org/wigeonstage/store/ObjectList.java
@@ -1,4 +1,4 @@
-package org.wigeonstage.platform;
+package org.wigeonstage.store;
 
 import java.util.List;
 
--- a/src/main/java/org/wigeonstage/platform/StoreException.java
+++ b/src/main/java/org/wigeonstage/store/StoreException.java
@@ -1,4 +1,4 @@
-package org.wigeonstage.platform;
+package org.wigeonstage.store;
 
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.ErrorCode;
--- a/src/main/java/org/wigeonstage/platform/StoredObject.java
+++ b/src/main/java/org/wigeonstage/store/StoredObject.java
@@ -1,4 +1,4 @@
-package org.wigeonstage.platform;
+package org.wigeonstage.store;
 
 /**
  * An object of the platform's object API.
--- a/src/main/java/org/wigeonstage/telemetry/LogSetup.java
+++ b/src/main/java/org/wigeonstage/telemetry/LogSetup.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.function.LongSupplier;
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
@@ -16,6 +17,9 @@
   /** Loggers are held weakly by their registry; this reference keeps the level set. */
   private static final Logger GRIZZLY = Logger.getLogger("org.glassfish.grizzly");
 
+  /** The logger whose messages are JSON objects already. */
+  private static final String DECISIONS = DecisionLog.class.getName();
+
   private LogSetup() {}
 
   /**
@@ -25,12 +29,32 @@
    * @param format {@code json}, {@code text} or {@code auto}
    */
   public static void apply(String process, String format) {
-    Logger root = Logger.getLogger("");
-    for (Handler handler : root.getHandlers()) {
-      root.removeHandler(handler);
-    }
     ConsoleHandler handler = new ConsoleHandler();
     handler.setFormatter(isJson(format) ? new JsonLines(process) : new TextLines());
+    install(handler);
+  }
+
+  /**
+   * Sends logs to standard output without ever blocking; lines that can't be written in time are
+   * dropped and counted.
+   *
+   * @param process the name of the process, which stands in each JSON line
+   * @param format {@code json}, {@code text} or {@code auto}
+   * @return returns the number of lines dropped so far
+   */
+  public static LongSupplier applyBounded(String process, String format) {
+    BoundedLogHandler handler =
+        new BoundedLogHandler(
+            System.out, isJson(format) ? new JsonLines(process) : new TextLines());
+    install(handler);
+    return handler::dropped;
+  }
+
+  private static void install(Handler handler) {
+    Logger root = Logger.getLogger("");
+    for (Handler previous : root.getHandlers()) {
+      root.removeHandler(previous);
+    }
     handler.setLevel(Level.INFO);
     root.addHandler(handler);
     GRIZZLY.setLevel(Level.WARNING);
@@ -51,6 +75,11 @@
 
     @Override
     public String format(LogRecord record) {
+      String message = formatMessage(record);
+      if (DECISIONS.equals(record.getLoggerName()) && message.startsWith("{")) {
+        return "{\"time\":\"%s\",\"process\":\"%s\",%s%n"
+            .formatted(record.getInstant(), process, message.substring(1));
+      }
       ObjectNode line =
           JsonNodeFactory.instance
               .objectNode()
@@ -58,7 +87,7 @@
               .put("level", record.getLevel().getName())
               .put("process", process)
               .put("logger", record.getLoggerName())
-              .put("message", formatMessage(record));
+              .put("message", message);
       @Nullable Throwable thrown = record.getThrown();
       if (thrown != null) {
         line.put("error", thrown.toString());
--- a/src/test/java/org/wigeonstage/LayeringTest.java
+++ b/src/test/java/org/wigeonstage/LayeringTest.java
@@ -35,7 +35,7 @@
               "java.util.concurrent.locks..",
               "org.wigeonstage.http..",
               "org.wigeonstage.wire..",
-              "org.wigeonstage.platform..");
+              "org.wigeonstage.store..");
 
   @ArchTest
   static final ArchRule decisionsStartNoThreads =
--- a/src/test/java/org/wigeonstage/config/ConfigurationWriterTest.java
+++ b/src/test/java/org/wigeonstage/config/ConfigurationWriterTest.java
@@ -16,8 +16,8 @@
 import org.wigeonstage.common.InvalidDocumentException;
 import org.wigeonstage.common.Json;
 import org.wigeonstage.config.ChangeResult.Decision;
-import org.wigeonstage.platform.StoreException;
-import org.wigeonstage.platform.StoredObject;
+import org.wigeonstage.store.StoreException;
+import org.wigeonstage.store.StoredObject;
 
 class ConfigurationWriterTest {
 
--- a/src/test/java/org/wigeonstage/config/FlakyStore.java
+++ b/src/test/java/org/wigeonstage/config/FlakyStore.java
@@ -6,11 +6,11 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.wigeonstage.common.ErrorCode;
-import org.wigeonstage.platform.ListedHost;
-import org.wigeonstage.platform.ObjectList;
-import org.wigeonstage.platform.ObjectStore;
-import org.wigeonstage.platform.StoreException;
-import org.wigeonstage.platform.StoredObject;
+import org.wigeonstage.store.ListedHost;
+import org.wigeonstage.store.ObjectList;
+import org.wigeonstage.store.ObjectStore;
+import org.wigeonstage.store.StoreException;
+import org.wigeonstage.store.StoredObject;
 
 /**
  * One object with conditional writes, whose calls fail now and then: refused, done with the answer
--- a/src/test/java/org/wigeonstage/console/ConsoleHandlerTest.java
+++ b/src/test/java/org/wigeonstage/console/ConsoleHandlerTest.java
@@ -26,10 +26,10 @@
 import org.wigeonstage.http.HttpClient;
 import org.wigeonstage.http.HttpServer;
 import org.wigeonstage.http.OperatorKeys;
-import org.wigeonstage.platform.HttpObjectStore;
 import org.wigeonstage.request.HttpCall;
 import org.wigeonstage.standin.PlatformFaults;
 import org.wigeonstage.standin.PlatformStandin;
+import org.wigeonstage.store.HttpObjectStore;
 
 class ConsoleHandlerTest {
 
--- a/src/test/java/org/wigeonstage/membership/EntrySharesTest.java
+++ b/src/test/java/org/wigeonstage/membership/EntrySharesTest.java
@@ -5,8 +5,8 @@
 import java.util.Arrays;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.wigeonstage.platform.ObjectList;
-import org.wigeonstage.platform.StoredObject;
+import org.wigeonstage.store.ObjectList;
+import org.wigeonstage.store.StoredObject;
 
 class EntrySharesTest {
 
--- a/src/test/java/org/wigeonstage/membership/HostListTest.java
+++ b/src/test/java/org/wigeonstage/membership/HostListTest.java
@@ -4,7 +4,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.wigeonstage.platform.ListedHost;
+import org.wigeonstage.store.ListedHost;
 
 class HostListTest {
 
