Share loads and quota use among gateways; leave, start and place with knowledge of durations

Gateways did not know of each other: quotas were used four times over, and each saw only its own part of a server's load. Leaving gateways serve what they can finish; requests that come before the first configuration wait for it; a broken stream without a free server is broken off and never ended with an error body.

--- a/src/main/java/org/wigeonstage/cli/Main.java
+++ b/src/main/java/org/wigeonstage/cli/Main.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.cli;
 
 import java.util.List;
+import org.wigeonstage.telemetry.LastingLogManager;
 
 /** Starts the subcommand that the first arguments name. */
 public final class Main {
@@ -13,6 +14,7 @@
    * @param args the subcommand's name and its options
    */
   public static void main(String[] args) {
+    LastingLogManager.install();
     Console console = new Console(System.out, System.err);
     System.exit(new CommandRunner(commands(), console).run(args));
   }
--- a/src/main/java/org/wigeonstage/entry/LinkKeeper.java
+++ b/src/main/java/org/wigeonstage/entry/LinkKeeper.java
@@ -134,7 +134,7 @@
     target.attemptedAt = now;
     connector.connect(
         target.endpoint,
-        () -> target.attemptedAt = clock.elapsed().minus(HELLO_TIMEOUT).plus(RECONNECT_DELAY));
+        cause -> target.attemptedAt = clock.elapsed().minus(HELLO_TIMEOUT).plus(RECONNECT_DELAY));
   }
 
   /**
--- a/src/main/java/org/wigeonstage/forward/RequestFields.java
+++ b/src/main/java/org/wigeonstage/forward/RequestFields.java
@@ -13,6 +13,8 @@
  * @param key the key that shows the client account
  * @param promptTokens the tokens of the prompt, or 0
  * @param outputTokens the most tokens that may be generated, or 0
+ * @param expectedOutputTokens the caller's estimate of the tokens that will be generated, or 0;
+ *     right in the median and often far off
  * @param declaredTokens the tokens that count against a quota, or -1 where none are declared
  * @param promptTail names the last part of the prompt, which a session's requests share
  * @param resumeAfter the last event that the caller has of a stream it resumes
@@ -24,6 +26,7 @@
     Optional<String> key,
     long promptTokens,
     long outputTokens,
+    long expectedOutputTokens,
     long declaredTokens,
     Optional<String> promptTail,
     OptionalLong resumeAfter,
--- a/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
+++ b/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
@@ -1,22 +1,39 @@
 package org.wigeonstage.gateway;
 
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import org.wigeonstage.http.RequestHandler;
 import org.wigeonstage.http.ServerExchange;
 
-/** Takes callers' requests through the filters to their placement. */
+/**
+ * Takes callers' requests through the filters to their placement.
+ *
+ * <p>Requests that come before the configuration is known wait a moment for it, because it takes a
+ * few hundred milliseconds after a start.
+ */
 final class CallersEndpoint implements RequestHandler {
 
+  /** The longest time that a request waits for the first configuration. */
+  private static final Duration MAX_START_WAIT = Duration.ofMillis(700);
+
+  private static final int MAX_EARLY_CALLS = 500;
+
   private final GatewayCore core;
+  private final Beliefs beliefs;
   private final List<InboundFilter> filters;
+  private final Deque<InboundCall> early = new ArrayDeque<>();
 
-  CallersEndpoint(GatewayCore core, Beliefs beliefs) {
+  CallersEndpoint(GatewayCore core, Beliefs beliefs, Duration grace) {
     this.core = core;
+    this.beliefs = beliefs;
     this.filters =
         List.of(
             new FreshnessFilter(beliefs),
             new RouteFilter(),
+            new LeavingFilter(core, grace),
             new KeyFilter(),
             new QuotaFilter(core.quotas()));
   }
@@ -29,6 +46,18 @@
   private void take(ServerExchange exchange) {
     InboundCall call =
         new InboundCall(exchange, core.dialect().decodeRequest(exchange.fields()), core.now());
+    if (isStarting() && early.size() < MAX_EARLY_CALLS) {
+      early.addLast(call);
+    } else {
+      filter(call);
+    }
+  }
+
+  private boolean isStarting() {
+    return beliefs.routing().isEmpty() || !core.knowsServers();
+  }
+
+  private void filter(InboundCall call) {
     for (InboundFilter filter : filters) {
       Optional<Rejection> rejection = filter.apply(call);
       if (rejection.isPresent()) {
@@ -38,4 +67,16 @@
     }
     core.accept(call);
   }
+
+  /** Goes on with requests that wait for the first configuration. */
+  void tick() {
+    Duration now = core.now();
+    while (!early.isEmpty()) {
+      boolean isOverdue = now.minus(early.getFirst().arrivedAt()).compareTo(MAX_START_WAIT) > 0;
+      if (isStarting() && !isOverdue) {
+        return;
+      }
+      filter(early.removeFirst());
+    }
+  }
 }
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -141,6 +141,10 @@
 
   /** Refuses the request because no backend server can take it. */
   void refuse(Refusal reason, Duration retryAfter) {
+    if (begun) {
+      breakOff();
+      return;
+    }
     if (mayHaveRun) {
       fail(ErrorCode.ANSWER_LOST, "the answer was lost, and no other server is free");
       return;
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -12,11 +12,12 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
-import org.wigeonstage.common.ErrorCode;
+import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.fleet.ServerList;
 import org.wigeonstage.forward.HeaderDialect;
+import org.wigeonstage.handover.Message;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.PooledHttpClient;
 import org.wigeonstage.http.Problem;
@@ -29,6 +30,7 @@
 import org.wigeonstage.placement.ServerEstimate;
 import org.wigeonstage.placement.Urgency;
 import org.wigeonstage.quota.AccountQuotas;
+import org.wigeonstage.quota.QuotaTolerance;
 import org.wigeonstage.quota.RetryBudget;
 import org.wigeonstage.quota.RetryLimits;
 import org.wigeonstage.request.HeaderFields;
@@ -65,7 +67,7 @@
   private final PooledHttpClient client;
   private final MetricRegistry metrics;
   private final RetryLimits retryLimits;
-  private final AccountQuotas quotas = new AccountQuotas();
+  private final AccountQuotas quotas;
   private final SplittableRandom random = new SplittableRandom();
   private final TrailSampler sampler = new TrailSampler();
   private final Map<String, PoolScheduler> pools = new HashMap<>();
@@ -74,19 +76,22 @@
   private List<BackendServer> servers = List.of();
   private Set<String> knownServers = Set.of();
   private int gateways = 1;
-  private boolean leaving;
+  private boolean serversKnown;
+  private @Nullable Duration leavingSince;
 
   GatewayCore(
       MonotonicClock clock,
       HeaderDialect dialect,
       PooledHttpClient client,
       MetricRegistry metrics,
-      RetryLimits retryLimits) {
+      RetryLimits retryLimits,
+      QuotaTolerance quotaTolerance) {
     this.clock = clock;
     this.dialect = dialect;
     this.client = client;
     this.metrics = metrics;
     this.retryLimits = retryLimits;
+    this.quotas = new AccountQuotas(quotaTolerance, clock.elapsed());
   }
 
   /** Runs an action with the state to itself. */
@@ -126,6 +131,8 @@
             arrivedAt.plus(scale(route.firstPartObjective(), ON_TIME_SHARE)),
             arrivedAt.plus(patience(route, limit)),
             call.fields().promptTokens(),
+            pool(pool).eventsOf(call.fields().expectedOutputTokens()),
+            arrivedAt.plus(limit),
             call.fields().promptTail());
     RequestTrail trail = new RequestTrail(call.fields().id(), arrivedAt);
     trail
@@ -134,7 +141,11 @@
         .put("kind", route.kind().name())
         .put("pool", pool)
         .put("account", call.account().map(account -> account.name()).orElse(""))
+        .put("accountRank", placed.urgency().accountRank())
+        .put("routeRank", placed.urgency().routeRank())
+        .put("lengthHint", call.fields().expectedOutputTokens())
         .put("promptTokens", call.fields().promptTokens())
+        .put("outputTokens", call.fields().outputTokens())
         .put("configurationVersion", call.table().version())
         .put("timeLimitMillis", limit.toMillis());
     ForwardedRequest request =
@@ -247,15 +258,32 @@
 
   /** Asks the caller to close its connection while this process leaves. */
   HeaderFields closing(HeaderFields fields) {
-    return leaving ? fields.with("Connection", "close") : fields;
+    return isLeaving() ? fields.with("Connection", "close") : fields;
   }
 
   void leave() {
-    leaving = true;
+    leavingSince = now();
   }
 
   boolean isLeaving() {
-    return leaving;
+    return leavingSince != null;
+  }
+
+  /** Returns how long the process has been leaving, or zero. */
+  Duration leavingFor() {
+    Duration since = leavingSince;
+    return since == null ? Duration.ZERO : now().minus(since);
+  }
+
+  /** Returns how long the whole answer to a request is expected to take. */
+  Duration expectedDuration(InboundCall call) {
+    return pool(call.route().poolFor(0))
+        .expectedDuration(call.fields().promptTokens(), call.fields().expectedOutputTokens());
+  }
+
+  /** Returns whether the list of backend servers is known. */
+  boolean knowsServers() {
+    return serversKnown;
   }
 
   int openRequests() {
@@ -265,11 +293,12 @@
   /** Takes over a configuration. */
   void configure(RoutingTable table) {
     quotas.configure(table.accounts(), now());
-    table.pools().forEach(definition -> pool(definition.name()));
+    table.pools().forEach(definition -> pool(definition.name()).define(definition));
   }
 
   /** Takes over the list of backend servers. */
   void update(ServerList list) {
+    serversKnown = true;
     servers = list.servers();
     Set<String> ids = servers.stream().map(BackendServer::id).collect(Collectors.toSet());
     logChanges(ids, list);
@@ -306,6 +335,23 @@
     gateways = Math.max(1, count);
   }
 
+  int gateways() {
+    return gateways;
+  }
+
+  /** Takes over what the other gateways run, by backend server. */
+  void runningElsewhere(Map<String, Integer> counts) {
+    Duration now = now();
+    pools.values().forEach(pool -> pool.runningElsewhere(counts, now));
+  }
+
+  /** Returns what this gateway runs and has used, for its peers. */
+  Message.GatewayLoad load() {
+    Map<String, Integer> running = new HashMap<>();
+    pools.values().forEach(pool -> running.putAll(pool.running()));
+    return new Message.GatewayLoad(running, quotas.ownUse());
+  }
+
   /** Applies the passage of time. */
   void tick() {
     Duration now = now();
@@ -346,9 +392,4 @@
     open.values().forEach(request -> requests.add(request.describe()));
     return requests;
   }
-
-  /** Returns the error that tells callers that the process leaves. */
-  static Rejection leavingRejection() {
-    return Rejection.retryable(ErrorCode.LEAVING, "the process is leaving", Duration.ofMillis(100));
-  }
 }
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -60,6 +60,8 @@
   private final HttpServer callers;
   private final HttpServer readiness;
   private final StoreFollower follower;
+  private final CallersEndpoint endpoint;
+  private final PeerExchange peers;
   private final ScheduledExecutorService control = ControlThreads.single("control");
 
   private GatewayProcess(GatewaySettings settings, FleetStore store, HeaderDialect dialect) {
@@ -73,11 +75,15 @@
             settings.retryFixed(),
             Duration.ofSeconds(settings.retryWindowSeconds()),
             RETRY_SAFETY);
-    this.core = new GatewayCore(clock, dialect, client, metrics, retryLimits);
+    this.core =
+        new GatewayCore(clock, dialect, client, metrics, retryLimits, settings.quotaTolerance());
     Duration maxAge =
         Duration.ofMillis((long) (settings.revocation().toMillis() * FRESHNESS_SHARE));
     this.beliefs = new Beliefs(clocks, maxAge);
     this.follower = closer.register(new StoreFollower(store, clocks, beliefs, core));
+    this.peers =
+        closer.register(
+            new PeerExchange(settings.name(), Endpoint.of(settings.peers()), store, core, metrics));
     this.readiness =
         closer.register(
             HttpServer.start(
@@ -85,13 +91,14 @@
                 Endpoint.of(settings.readiness()),
                 new ServerOptions(MAX_HEAD_BYTES, PROBE_BODY_BYTES, IDLE_TIMEOUT, 1),
                 new ProbeHandler(new ProbePages(metrics, this::isReady))));
+    this.endpoint = new CallersEndpoint(core, beliefs, settings.grace());
     this.callers =
         closer.register(
             HttpServer.start(
                 "callers",
                 Endpoint.of(settings.callers()),
                 new ServerOptions(MAX_HEAD_BYTES, MAX_BODY_BYTES, IDLE_TIMEOUT, HANDLER_THREADS),
-                new CallersEndpoint(core, beliefs)));
+                endpoint));
     metrics.registerAll("jvm.memory", new MemoryUsageGaugeSet());
     metrics.register(
         "configuration.ageMillis",
@@ -111,6 +118,7 @@
       GatewaySettings settings, FleetStore store, HeaderDialect dialect) {
     GatewayProcess process = new GatewayProcess(settings, store, dialect);
     process.follower.start();
+    process.peers.start();
     process.control.scheduleWithFixedDelay(
         process::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
     DecisionLog.write("started", "callers", settings.callers(), "store", settings.store());
@@ -120,6 +128,8 @@
   private void tick() {
     try {
       core.run(core::tick);
+      core.run(endpoint::tick);
+      core.run(peers::tick);
       client.closeExpired();
     } catch (RuntimeException e) {
       logger.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(e).log("control task failed");
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.handover;
 
 import java.time.Instant;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.request.Outcome;
@@ -176,4 +177,19 @@
    * @param document the document's JSON text
    */
   record ConfigSnapshot(long version, String document) implements Message {}
+
+  /**
+   * What a gateway runs and has used, sent to its peers again and again.
+   *
+   * @param running its running requests, by backend server
+   * @param used what it has taken from quotas since its start, by client account
+   */
+  record GatewayLoad(Map<String, Integer> running, Map<String, Long> used) implements Message {
+
+    /** Makes the maps immutable. */
+    public GatewayLoad {
+      running = Map.copyOf(running);
+      used = Map.copyOf(used);
+    }
+  }
 }
--- a/src/main/java/org/wigeonstage/placement/PlacedRequest.java
+++ b/src/main/java/org/wigeonstage/placement/PlacedRequest.java
@@ -14,6 +14,8 @@
   private final Duration onTimeUntil;
   private final Duration startBy;
   private final long promptTokens;
+  private final long expectedEvents;
+  private final Duration deadline;
   private final Optional<String> affinity;
   private final Set<String> triedServers = new HashSet<>();
 
@@ -26,6 +28,8 @@
    * @param onTimeUntil the latest start with which its first part is on time
    * @param startBy the latest start that is of use
    * @param promptTokens the length of its prompt, or 0
+   * @param expectedEvents the expected number of events of its answer, or 0
+   * @param deadline when its whole answer must be there
    * @param affinity what requests share that profit from the same server
    */
   public PlacedRequest(
@@ -35,6 +39,8 @@
       Duration onTimeUntil,
       Duration startBy,
       long promptTokens,
+      long expectedEvents,
+      Duration deadline,
       Optional<String> affinity) {
     this.id = id;
     this.urgency = urgency;
@@ -42,6 +48,8 @@
     this.onTimeUntil = onTimeUntil;
     this.startBy = startBy;
     this.promptTokens = promptTokens;
+    this.expectedEvents = expectedEvents;
+    this.deadline = deadline;
     this.affinity = affinity;
   }
 
@@ -54,7 +62,12 @@
     return id;
   }
 
-  Urgency urgency() {
+  /**
+   * Returns the urgency.
+   *
+   * @return the urgency
+   */
+  public Urgency urgency() {
     return urgency;
   }
 
@@ -79,6 +92,14 @@
     return promptTokens;
   }
 
+  long expectedEvents() {
+    return expectedEvents;
+  }
+
+  Duration deadline() {
+    return deadline;
+  }
+
   Optional<String> affinity() {
     return affinity;
   }
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.routes.PoolDefinition;
 
 /**
  * Decides where and when the requests of one pool run.
@@ -25,6 +26,11 @@
   /** The time that a failed request costs its caller, for weighing servers that fail some. */
   private static final double FAILURE_COST_MILLIS = 1500;
 
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  /** Engines read about a hundred tokens of a prompt in a millisecond. */
+  private static final double MILLIS_PER_PROMPT_TOKEN = 0.01;
+
   private static final Duration NO_SERVER_RETRY = Duration.ofSeconds(1);
   private static final Duration MIN_RETRY = Duration.ofMillis(200);
   private static final Duration MAX_RETRY = Duration.ofSeconds(3);
@@ -35,6 +41,7 @@
   private final Map<String, ServerLoad> servers = new HashMap<>();
   private final DepartureRate departures;
   private Map<String, Integer> runningElsewhere = Map.of();
+  private int tokensPerEvent = 1;
 
   /**
    * Creates a scheduler without servers.
@@ -129,7 +136,41 @@
    * @param perEvent the mean time between two events
    */
   public void eventPace(String serverId, Duration perEvent) {
-    load(serverId).ifPresent(load -> load.eventPace(perEvent.toNanos() / 1e6));
+    load(serverId).ifPresent(load -> load.eventPace(perEvent.toNanos() / NANOS_PER_MILLI));
+  }
+
+  /**
+   * Returns how long the whole answer to a request is expected to take on a middling server.
+   *
+   * @param promptTokens the length of the prompt
+   * @param outputTokens the length of the answer
+   * @return the time
+   */
+  public Duration expectedDuration(long promptTokens, long outputTokens) {
+    double perEvent =
+        servers.values().stream().mapToDouble(ServerLoad::millisPerEvent).average().orElse(0);
+    double millis =
+        (double) outputTokens / tokensPerEvent * perEvent + promptTokens * MILLIS_PER_PROMPT_TOKEN;
+    return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
+  }
+
+  /**
+   * Takes over the definition of the pool.
+   *
+   * @param definition the definition
+   */
+  public void define(PoolDefinition definition) {
+    tokensPerEvent = Math.max(1, definition.tokensPerEvent());
+  }
+
+  /**
+   * Returns how many events an answer has.
+   *
+   * @param outputTokens the length of the answer in tokens
+   * @return the number of events
+   */
+  public long eventsOf(long outputTokens) {
+    return outputTokens / tokensPerEvent;
   }
 
   /**
@@ -182,14 +223,15 @@
    */
   public Map<String, Integer> running() {
     Map<String, Integer> counts = new HashMap<>();
-    servers.forEach((id, load) -> counts.put(id, load.occupied() - elsewhere(id)));
+    servers.forEach(
+        (id, load) -> {
+          if (!load.isIdle()) {
+            counts.put(id, load.running());
+          }
+        });
     return counts;
   }
 
-  private int elsewhere(String id) {
-    return runningElsewhere.getOrDefault(id, 0);
-  }
-
   private Optional<ServerLoad> load(String serverId) {
     return Optional.ofNullable(servers.get(serverId));
   }
@@ -251,12 +293,13 @@
     List<ServerLoad> untried =
         open.stream().filter(load -> !request.hasTried(load.server().id())).toList();
     return (untried.isEmpty() ? open : untried)
-        .stream().min(Comparator.comparingDouble(load -> cost(load, request)));
+        .stream().min(Comparator.comparingDouble(load -> cost(load, request, now)));
   }
 
-  private static double cost(ServerLoad load, PlacedRequest request) {
-    return load.expectedFirstPart(request).toNanos() / 1e6
-        + load.failureRate() * FAILURE_COST_MILLIS;
+  private static double cost(ServerLoad load, PlacedRequest request, Duration now) {
+    return load.expectedFirstPart(request).toNanos() / NANOS_PER_MILLI
+        + load.failureRate() * FAILURE_COST_MILLIS
+        + load.expectedOverrun(request, now).toMillis();
   }
 
   /** Returns how long requests of the same or a higher tier that wait will take to start. */
--- a/src/main/java/org/wigeonstage/placement/ServerLoad.java
+++ b/src/main/java/org/wigeonstage/placement/ServerLoad.java
@@ -17,6 +17,14 @@
   /** What a prompt's token costs before anything was learned: engines read about 100 in a ms. */
   private static final double INITIAL_MILLIS_PER_TOKEN = 0.01;
 
+  /** How long an event of a stream takes before anything was learned. */
+  private static final double INITIAL_MILLIS_PER_EVENT = 25;
+
+  /** What the first part of an answer waits longer on a full server than on an idle one. */
+  private static final double LOAD_MILLIS = 20;
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
   /** The time to the first part of a short prompt before anything was learned. */
   private static final double INITIAL_FIRST_PART_MILLIS = 40;
 
@@ -65,6 +73,10 @@
         millisPerEvent == 0 ? millis : millisPerEvent + GAIN * (millis - millisPerEvent);
   }
 
+  double millisPerEvent() {
+    return millisPerEvent == 0 ? INITIAL_MILLIS_PER_EVENT : millisPerEvent;
+  }
+
   void finished(PlacedRequest request) {
     running.remove(request);
   }
@@ -93,6 +105,10 @@
     return running.size() + runningElsewhere;
   }
 
+  int running() {
+    return running.size();
+  }
+
   boolean isIdle() {
     return running.isEmpty();
   }
@@ -113,10 +129,22 @@
         unread += entry.getKey().promptTokens();
       }
     }
-    double pace = Math.max(millisPerEvent, 1);
+    double slowness = millisPerEvent() / INITIAL_MILLIS_PER_EVENT;
     double load = (double) occupied() / Math.max(server.slots(), 1);
-    double millis = firstPartMillis + unread * INITIAL_MILLIS_PER_TOKEN + pace * load;
-    return Duration.ofNanos((long) (millis * 1e6));
+    double millis =
+        firstPartMillis + unread * INITIAL_MILLIS_PER_TOKEN * slowness + LOAD_MILLIS * load;
+    return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
+  }
+
+  /** Returns by how much the whole answer is expected to miss the request's deadline. */
+  Duration expectedOverrun(PlacedRequest request, Duration now) {
+    Duration whole =
+        expectedFirstPart(request)
+            .plus(
+                Duration.ofNanos(
+                    (long) (request.expectedEvents() * millisPerEvent() * NANOS_PER_MILLI)));
+    Duration overrun = now.plus(whole).minus(request.deadline());
+    return overrun.isNegative() ? Duration.ZERO : overrun;
   }
 
   ServerEstimate estimate(PlacedRequest request) {
--- a/src/main/java/org/wigeonstage/platform/PlatformHeaders.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformHeaders.java
@@ -26,6 +26,7 @@
   private static final String EXPECTED_SERVER = "Target-Instance";
   private static final String NOT_RUN = "Not-Executed";
   private static final String SIGNATURE = "Response-Signature";
+  private static final String LENGTH_HINT = "Length-Hint";
   private static final String LAST_EVENT = "Last-Event-Id";
 
   /** Tokens of the prompt, a comma, and the most tokens of the answer. */
@@ -76,6 +77,7 @@
         fields.first(KEY),
         isDeclared ? tokens.get(0) : 0,
         isDeclared ? tokens.get(1) : 0,
+        number(fields, LENGTH_HINT).orElse(0),
         isDeclared ? tokens.get(0) + tokens.get(1) : -1,
         fields.first(PROMPT_PARTS).flatMap(PlatformHeaders::lastPart),
         number(fields, LAST_EVENT),
--- a/src/main/java/org/wigeonstage/platform/RoutingDecoder.java
+++ b/src/main/java/org/wigeonstage/platform/RoutingDecoder.java
@@ -81,7 +81,8 @@
         service.path("health_path").asText(),
         service.path("max_connections").asInt(),
         engine.path("slot_count").asInt(),
-        engine.path("kv_capacity_tokens").asLong());
+        engine.path("kv_capacity_tokens").asLong(),
+        engine.path("stride").asInt());
   }
 
   private static ClientAccount accountOf(JsonNode tenant) {
--- a/src/main/java/org/wigeonstage/quota/AccountQuotas.java
+++ b/src/main/java/org/wigeonstage/quota/AccountQuotas.java
@@ -13,14 +13,27 @@
  * <p>Each gateway keeps a bucket an account for the whole limit, from which it takes its own use at
  * once and the others' when it learns of it. Where a peer is silent, its equal share is taken
  * instead, so that the sum stays below the limit when gateways can't hear each other. Buckets start
- * empty, because a gateway does not know what was used before it started. Not safe for use by
- * several threads.
+ * almost empty, because a gateway does not know what was used before it started. Not safe for use
+ * by several threads.
  */
 public final class AccountQuotas {
 
   private final Map<String, TokenBucket> buckets = new HashMap<>();
   private final Map<String, AccountQuota> quotas = new HashMap<>();
   private final Map<String, Long> ownUse = new HashMap<>();
+  private final QuotaTolerance tolerance;
+  private final Duration startedAt;
+
+  /**
+   * Creates quotas without accounts.
+   *
+   * @param tolerance by how much the use may exceed a quota
+   * @param startedAt when this gateway started
+   */
+  public AccountQuotas(QuotaTolerance tolerance, Duration startedAt) {
+    this.tolerance = tolerance;
+    this.startedAt = startedAt;
+  }
 
   /**
    * Takes over the accounts of a configuration.
@@ -35,14 +48,18 @@
       if (quota.isLimited()) {
         quotas.put(account.name(), quota);
         buckets
-            .computeIfAbsent(
-                account.name(), name -> new TokenBucket(quota.perSecond(), quota.burst(), 0, now))
-            .resize(quota.perSecond(), quota.burst(), now);
+            .computeIfAbsent(account.name(), name -> newBucket(quota))
+            .resize(quota.perSecond(), tolerance.capacity(quota), now);
       }
     }
     buckets.keySet().retainAll(quotas.keySet());
   }
 
+  private TokenBucket newBucket(AccountQuota quota) {
+    return new TokenBucket(
+        quota.perSecond(), tolerance.capacity(quota), tolerance.levelAtStart(quota), startedAt);
+  }
+
   /**
    * Takes units if the account's quota has them.
    *
--- a/src/main/java/org/wigeonstage/settings/GatewaySettings.java
+++ b/src/main/java/org/wigeonstage/settings/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import java.time.Duration;
+import org.wigeonstage.quota.QuotaTolerance;
 
 /**
  * Settings of a gateway. Addresses are written as IP number, colon and port.
@@ -18,6 +19,9 @@
  * @param retryRatio attempts after first ones for each request
  * @param retryFixed attempts after first ones beside those, over all gateways
  * @param retryWindowSeconds the window of both
+ * @param quotaWindowSeconds the window in which operators measure quotas
+ * @param quotaOverage the part of a quota by which its use may exceed it in a window
+ * @param quotaSlack units by which its use may exceed it in a window beside that
  * @param graceSeconds how long a leaving process may finish its work
  * @param log {@code json} or {@code text}
  */
@@ -35,6 +39,9 @@
     double retryRatio,
     int retryFixed,
     int retryWindowSeconds,
+    int quotaWindowSeconds,
+    double quotaOverage,
+    long quotaSlack,
     int graceSeconds,
     String log) {
 
@@ -47,6 +54,15 @@
     return Duration.ofMillis(revocationMillis);
   }
 
+  /**
+   * Returns by how much the use of quotas may exceed them.
+   *
+   * @return the tolerance
+   */
+  public QuotaTolerance quotaTolerance() {
+    return new QuotaTolerance(Duration.ofSeconds(quotaWindowSeconds), quotaOverage, quotaSlack);
+  }
+
   /**
    * Returns how long a leaving process may finish its work.
    *
--- /dev/null
+++ b/src/main/java/org/wigeonstage/telemetry/LastingLogManager.java
@@ -0,0 +1,23 @@
+package org.wigeonstage.telemetry;
+
+import java.util.logging.LogManager;
+
+/**
+ * A log manager that keeps its handlers while the process shuts down. The usual one removes them at
+ * once, and the lines about finishing open requests would be lost.
+ */
+public final class LastingLogManager extends LogManager {
+
+  /** Creates the manager; the logging library does so. */
+  public LastingLogManager() {}
+
+  /** Makes this class the log manager. Must be called before anything is logged. */
+  public static void install() {
+    System.setProperty("java.util.logging.manager", LastingLogManager.class.getName());
+  }
+
+  @Override
+  public void reset() {
+    // The process ends without it.
+  }
+}
--- a/src/main/java/org/wigeonstage/wire/LinkConnector.java
+++ b/src/main/java/org/wigeonstage/wire/LinkConnector.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import java.io.Closeable;
 import java.io.IOException;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -49,9 +50,9 @@
    * Begins to connect. The listener learns of success; the callback of failure.
    *
    * @param target the agent's address
-   * @param onFailure run where no connection was made
+   * @param onFailure takes the cause where no connection was made
    */
-  public void connect(Endpoint target, Runnable onFailure) {
+  public void connect(Endpoint target, Consumer<Throwable> onFailure) {
     TCPNIOConnectorHandler.builder(transport)
         .build()
         .connect(
@@ -60,12 +61,12 @@
             new EmptyCompletionHandler<Connection>() {
               @Override
               public void failed(Throwable cause) {
-                onFailure.run();
+                onFailure.accept(cause);
               }
 
               @Override
               public void cancelled() {
-                onFailure.run();
+                onFailure.accept(new IOException("connection attempt cancelled"));
               }
             });
   }
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -51,10 +53,25 @@
       case PONG -> readPong(in);
       case LEAVING -> new Message.Leaving();
       case CONFIG_SNAPSHOT -> new Message.ConfigSnapshot(in.unpackLong(), in.unpackString());
+      case GATEWAY_LOAD -> readGatewayLoad(in);
       default -> readAbout(type, RequestId.of(in.unpackString()), in);
     };
   }
 
+  private static Message readGatewayLoad(MessageUnpacker in) throws IOException {
+    int servers = in.unpackMapHeader();
+    Map<String, Integer> running = new HashMap<>();
+    for (int i = 0; i < servers; i++) {
+      running.put(in.unpackString(), in.unpackInt());
+    }
+    int accounts = in.unpackMapHeader();
+    Map<String, Long> used = new HashMap<>();
+    for (int i = 0; i < accounts; i++) {
+      used.put(in.unpackString(), in.unpackLong());
+    }
+    return new Message.GatewayLoad(running, used);
+  }
+
   private static Message readAbout(MessageType type, RequestId id, MessageUnpacker in)
       throws IOException {
     return switch (type) {
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.wire;
 
 import java.io.IOException;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -46,6 +47,20 @@
       type(packer, MessageType.CONFIG_SNAPSHOT)
           .packLong(snapshot.version())
           .packString(snapshot.document());
+    } else if (message instanceof Message.GatewayLoad load) {
+      writeGatewayLoad(type(packer, MessageType.GATEWAY_LOAD), load);
+    }
+  }
+
+  private static void writeGatewayLoad(MessageBufferPacker packer, Message.GatewayLoad load)
+      throws IOException {
+    packer.packMapHeader(load.running().size());
+    for (Map.Entry<String, Integer> entry : load.running().entrySet()) {
+      packer.packString(entry.getKey()).packInt(entry.getValue());
+    }
+    packer.packMapHeader(load.used().size());
+    for (Map.Entry<String, Long> entry : load.used().entrySet()) {
+      packer.packString(entry.getKey()).packLong(entry.getValue());
     }
   }
 
--- a/src/main/java/org/wigeonstage/wire/MessageType.java
+++ b/src/main/java/org/wigeonstage/wire/MessageType.java
@@ -18,5 +18,6 @@
   PING,
   PONG,
   LEAVING,
-  CONFIG_SNAPSHOT
+  CONFIG_SNAPSHOT,
+  GATEWAY_LOAD
 }
