Serve higher tiers first over all gateways, and quotas by window

Cause: a place that became free went to whatever waited at the gateway that freed it, so urgent requests waited at the others; and quotas refused bursts of single large requests although places were free. Gateways now tell each other what waits, the highest tier gets two places beyond a server's slots, and quotas are counted in the operators' window, whose tolerance serves bursts while places are free.

--- a/src/main/java/org/wigeonstage/cli/Main.java
+++ b/src/main/java/org/wigeonstage/cli/Main.java
@@ -37,6 +37,7 @@
         new LoadCommand(),
         new DemoCommand(),
         new BenchCommand(),
+        new RehearseCommand(),
         new VersionCommand());
   }
 }
--- a/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
+++ b/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
@@ -35,7 +35,7 @@
             new RouteFilter(),
             new LeavingFilter(core, grace),
             new KeyFilter(),
-            new QuotaFilter(core.quotas()));
+            new QuotaFilter(core));
   }
 
   @Override
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -8,9 +8,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.MonotonicClock;
@@ -18,6 +20,7 @@
 import org.wigeonstage.fleet.ServerList;
 import org.wigeonstage.forward.HeaderDialect;
 import org.wigeonstage.handover.Message;
+import org.wigeonstage.handover.WaitingCount;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.PooledHttpClient;
 import org.wigeonstage.http.Problem;
@@ -30,7 +33,6 @@
 import org.wigeonstage.placement.ServerEstimate;
 import org.wigeonstage.placement.Urgency;
 import org.wigeonstage.quota.AccountQuotas;
-import org.wigeonstage.quota.QuotaTolerance;
 import org.wigeonstage.quota.RetryBudget;
 import org.wigeonstage.quota.RetryLimits;
 import org.wigeonstage.request.HeaderFields;
@@ -69,7 +71,7 @@
   private final RetryLimits retryLimits;
   private final AccountQuotas quotas;
   private final SplittableRandom random = new SplittableRandom();
-  private final TrailSampler sampler = new TrailSampler();
+  private final TrailSampler sampler;
   private final Map<String, PoolScheduler> pools = new HashMap<>();
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private final Map<PlacedRequest, ForwardedRequest> open = new HashMap<>();
@@ -85,13 +87,15 @@
       PooledHttpClient client,
       MetricRegistry metrics,
       RetryLimits retryLimits,
-      QuotaTolerance quotaTolerance) {
+      AccountQuotas quotas,
+      TrailSampler sampler) {
     this.clock = clock;
     this.dialect = dialect;
     this.client = client;
     this.metrics = metrics;
     this.retryLimits = retryLimits;
-    this.quotas = new AccountQuotas(quotaTolerance, clock.elapsed());
+    this.sampler = sampler;
+    this.quotas = quotas;
   }
 
   /** Runs an action with the state to itself. */
@@ -275,6 +279,11 @@
     return since == null ? Duration.ZERO : now().minus(since);
   }
 
+  /** Returns whether requests wait for the pools of a route. */
+  boolean isCongested(Route route) {
+    return route.pools().stream().anyMatch(part -> pool(part.pool()).waitingCount() > 0);
+  }
+
   /** Returns how long the whole answer to a request is expected to take. */
   Duration expectedDuration(InboundCall call) {
     return pool(call.route().poolFor(0))
@@ -339,17 +348,34 @@
     return gateways;
   }
 
-  /** Takes over what the other gateways run, by backend server. */
-  void runningElsewhere(Map<String, Integer> counts) {
+  /** Takes over what runs and waits at the other gateways. */
+  void loadElsewhere(Map<String, Integer> running, List<WaitingCount> waiting) {
     Duration now = now();
-    pools.values().forEach(pool -> pool.runningElsewhere(counts, now));
+    Map<String, NavigableMap<Urgency, Integer>> byPool = new HashMap<>();
+    for (WaitingCount part : waiting) {
+      byPool
+          .computeIfAbsent(part.pool(), key -> new TreeMap<>())
+          .merge(new Urgency(part.accountRank(), part.routeRank()), part.count(), Integer::sum);
+    }
+    pools.forEach(
+        (name, pool) ->
+            pool.loadElsewhere(running, byPool.getOrDefault(name, new TreeMap<>()), now));
   }
 
   /** Returns what this gateway runs and has used, for its peers. */
   Message.GatewayLoad load() {
     Map<String, Integer> running = new HashMap<>();
     pools.values().forEach(pool -> running.putAll(pool.running()));
-    return new Message.GatewayLoad(running, quotas.ownUse());
+    List<WaitingCount> waiting = new ArrayList<>();
+    pools.forEach(
+        (name, pool) ->
+            pool.waiting()
+                .forEach(
+                    (urgency, count) ->
+                        waiting.add(
+                            new WaitingCount(
+                                name, urgency.accountRank(), urgency.routeRank(), count))));
+    return new Message.GatewayLoad(running, waiting, quotas.ownUse());
   }
 
   /** Applies the passage of time. */
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -20,6 +20,7 @@
 import org.wigeonstage.http.HttpServer;
 import org.wigeonstage.http.PooledHttpClient;
 import org.wigeonstage.http.ServerOptions;
+import org.wigeonstage.quota.AccountQuotas;
 import org.wigeonstage.quota.RetryLimits;
 import org.wigeonstage.settings.GatewaySettings;
 import org.wigeonstage.telemetry.DecisionLog;
@@ -76,7 +77,14 @@
             Duration.ofSeconds(settings.retryWindowSeconds()),
             RETRY_SAFETY);
     this.core =
-        new GatewayCore(clock, dialect, client, metrics, retryLimits, settings.quotaTolerance());
+        new GatewayCore(
+            clock,
+            dialect,
+            client,
+            metrics,
+            retryLimits,
+            new AccountQuotas(settings.quotaTolerance(), settings.isFirstStart(), clock.elapsed()),
+            new TrailSampler(settings.logOneIn()));
     Duration maxAge =
         Duration.ofMillis((long) (settings.revocation().toMillis() * FRESHNESS_SHARE));
     this.beliefs = new Beliefs(clocks, maxAge);
@@ -125,6 +133,24 @@
     return process;
   }
 
+  /**
+   * Returns where the gateway listens for callers.
+   *
+   * @return the address, with the port that the system chose
+   */
+  public Endpoint callersEndpoint() {
+    return callers.endpoint();
+  }
+
+  /**
+   * Returns where the gateway answers readiness checks.
+   *
+   * @return the address, with the port that the system chose
+   */
+  public Endpoint readinessEndpoint() {
+    return readiness.endpoint();
+  }
+
   private void tick() {
     try {
       core.run(core::tick);
--- a/src/main/java/org/wigeonstage/gateway/PeerExchange.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerExchange.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +17,7 @@
 import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.fleet.Peer;
 import org.wigeonstage.handover.Message;
+import org.wigeonstage.handover.WaitingCount;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.telemetry.DecisionLog;
 import org.wigeonstage.wire.Link;
@@ -147,15 +149,17 @@
     }
   }
 
-  /** Sums up what the others run. */
+  /** Sums up what runs and waits at the others. */
   private void publishLoads(Duration now) {
-    Map<String, Integer> sum = new HashMap<>();
+    Map<String, Integer> running = new HashMap<>();
+    List<WaitingCount> waiting = new ArrayList<>();
     for (PeerState peer : peers.values()) {
       if (peer.use.isHeard(now)) {
-        peer.running.forEach((server, count) -> sum.merge(server, count, Integer::sum));
+        peer.load.running().forEach((server, count) -> running.merge(server, count, Integer::sum));
+        waiting.addAll(peer.load.waiting());
       }
     }
-    core.runningElsewhere(sum);
+    core.loadElsewhere(running, waiting);
   }
 
   @Override
@@ -180,7 +184,7 @@
     Duration now = core.now();
     PeerState peer = state(link.peer().name());
     peer.heardAt = now;
-    peer.running = load.running();
+    peer.load = load;
     peer.use.heard(link.peer().incarnation(), load.used(), now);
   }
 
--- a/src/main/java/org/wigeonstage/gateway/PeerState.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerState.java
@@ -1,9 +1,11 @@
 package org.wigeonstage.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.fleet.Peer;
+import org.wigeonstage.handover.Message;
 import org.wigeonstage.quota.AccountQuotas;
 import org.wigeonstage.quota.PeerUse;
 import org.wigeonstage.wire.Link;
@@ -14,7 +16,7 @@
   final PeerUse use;
   @Nullable Peer peer;
   @Nullable Link link;
-  Map<String, Integer> running = Map.of();
+  Message.GatewayLoad load = new Message.GatewayLoad(Map.of(), List.of(), Map.of());
   Duration heardAt;
   Duration attemptedAt = Duration.ZERO;
 
--- a/src/main/java/org/wigeonstage/gateway/QuotaFilter.java
+++ b/src/main/java/org/wigeonstage/gateway/QuotaFilter.java
@@ -11,10 +11,12 @@
 
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
 
+  private final GatewayCore core;
   private final AccountQuotas quotas;
 
-  QuotaFilter(AccountQuotas quotas) {
-    this.quotas = quotas;
+  QuotaFilter(GatewayCore core) {
+    this.core = core;
+    this.quotas = core.quotas();
   }
 
   @Override
@@ -24,7 +26,8 @@
     }
     ClientAccount account = call.account().get();
     long units = account.quota().costOf(call.fields().declaredTokens());
-    if (!quotas.tryTake(account.name(), units, call.arrivedAt())) {
+    boolean placesToSpare = !core.isCongested(call.route());
+    if (!quotas.tryTake(account.name(), units, placesToSpare, call.arrivedAt())) {
       Duration wait = quotas.timeUntil(account.name(), units, call.arrivedAt());
       return Optional.of(
           Rejection.retryable(
--- a/src/main/java/org/wigeonstage/gateway/TrailSampler.java
+++ b/src/main/java/org/wigeonstage/gateway/TrailSampler.java
@@ -6,13 +6,17 @@
 /** Chooses the requests whose lines are written: all notable and slow ones, and a few others. */
 final class TrailSampler {
 
-  /** One in so many ordinary requests is written. */
-  private static final int SAMPLE = 50;
-
   private static final Duration SLOW = Duration.ofSeconds(8);
 
+  private final int oneIn;
+
+  /** Creates a sampler that writes one in so many ordinary requests. */
+  TrailSampler(int oneIn) {
+    this.oneIn = oneIn;
+  }
+
   void write(RequestTrail trail, Duration now) {
-    boolean isSampled = Math.floorMod(trail.requestId().hashCode(), SAMPLE) == 0;
+    boolean isSampled = Math.floorMod(trail.requestId().hashCode(), oneIn) == 0;
     boolean isSlow = now.minus(trail.beganAt()).compareTo(SLOW) > 0;
     if (trail.isNotable() || isSlow || isSampled) {
       trail.steps().forEach(step -> DecisionLog.write(step.fields()));
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.handover;
 
 import java.time.Instant;
+import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.ErrorCode;
@@ -182,12 +183,16 @@
    * What a gateway runs and has used, sent to its peers again and again.
    *
    * @param running its running requests, by backend server
+   * @param waiting its waiting requests
    * @param used what it has taken from quotas since its start, by client account
    */
-  record GatewayLoad(Map<String, Integer> running, Map<String, Long> used) implements Message {
+  record GatewayLoad(
+      Map<String, Integer> running, List<WaitingCount> waiting, Map<String, Long> used)
+      implements Message {
 
-    /** Makes the maps immutable. */
+    /** Makes the collections immutable. */
     public GatewayLoad {
+      waiting = List.copyOf(waiting);
       running = Map.copyOf(running);
       used = Map.copyOf(used);
     }
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.wigeonstage.fleet.BackendServer;
@@ -41,6 +42,7 @@
   private final Map<String, ServerLoad> servers = new HashMap<>();
   private final DepartureRate departures;
   private Map<String, Integer> runningElsewhere = Map.of();
+  private NavigableMap<Urgency, Integer> waitingElsewhere = new TreeMap<>();
   private int tokensPerEvent = 1;
 
   /**
@@ -75,17 +77,36 @@
   }
 
   /**
-   * Takes over what other gateways run.
+   * Takes over what runs and waits at other gateways.
    *
-   * @param counts requests by server
+   * @param running requests by server
+   * @param waitingThere requests by urgency
    * @param now the time
    */
-  public void runningElsewhere(Map<String, Integer> counts, Duration now) {
-    runningElsewhere = Map.copyOf(counts);
-    servers.forEach((id, load) -> load.runningElsewhere(counts.getOrDefault(id, 0)));
+  public void loadElsewhere(
+      Map<String, Integer> running, NavigableMap<Urgency, Integer> waitingThere, Duration now) {
+    runningElsewhere = Map.copyOf(running);
+    waitingElsewhere = waitingThere;
+    servers.forEach((id, load) -> load.runningElsewhere(running.getOrDefault(id, 0)));
     dispatch(now);
   }
 
+  /**
+   * Returns how many requests of each urgency wait here.
+   *
+   * @return counts by urgency
+   */
+  public Map<Urgency, Integer> waiting() {
+    Map<Urgency, Integer> counts = new HashMap<>();
+    waiting.forEach(
+        (urgency, queue) -> {
+          if (!queue.isEmpty()) {
+            counts.put(urgency, queue.size());
+          }
+        });
+    return counts;
+  }
+
   /**
    * Takes a request. It is started, kept waiting or refused.
    *
@@ -285,17 +306,28 @@
   }
 
   private Optional<ServerLoad> choose(PlacedRequest request, Duration now) {
-    int reserved = limits.reservedPerRank() * request.urgency().routeRank();
+    int rank = request.urgency().routeRank();
     List<ServerLoad> open =
         servers.values().stream()
-            .filter(load -> load.hasPlace(reserved) && !load.isAvoided(now))
+            .filter(load -> load.places(rank) > 0 && !load.isAvoided(now))
             .toList();
+    int places = open.stream().mapToInt(load -> load.places(rank)).sum();
+    if (places <= moreUrgentElsewhere(request.urgency())) {
+      return Optional.empty();
+    }
     List<ServerLoad> untried =
         open.stream().filter(load -> !request.hasTried(load.server().id())).toList();
     return (untried.isEmpty() ? open : untried)
         .stream().min(Comparator.comparingDouble(load -> cost(load, request, now)));
   }
 
+  /** Returns how many requests wait at other gateways that go before one of this urgency. */
+  private int moreUrgentElsewhere(Urgency urgency) {
+    return waitingElsewhere.headMap(urgency, false).values().stream()
+        .mapToInt(Integer::intValue)
+        .sum();
+  }
+
   private static double cost(ServerLoad load, PlacedRequest request, Duration now) {
     return load.expectedFirstPart(request).toNanos() / NANOS_PER_MILLI
         + load.failureRate() * FAILURE_COST_MILLIS
--- a/src/main/java/org/wigeonstage/placement/SchedulingLimits.java
+++ b/src/main/java/org/wigeonstage/placement/SchedulingLimits.java
@@ -6,7 +6,8 @@
  * Limits of a {@link PoolScheduler}.
  *
  * @param reservedPerRank places of each server that a tier leaves to each tier above it
- * @param extraPlaces requests that a server gets beyond its slots
+ * @param extraPlaces requests of the highest tier that a server gets beyond its slots; they start
+ *     there as soon as any of its many requests ends
  * @param departureWindow the time over which the rate of finished requests is measured
  * @param avoidAfterFailure how long a server is avoided after a first failure to reach it; doubled
  *     with each further one
@@ -22,5 +23,5 @@
   /** For engines and services that admit in order of arrival. */
   public static final SchedulingLimits DEFAULTS =
       new SchedulingLimits(
-          1, 0, Duration.ofSeconds(2), Duration.ofMillis(400), Duration.ofMillis(3000));
+          1, 2, Duration.ofSeconds(2), Duration.ofMillis(400), Duration.ofMillis(3000));
 }
--- a/src/main/java/org/wigeonstage/placement/ServerLoad.java
+++ b/src/main/java/org/wigeonstage/placement/ServerLoad.java
@@ -23,6 +23,9 @@
   /** What the first part of an answer waits longer on a full server than on an idle one. */
   private static final double LOAD_MILLIS = 20;
 
+  /** How long a request waits at a full server for each one that is ahead of it. */
+  private static final double QUEUED_MILLIS = 60;
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   /** The time to the first part of a short prompt before anything was learned. */
@@ -113,8 +116,16 @@
     return running.isEmpty();
   }
 
-  boolean hasPlace(int reserved) {
-    return !server.isLeaving() && occupied() < server.slots() + limits.extraPlaces() - reserved;
+  /** Returns how many more requests of a rank the server takes. */
+  int places(int rank) {
+    if (server.isLeaving()) {
+      return 0;
+    }
+    int limit =
+        rank == 0
+            ? server.slots() + limits.extraPlaces()
+            : Math.max(1, server.slots() - limits.reservedPerRank() * rank);
+    return Math.max(0, limit - occupied());
   }
 
   double failureRate() {
@@ -132,7 +143,10 @@
     double slowness = millisPerEvent() / INITIAL_MILLIS_PER_EVENT;
     double load = (double) occupied() / Math.max(server.slots(), 1);
     double millis =
-        firstPartMillis + unread * INITIAL_MILLIS_PER_TOKEN * slowness + LOAD_MILLIS * load;
+        firstPartMillis
+            + unread * INITIAL_MILLIS_PER_TOKEN * slowness
+            + LOAD_MILLIS * load
+            + QUEUED_MILLIS * slowness * Math.max(0, occupied() + 1 - server.slots());
     return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
   }
 
--- /dev/null
+++ b/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
@@ -0,0 +1,218 @@
+package org.wigeonstage.platform.standin;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.Closeable;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.wigeonstage.common.ControlThreads;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.HttpServer;
+import org.wigeonstage.http.ServerExchange;
+import org.wigeonstage.request.HeaderFields;
+
+/**
+ * Stands in for a runner. Requests that declare tokens get a stream of numbered events, others a
+ * short body. It records what it ran, and misbehaves as it is told.
+ */
+public final class RunnerStandin implements Closeable {
+
+  /** How the next requests are treated. */
+  public enum Behaviour {
+    /** Whole answers. */
+    SOUND,
+    /** Refused without being run. */
+    DECLINES,
+    /** Run, and answered with a failure. */
+    FAILS,
+    /** Run, and the connection is closed without an answer. */
+    LOSES_ANSWER,
+    /** Run, and the answer breaks off in its middle. */
+    CUTS_ANSWER,
+    /** Run, and the answer names another request. */
+    ANSWERS_ANOTHER,
+    /** Run, and the answer has no signature. */
+    UNSIGNED,
+    /** Nothing is answered. */
+    SILENT
+  }
+
+  private static final int MAX_BODY_BYTES = 1024 * 1024;
+  private static final int EVENTS = 8;
+  private static final long EVENT_MILLIS = 5;
+  private static final int OK = 200;
+  private static final int MISDIRECTED = 421;
+  private static final int FAILURE = 500;
+  private static final int UNAVAILABLE = 503;
+  private static final String ATTEMPT_ID = "Attempt-Id";
+
+  private final String id;
+  private final HttpServer server;
+  private final ScheduledExecutorService timer = ControlThreads.single("runner-timer");
+  private final List<RunRecord> runs = new CopyOnWriteArrayList<>();
+  private volatile Behaviour behaviour = Behaviour.SOUND;
+
+  /**
+   * A request that was run.
+   *
+   * @param attemptId its identifier
+   * @param method the method
+   * @param target the path with its query
+   * @param fields the header fields
+   * @param body the body
+   */
+  public record RunRecord(
+      String attemptId, String method, String target, HeaderFields fields, String body) {}
+
+  private RunnerStandin(String id, Endpoint listen) {
+    this.id = id;
+    this.server = HttpServer.start("runner", listen, MAX_BODY_BYTES, this::handle);
+  }
+
+  /**
+   * Starts a stand-in.
+   *
+   * @param id the identifier under which it registers
+   * @param listen where to listen
+   * @return the stand-in
+   */
+  public static RunnerStandin start(String id, Endpoint listen) {
+    return new RunnerStandin(id, listen);
+  }
+
+  /**
+   * Returns the address that it listens on.
+   *
+   * @return the address, with the port that the system chose
+   */
+  public Endpoint endpoint() {
+    return server.endpoint();
+  }
+
+  /**
+   * Sets how requests are treated from now on.
+   *
+   * @param next the behaviour
+   */
+  public void behave(Behaviour next) {
+    behaviour = next;
+  }
+
+  /**
+   * Returns what was run so far.
+   *
+   * @return the requests in order
+   */
+  public List<RunRecord> runs() {
+    return List.copyOf(runs);
+  }
+
+  /**
+   * Returns its entry in the store.
+   *
+   * @param service the service that it belongs to
+   * @param state {@code ready} or {@code draining}
+   * @return the entry
+   */
+  public ObjectNode entry(String service, String state) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put("service", service)
+        .put("address", endpoint().toString())
+        .put("zone", "zone-a")
+        .put("version", "v1")
+        .put("slot_count", 4)
+        .put("state", state)
+        .put("cold_remaining_ms", 0)
+        .put("sequence", 1);
+  }
+
+  private void handle(ServerExchange exchange) {
+    Behaviour current = behaviour;
+    if (current == Behaviour.SILENT) {
+      return;
+    }
+    String expected = exchange.header("Target-Instance");
+    if (expected != null && !expected.equals(id)) {
+      exchange.respond(MISDIRECTED, HeaderFields.NONE.with("Instance-Id", id), new byte[0]);
+      return;
+    }
+    if (current == Behaviour.DECLINES) {
+      exchange.respond(UNAVAILABLE, HeaderFields.NONE.with("Not-Executed", "1"), new byte[0]);
+      return;
+    }
+    String attemptId = Optional.ofNullable(exchange.header(ATTEMPT_ID)).orElse("");
+    runs.add(
+        new RunRecord(
+            attemptId,
+            exchange.method(),
+            exchange.pathAndQuery(),
+            exchange.fields(),
+            exchange.text()));
+    run(exchange, current, attemptId);
+  }
+
+  private void run(ServerExchange exchange, Behaviour current, String attemptId) {
+    if (current == Behaviour.LOSES_ANSWER) {
+      exchange.abort();
+      return;
+    }
+    HeaderFields fields =
+        HeaderFields.NONE.with(
+            ATTEMPT_ID, current == Behaviour.ANSWERS_ANOTHER ? "another" : attemptId);
+    if (current != Behaviour.UNSIGNED) {
+      fields = fields.with("Response-Signature", "signed-by-" + id);
+    }
+    if (current == Behaviour.FAILS) {
+      exchange.respond(FAILURE, fields, "failed".getBytes(StandardCharsets.UTF_8));
+    } else if (exchange.header("Token-Count") != null) {
+      stream(exchange, fields, current == Behaviour.CUTS_ANSWER);
+    } else {
+      plain(exchange, fields, current == Behaviour.CUTS_ANSWER);
+    }
+  }
+
+  private void plain(ServerExchange exchange, HeaderFields fields, boolean cut) {
+    byte[] body = ("answer of " + id).getBytes(StandardCharsets.UTF_8);
+    if (cut) {
+      exchange.begin(OK, fields, body.length * 2L);
+      exchange.write(body);
+      timer.schedule(exchange::abort, EVENT_MILLIS, TimeUnit.MILLISECONDS);
+    } else {
+      exchange.respond(OK, fields, body);
+    }
+  }
+
+  private void stream(ServerExchange exchange, HeaderFields fields, boolean cut) {
+    String resumed = exchange.header("Last-Event-Id");
+    int first = resumed == null ? 1 : Integer.parseInt(resumed) + 1;
+    exchange.begin(OK, fields.with("Content-Type", "text/event-stream"), -1);
+    sendEvent(exchange, first, cut);
+  }
+
+  private void sendEvent(ServerExchange exchange, int number, boolean cut) {
+    if (number > EVENTS) {
+      exchange.end();
+      return;
+    }
+    String event = "id: " + number + "\ndata: event " + number + "\n\n";
+    if (cut && number == EVENTS / 2) {
+      String half = event.substring(0, event.length() / 2);
+      exchange.write(half.getBytes(StandardCharsets.UTF_8));
+      timer.schedule(exchange::abort, EVENT_MILLIS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    exchange.write(event.getBytes(StandardCharsets.UTF_8));
+    timer.schedule(() -> sendEvent(exchange, number + 1, cut), EVENT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() {
+    timer.shutdownNow();
+    server.close();
+  }
+}
--- a/src/main/java/org/wigeonstage/quota/AccountQuotas.java
+++ b/src/main/java/org/wigeonstage/quota/AccountQuotas.java
@@ -2,36 +2,38 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.wigeonstage.routes.AccountQuota;
 import org.wigeonstage.routes.ClientAccount;
 
 /**
  * The quotas of client accounts over all gateways.
  *
- * <p>Each gateway keeps a bucket an account for the whole limit, from which it takes its own use at
- * once and the others' when it learns of it. Where a peer is silent, its equal share is taken
- * instead, so that the sum stays below the limit when gateways can't hear each other. Buckets start
- * almost empty, because a gateway does not know what was used before it started. Not safe for use
- * by several threads.
+ * <p>Answers the load pattern of one account that sends many times its usual. Each gateway counts
+ * its own use at once and the others' when it learns of it. Where a peer is silent, its equal share
+ * is counted instead, so that the sum stays below the limit when gateways can't hear each other.
+ * Not safe for use by several threads.
  */
 public final class AccountQuotas {
 
-  private final Map<String, TokenBucket> buckets = new HashMap<>();
-  private final Map<String, AccountQuota> quotas = new HashMap<>();
-  private final Map<String, Long> ownUse = new HashMap<>();
+  private final Map<String, AccountUse> uses = new HashMap<>();
   private final QuotaTolerance tolerance;
+  private final boolean isFirstStart;
   private final Duration startedAt;
 
   /**
    * Creates quotas without accounts.
    *
    * @param tolerance by how much the use may exceed a quota
+   * @param isFirstStart whether nothing can have been used before
    * @param startedAt when this gateway started
    */
-  public AccountQuotas(QuotaTolerance tolerance, Duration startedAt) {
+  public AccountQuotas(QuotaTolerance tolerance, boolean isFirstStart, Duration startedAt) {
     this.tolerance = tolerance;
+    this.isFirstStart = isFirstStart;
     this.startedAt = startedAt;
   }
 
@@ -42,42 +44,37 @@
    * @param now the time
    */
   public void configure(List<ClientAccount> accounts, Duration now) {
-    quotas.clear();
+    Set<String> limited = new HashSet<>();
     for (ClientAccount account : accounts) {
-      AccountQuota quota = account.quota();
-      if (quota.isLimited()) {
-        quotas.put(account.name(), quota);
-        buckets
-            .computeIfAbsent(account.name(), name -> newBucket(quota))
-            .resize(quota.perSecond(), tolerance.capacity(quota), now);
+      if (account.quota().isLimited()) {
+        limited.add(account.name());
+        uses.computeIfAbsent(account.name(), name -> newUse(account.quota()))
+            .resize(account.quota(), now);
       }
     }
-    buckets.keySet().retainAll(quotas.keySet());
+    uses.keySet().retainAll(limited);
   }
 
-  private TokenBucket newBucket(AccountQuota quota) {
-    return new TokenBucket(
-        quota.perSecond(), tolerance.capacity(quota), tolerance.levelAtStart(quota), startedAt);
+  private AccountUse newUse(AccountQuota quota) {
+    AccountUse use = new AccountUse(quota, tolerance, startedAt);
+    if (!isFirstStart) {
+      use.assumeEarlierUse(startedAt);
+    }
+    return use;
   }
 
   /**
-   * Takes units if the account's quota has them.
+   * Takes units if the account may use them.
    *
    * @param account the account's name
    * @param units what the request counts
+   * @param placesToSpare whether the request takes no place from others
    * @param now the time
-   * @return whether the request is within the quota
+   * @return whether the request is within the quota, or within what is tolerated
    */
-  public boolean tryTake(String account, long units, Duration now) {
-    TokenBucket bucket = buckets.get(account);
-    if (bucket == null) {
-      return true;
-    }
-    if (!bucket.tryTake(units, now)) {
-      return false;
-    }
-    ownUse.merge(account, units, Long::sum);
-    return true;
+  public boolean tryTake(String account, long units, boolean placesToSpare, Duration now) {
+    AccountUse use = uses.get(account);
+    return use == null || use.tryTake(units, placesToSpare, now);
   }
 
   /**
@@ -88,24 +85,23 @@
    * @param now the time
    */
   public void giveBack(String account, long units, Duration now) {
-    TokenBucket bucket = buckets.get(account);
-    if (bucket != null) {
-      bucket.charge(-units, now);
-      ownUse.merge(account, -units, Long::sum);
+    AccountUse use = uses.get(account);
+    if (use != null) {
+      use.giveBack(units, now);
     }
   }
 
   /**
-   * Takes what a peer has used.
+   * Counts what a peer has used.
    *
    * @param account the account's name
-   * @param units the use that was not taken before; negative where too much was assumed
+   * @param units the use that was not counted before; negative where too much was assumed
    * @param now the time
    */
   public void chargePeer(String account, double units, Duration now) {
-    TokenBucket bucket = buckets.get(account);
-    if (bucket != null) {
-      bucket.charge(units, now);
+    AccountUse use = uses.get(account);
+    if (use != null) {
+      use.charge(units, now);
     }
   }
 
@@ -118,8 +114,8 @@
    * @return the time
    */
   public Duration timeUntil(String account, long units, Duration now) {
-    TokenBucket bucket = buckets.get(account);
-    return bucket == null ? Duration.ZERO : bucket.timeUntil(units, now);
+    AccountUse use = uses.get(account);
+    return use == null ? Duration.ZERO : use.timeUntil(units, now);
   }
 
   /**
@@ -128,7 +124,9 @@
    * @return units by account
    */
   public Map<String, Long> ownUse() {
-    return Map.copyOf(ownUse);
+    Map<String, Long> own = new HashMap<>();
+    uses.forEach((account, use) -> own.put(account, use.own()));
+    return own;
   }
 
   /**
@@ -137,6 +135,8 @@
    * @return quotas by account
    */
   public Map<String, AccountQuota> limits() {
-    return Map.copyOf(quotas);
+    Map<String, AccountQuota> limits = new HashMap<>();
+    uses.forEach((account, use) -> limits.put(account, use.quota()));
+    return limits;
   }
 }
--- /dev/null
+++ b/src/main/java/org/wigeonstage/quota/AccountUse.java
@@ -0,0 +1,68 @@
+package org.wigeonstage.quota;
+
+import java.time.Duration;
+import org.wigeonstage.routes.AccountQuota;
+
+/** The use of one account's quota, by this gateway and, as far as it is known, by the others. */
+final class AccountUse {
+
+  private final QuotaTolerance tolerance;
+  private final UseWindow window;
+  private final TokenBucket bucket;
+  private AccountQuota quota;
+  private long own;
+
+  AccountUse(AccountQuota quota, QuotaTolerance tolerance, Duration now) {
+    this.quota = quota;
+    this.tolerance = tolerance;
+    this.window = new UseWindow(tolerance.window());
+    this.bucket = new TokenBucket(quota.perSecond(), quota.burst(), 0, now);
+  }
+
+  void resize(AccountQuota newQuota, Duration now) {
+    quota = newQuota;
+    bucket.resize(newQuota.perSecond(), newQuota.burst(), now);
+  }
+
+  void assumeEarlierUse(Duration startedAt) {
+    window.add(tolerance.assumedBefore(quota), startedAt);
+  }
+
+  boolean tryTake(long units, boolean placesToSpare, Duration now) {
+    if (window.sum(now) + units > tolerance.limit(quota)) {
+      return false;
+    }
+    if (!bucket.tryTake(units, now)) {
+      if (!placesToSpare) {
+        return false;
+      }
+      bucket.takeUpTo(units, now);
+    }
+    window.add(units, now);
+    own += units;
+    return true;
+  }
+
+  void giveBack(long units, Duration now) {
+    window.add(-units, now);
+    bucket.give(units, now);
+    own -= units;
+  }
+
+  void charge(double units, Duration now) {
+    window.add(units, now);
+    bucket.takeUpTo(units, now);
+  }
+
+  Duration timeUntil(long units, Duration now) {
+    return bucket.timeUntil(units, now);
+  }
+
+  AccountQuota quota() {
+    return quota;
+  }
+
+  long own() {
+    return own;
+  }
+}
--- a/src/main/java/org/wigeonstage/quota/TokenBucket.java
+++ b/src/main/java/org/wigeonstage/quota/TokenBucket.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-/** A bucket that fills at a steady rate up to a limit. It may be overdrawn by {@link #charge}. */
+/** A bucket that fills at a steady rate up to a limit. */
 final class TokenBucket {
 
   private static final double NANOS_PER_SECOND = 1e9;
@@ -37,10 +37,16 @@
     return true;
   }
 
-  /** Takes units that were used already; gives back where negative. */
-  void charge(double units, Duration now) {
+  /** Takes as many of the units as there are. */
+  void takeUpTo(double units, Duration now) {
     refill(now);
-    level = Math.min(capacity, level - units);
+    level = Math.max(0, Math.min(capacity, level - units));
+  }
+
+  /** Gives units back. */
+  void give(double units, Duration now) {
+    refill(now);
+    level = Math.min(capacity, level + units);
   }
 
   /** Returns how long it takes until the units are there. */
--- /dev/null
+++ b/src/main/java/org/wigeonstage/quota/UseWindow.java
@@ -0,0 +1,41 @@
+package org.wigeonstage.quota;
+
+import java.time.Duration;
+
+/** Units used in a sliding window. */
+final class UseWindow {
+
+  private static final int BUCKETS = 40;
+
+  private final double[] used = new double[BUCKETS];
+  private final long bucketNanos;
+  private long current;
+
+  /** Creates a window that is at least as long as the given one. */
+  UseWindow(Duration window) {
+    this.bucketNanos = window.toNanos() / (BUCKETS - 1) + 1;
+  }
+
+  void add(double units, Duration at) {
+    advance(at);
+    used[(int) (current % BUCKETS)] += units;
+  }
+
+  double sum(Duration now) {
+    advance(now);
+    double sum = 0;
+    for (double units : used) {
+      sum += units;
+    }
+    return sum;
+  }
+
+  private void advance(Duration now) {
+    long index = now.toNanos() / bucketNanos;
+    long cleared = Math.min(index - current, BUCKETS);
+    for (long i = 0; i < cleared; i++) {
+      used[(int) ((index - i) % BUCKETS)] = 0;
+    }
+    current = Math.max(current, index);
+  }
+}
--- a/src/main/java/org/wigeonstage/settings/GatewaySettings.java
+++ b/src/main/java/org/wigeonstage/settings/GatewaySettings.java
@@ -23,6 +23,7 @@
  * @param quotaOverage the part of a quota by which its use may exceed it in a window
  * @param quotaSlack units by which its use may exceed it in a window beside that
  * @param graceSeconds how long a leaving process may finish its work
+ * @param logOneIn one in so many ordinary requests is logged; failed and slow ones always are
  * @param log {@code json} or {@code text}
  */
 @JsonIgnoreProperties(ignoreUnknown = true)
@@ -43,6 +44,7 @@
     double quotaOverage,
     long quotaSlack,
     int graceSeconds,
+    int logOneIn,
     String log) {
 
   /**
--- a/src/main/java/org/wigeonstage/settings/SettingsLoader.java
+++ b/src/main/java/org/wigeonstage/settings/SettingsLoader.java
@@ -118,6 +118,7 @@
     checkNumber(tree, "quotaWindowSeconds", 1, 3600, faults);
     checkNumber(tree, "quotaOverage", 0, 10, faults);
     checkNumber(tree, "quotaSlack", 0, 1e12, faults);
+    checkNumber(tree, "logOneIn", 1, 1_000_000, faults);
     checkNumber(tree, "graceSeconds", 1, 3600, faults);
     refuseIfFaulty(GATEWAY_FILE, faults);
     return Json.read(tree, GatewaySettings.class);
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -13,6 +13,7 @@
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.handover.Message;
+import org.wigeonstage.handover.WaitingCount;
 import org.wigeonstage.request.HttpCall;
 import org.wigeonstage.request.IdempotencyKey;
 import org.wigeonstage.request.Outcome;
@@ -64,12 +65,18 @@
     for (int i = 0; i < servers; i++) {
       running.put(in.unpackString(), in.unpackInt());
     }
+    int tiers = in.unpackArrayHeader();
+    List<WaitingCount> waiting = new ArrayList<>();
+    for (int i = 0; i < tiers; i++) {
+      waiting.add(
+          new WaitingCount(in.unpackString(), in.unpackInt(), in.unpackInt(), in.unpackInt()));
+    }
     int accounts = in.unpackMapHeader();
     Map<String, Long> used = new HashMap<>();
     for (int i = 0; i < accounts; i++) {
       used.put(in.unpackString(), in.unpackLong());
     }
-    return new Message.GatewayLoad(running, used);
+    return new Message.GatewayLoad(running, waiting, used);
   }
 
   private static Message readAbout(MessageType type, RequestId id, MessageUnpacker in)
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -7,6 +7,7 @@
 import org.msgpack.core.MessagePack;
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.handover.Message;
+import org.wigeonstage.handover.WaitingCount;
 import org.wigeonstage.request.HttpCall;
 import org.wigeonstage.request.IdempotencyKey;
 import org.wigeonstage.request.RequestCost;
@@ -58,6 +59,14 @@
     for (Map.Entry<String, Integer> entry : load.running().entrySet()) {
       packer.packString(entry.getKey()).packInt(entry.getValue());
     }
+    packer.packArrayHeader(load.waiting().size());
+    for (WaitingCount waiting : load.waiting()) {
+      packer
+          .packString(waiting.pool())
+          .packInt(waiting.accountRank())
+          .packInt(waiting.routeRank())
+          .packInt(waiting.count());
+    }
     packer.packMapHeader(load.used().size());
     for (Map.Entry<String, Long> entry : load.used().entrySet()) {
       packer.packString(entry.getKey()).packLong(entry.getValue());
--- /dev/null
+++ b/src/test/java/org/wigeonstage/forward/EventSplitterTest.java
@@ -0,0 +1,71 @@
+package org.wigeonstage.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class EventSplitterTest {
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void keepsAnEventUntilItIsWhole() {
+    EventSplitter splitter = new EventSplitter();
+    assertThat(splitter.feed(bytes("id: 7\ndata: ab"))).isEmpty();
+    List<EventSplitter.Event> events = splitter.feed(bytes("c\n\nid: 8\n"));
+    assertThat(events).hasSize(1);
+    assertThat(events.get(0).id()).hasValue(7);
+    assertThat(new String(events.get(0).bytes(), StandardCharsets.UTF_8))
+        .isEqualTo("id: 7\ndata: abc\n\n");
+    assertThat(new String(splitter.takeRest(), StandardCharsets.UTF_8)).isEqualTo("id: 8\n");
+    assertThat(splitter.takeRest()).isEmpty();
+  }
+
+  @Test
+  void readsLinesThatEndWithCarriageReturns() {
+    List<EventSplitter.Event> events =
+        new EventSplitter().feed(bytes("id:3\r\ndata: x\r\n\r\ndata: y\n\n"));
+    assertThat(events).hasSize(2);
+    assertThat(events.get(0).id()).hasValue(3);
+    assertThat(events.get(1).id()).isEmpty();
+  }
+
+  @Test
+  void takesAMalformedNumberForNone() {
+    assertThat(new EventSplitter().feed(bytes("id: x1\n\n")).get(0).id()).isEmpty();
+  }
+
+  @Property
+  void losesAndAddsNoByteHoweverTheStreamIsCut(
+      @ForAll @Size(max = 20) List<@IntRange(min = 1, max = 9) Integer> cuts) {
+    byte[] stream = bytes("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: c\n\nid: 3\ndata: rest");
+    EventSplitter splitter = new EventSplitter();
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    List<Long> ids = new ArrayList<>();
+    int position = 0;
+    List<Integer> all = new ArrayList<>(cuts);
+    all.add(stream.length);
+    for (int cut : all) {
+      int end = Math.min(stream.length, position + cut);
+      for (EventSplitter.Event event : splitter.feed(Arrays.copyOfRange(stream, position, end))) {
+        out.writeBytes(event.bytes());
+        event.id().ifPresent(ids::add);
+      }
+      position = end;
+    }
+    out.writeBytes(splitter.takeRest());
+    assertThat(out.toByteArray()).isEqualTo(stream);
+    assertThat(ids).containsExactly(1L, 2L);
+  }
+}
