Do not blame servers for the gateway's own lack of processor; refuse lower tiers early

Cause, from the lines after a restart: connection attempts timed out while the process had no processor, all servers were avoided, and requests were refused with places free. Silence now counts only in time that the process could hear; where all servers are avoided, none is. Lower tiers waited two seconds and were refused anyway; the wait is now estimated from the rate at which their urgency starts.

--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -10,6 +10,7 @@
 import org.wigeonstage.http.OutboundCall;
 import org.wigeonstage.placement.AttemptResult;
 import org.wigeonstage.routes.Route;
+import org.wigeonstage.routes.RouteKind;
 
 /** One sending of a request to a backend server. */
 final class Attempt implements AnswerListener {
@@ -18,27 +19,44 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
 
   /** A first part that is this many objectives late will not come. */
-  private static final double FIRST_PART_PATIENCE = 1.25;
+  private static final double FIRST_PART_PATIENCE = 2;
+
+  /** A first part that takes this many times as long as expected will not come. */
+  private static final int ESTIMATE_PATIENCE = 5;
 
   /** A pause of this many objectives means that the stream is dead. */
   private static final int PAUSE_PATIENCE = 3;
 
+  /** How long a server may be silent that others could not reach lately. */
+  private static final Duration SUSPECT_PATIENCE = Duration.ofMillis(250);
+
   private final ForwardedRequest request;
   private final GatewayCore core;
   private final BackendServer server;
   private final Duration startedAt;
+  private final Duration expectedFirstPart;
+  private final Duration watchedFrom;
   private @Nullable ClientExchange exchange;
   private @Nullable Duration firstPartAt;
   private Duration lastDataAt;
+  private Duration watchedSince;
   private int events;
   private boolean reported;
 
-  Attempt(ForwardedRequest request, GatewayCore core, BackendServer server, Duration startedAt) {
+  Attempt(
+      ForwardedRequest request,
+      GatewayCore core,
+      BackendServer server,
+      Duration startedAt,
+      Duration expectedFirstPart) {
     this.request = request;
     this.core = core;
     this.server = server;
     this.startedAt = startedAt;
+    this.expectedFirstPart = expectedFirstPart;
     this.lastDataAt = startedAt;
+    this.watchedFrom = core.watchedTime();
+    this.watchedSince = watchedFrom;
   }
 
   BackendServer server() {
@@ -56,10 +74,12 @@
 
   void headArrived(Duration now) {
     lastDataAt = now;
+    watchedSince = core.watchedTime();
   }
 
   void dataArrived(Duration now) {
     lastDataAt = now;
+    watchedSince = core.watchedTime();
     if (firstPartAt == null) {
       firstPartAt = now;
       core.firstPart(request, server, now.minus(startedAt));
@@ -76,19 +96,33 @@
     return first == null ? Duration.ZERO : first.minus(moment);
   }
 
-  /** Returns whether the server was silent for so long that it is taken as lost. */
-  boolean isSilent(Duration now, Route route, boolean canRepeat) {
+  /**
+   * Returns whether the server was silent for so long that it is taken as lost. Only time counts in
+   * which this process was awake to hear it.
+   */
+  boolean isSilent(Route route, boolean canRepeat) {
+    Duration watched = core.watchedTime();
     if (!wasSent()) {
-      return now.minus(startedAt).compareTo(CONNECT_TIMEOUT) > 0;
+      return watched.minus(watchedFrom).compareTo(CONNECT_TIMEOUT) > 0;
     }
     if (!route.mayRepeat() || !canRepeat) {
       return false;
     }
-    Duration limit =
-        firstPartAt == null
-            ? Duration.ofNanos((long) (route.firstPartObjective().toNanos() * FIRST_PART_PATIENCE))
-            : route.pauseObjective().multipliedBy(PAUSE_PATIENCE);
-    return !limit.isZero() && now.minus(lastDataAt).compareTo(limit) > 0;
+    Duration silence = watched.minus(watchedSince);
+    if (core.isAvoided(request, server)) {
+      return silence.compareTo(SUSPECT_PATIENCE) > 0;
+    }
+    return silence.compareTo(patience(route)) > 0;
+  }
+
+  private Duration patience(Route route) {
+    if (firstPartAt != null && route.kind() == RouteKind.STREAMING) {
+      return route.pauseObjective().multipliedBy(PAUSE_PATIENCE);
+    }
+    Duration byObjective =
+        Duration.ofNanos((long) (route.firstPartObjective().toNanos() * FIRST_PART_PATIENCE));
+    Duration byEstimate = expectedFirstPart.multipliedBy(ESTIMATE_PATIENCE);
+    return byObjective.compareTo(byEstimate) > 0 ? byObjective : byEstimate;
   }
 
   void pause() {
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -133,7 +133,7 @@
             Optional.ofNullable(exchange().header("Host")).orElse(""),
             core.dialect().encodeRequest(call.fields(), fields),
             exchange().body());
-    Attempt next = new Attempt(this, core, server, now);
+    Attempt next = new Attempt(this, core, server, now, estimate.firstPart());
     attempt = next;
     attempts++;
     next.send(Endpoint.of(server.address()), outbound, !route.mayRepeat());
@@ -398,7 +398,7 @@
       return;
     }
     Attempt current = attempt;
-    if (current != null && current.isSilent(now, route, hasAttemptsLeft())) {
+    if (current != null && current.isSilent(route, hasAttemptsLeft())) {
       AttemptEnd end = AttemptEnd.NOT_SENT;
       if (current.wasSent()) {
         end = head == null ? AttemptEnd.LOST : AttemptEnd.CUT;
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -62,6 +62,9 @@
   /** The part of the objective that a request may wait and still be on time. */
   private static final double ON_TIME_SHARE = 0.8;
 
+  /** What one tick adds to the watched time at most: two intervals. */
+  private static final Duration MAX_WATCHED = Duration.ofMillis(40);
+
   private static final Duration DECLINED_RETRY_AFTER = Duration.ofMillis(300);
 
   private final MonotonicClock clock;
@@ -79,6 +82,8 @@
   private Set<String> knownServers = Set.of();
   private int gateways = 1;
   private boolean serversKnown;
+  private Duration watchedTime = Duration.ZERO;
+  private Duration tickedAt;
   private @Nullable Duration leavingSince;
 
   GatewayCore(
@@ -95,6 +100,7 @@
     this.metrics = metrics;
     this.retryLimits = retryLimits;
     this.sampler = sampler;
+    this.tickedAt = clock.elapsed();
     this.quotas = quotas;
   }
 
@@ -163,7 +169,9 @@
 
   private static Duration patience(Route route, Duration limit) {
     Duration patience = scale(limit, PLAIN_PATIENCE);
-    if (route.kind() == RouteKind.STREAMING) {
+    if (route.kind() == RouteKind.STREAMING && route.priority() > 0) {
+      patience = route.firstPartObjective();
+    } else if (route.kind() == RouteKind.STREAMING) {
       Duration byObjective = route.firstPartObjective().multipliedBy(PATIENCE_OBJECTIVES);
       Duration byPause = route.pauseObjective().multipliedBy(PATIENCE_PAUSES);
       patience = max(STREAM_PATIENCE, max(byObjective, byPause)).minus(PATIENCE_MARGIN);
@@ -378,9 +386,24 @@
     return new Message.GatewayLoad(running, waiting, quotas.ownUse());
   }
 
+  /**
+   * Returns the time that passed while this process could hear its connections. It stands still
+   * while the process is suspended or has no processor, so that others are not blamed for that.
+   */
+  Duration watchedTime() {
+    return watchedTime;
+  }
+
+  boolean isAvoided(ForwardedRequest request, BackendServer server) {
+    return pool(request.pool()).isAvoided(server.id(), now());
+  }
+
   /** Applies the passage of time. */
   void tick() {
     Duration now = now();
+    Duration sinceTick = now.minus(tickedAt);
+    watchedTime = watchedTime.plus(sinceTick.compareTo(MAX_WATCHED) < 0 ? sinceTick : MAX_WATCHED);
+    tickedAt = now;
     List.copyOf(open.values()).forEach(request -> request.tick(now));
     pools.values().forEach(pool -> pool.tick(now));
   }
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -40,7 +40,7 @@
   private final PlacementEffects effects;
   private final TreeMap<Urgency, List<PlacedRequest>> waiting = new TreeMap<>();
   private final Map<String, ServerLoad> servers = new HashMap<>();
-  private final DepartureRate departures;
+  private final StartRates starts;
   private Map<String, Integer> runningElsewhere = Map.of();
   private NavigableMap<Urgency, Integer> waitingElsewhere = new TreeMap<>();
   private int tokensPerEvent = 1;
@@ -54,7 +54,7 @@
   public PoolScheduler(SchedulingLimits limits, PlacementEffects effects) {
     this.limits = limits;
     this.effects = effects;
-    this.departures = new DepartureRate(limits.departureWindow());
+    this.starts = new StartRates(limits.rateWindow());
   }
 
   /**
@@ -203,7 +203,6 @@
    * @param now the time
    */
   public void ended(PlacedRequest request, String serverId, AttemptResult result, Duration now) {
-    departures.departed(now);
     load(serverId)
         .ifPresent(
             load -> {
@@ -228,6 +227,17 @@
     dispatch(now);
   }
 
+  /**
+   * Returns whether a server could not be reached lately.
+   *
+   * @param serverId the server
+   * @param now the time
+   * @return whether it is avoided
+   */
+  public boolean isAvoided(String serverId, Duration now) {
+    return load(serverId).map(load -> load.isAvoided(now)).orElse(false);
+  }
+
   /**
    * Returns the number of waiting requests.
    *
@@ -286,7 +296,7 @@
           return;
         }
         queue.remove(next);
-        start(next, place.get());
+        start(next, place.get(), now);
       }
     }
   }
@@ -298,7 +308,8 @@
         .orElseGet(() -> queue.get(0));
   }
 
-  private void start(PlacedRequest request, ServerLoad load) {
+  private void start(PlacedRequest request, ServerLoad load, Duration now) {
+    starts.started(request.urgency(), now);
     ServerEstimate estimate = load.estimate(request);
     request.tried(load.server().id());
     load.started(request);
@@ -307,9 +318,10 @@
 
   private Optional<ServerLoad> choose(PlacedRequest request, Duration now) {
     int rank = request.urgency().routeRank();
+    boolean allAvoided = servers.values().stream().allMatch(load -> load.isAvoided(now));
     List<ServerLoad> open =
         servers.values().stream()
-            .filter(load -> load.places(rank) > 0 && !load.isAvoided(now))
+            .filter(load -> load.places(rank) > 0 && (allAvoided || !load.isAvoided(now)))
             .toList();
     int places = open.stream().mapToInt(load -> load.places(rank)).sum();
     if (places <= moreUrgentElsewhere(request.urgency())) {
@@ -334,10 +346,10 @@
         + load.expectedOverrun(request, now).toMillis();
   }
 
-  /** Returns how long requests of the same or a higher tier that wait will take to start. */
+  /** Returns how long the requests of an urgency that wait already will take to start. */
   private Duration expectedWait(Urgency urgency, Duration now) {
-    int ahead = waiting.headMap(urgency, true).values().stream().mapToInt(List::size).sum();
-    return departures.timeFor(ahead, now);
+    List<PlacedRequest> queue = waiting.get(urgency);
+    return starts.timeFor(queue == null ? 0 : queue.size(), urgency, now);
   }
 
   private static Duration retryAfter(Duration wait) {
--- a/src/main/java/org/wigeonstage/placement/SchedulingLimits.java
+++ b/src/main/java/org/wigeonstage/placement/SchedulingLimits.java
@@ -8,7 +8,7 @@
  * @param reservedPerRank places of each server that a tier leaves to each tier above it
  * @param extraPlaces requests of the highest tier that a server gets beyond its slots; they start
  *     there as soon as any of its many requests ends
- * @param departureWindow the time over which the rate of finished requests is measured
+ * @param rateWindow the time over which the rate of started requests is measured
  * @param avoidAfterFailure how long a server is avoided after a first failure to reach it; doubled
  *     with each further one
  * @param maxAvoid the longest time for which a server is avoided
@@ -16,7 +16,7 @@
 public record SchedulingLimits(
     int reservedPerRank,
     int extraPlaces,
-    Duration departureWindow,
+    Duration rateWindow,
     Duration avoidAfterFailure,
     Duration maxAvoid) {
 
--- /dev/null
+++ b/src/main/java/org/wigeonstage/placement/StartRates.java
@@ -0,0 +1,47 @@
+package org.wigeonstage.placement;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+
+/** The rate at which waiting requests of each urgency are started, over a sliding window. */
+final class StartRates {
+
+  private final Duration window;
+  private final Deque<Start> starts = new ArrayDeque<>();
+
+  /** A request that was started after it had waited. */
+  private record Start(Duration at, Urgency urgency) {}
+
+  StartRates(Duration window) {
+    this.window = window;
+  }
+
+  void started(Urgency urgency, Duration now) {
+    forget(now);
+    starts.addLast(new Start(now, urgency));
+  }
+
+  /**
+   * Returns how long it takes to start a number of requests. Those of a higher urgency are left
+   * out, because they go first; those of a lower one are counted, because these requests would have
+   * had their places.
+   */
+  Duration timeFor(int count, Urgency urgency, Duration now) {
+    forget(now);
+    if (count == 0) {
+      return Duration.ZERO;
+    }
+    long started = starts.stream().filter(start -> start.urgency().compareTo(urgency) >= 0).count();
+    return window.multipliedBy(count).dividedBy(Math.max(1, started));
+  }
+
+  private void forget(Duration now) {
+    Duration oldest = now.minus(window);
+    Iterator<Start> iterator = starts.iterator();
+    while (iterator.hasNext() && iterator.next().at().compareTo(oldest) < 0) {
+      iterator.remove();
+    }
+  }
+}
