Keep refusals true while a connection is being made; survive SIGHUP; refuse ambiguous framing

The exchange now decides under its own lock, ClientExchangeTest. - SIGHUP ended the process; it now reads its settings again, SettingsWatchTest. - Lines were lost while a process leaves, because the log manager was set too late. - A request with a length beside chunks was taken by its chunks, GatewayIT. - Servers that nothing is known of, or that were slow once, were never tried; servers that are alike were chosen in the same order by all gateways.

--- a/src/main/java/org/wigeonstage/cli/GatewayCommand.java
+++ b/src/main/java/org/wigeonstage/cli/GatewayCommand.java
@@ -34,7 +34,8 @@
 
   @Override
   public int run(CommandLine line, Console console) throws IOException, InterruptedException {
-    GatewaySettings settings = SettingsLoader.loadGateway(Path.of(line.getOptionValue("settings")));
+    Path file = Path.of(line.getOptionValue("settings"));
+    GatewaySettings settings = SettingsLoader.loadGateway(file);
     if (line.hasOption("check")) {
       console.out().println("settings are valid");
       return SUCCESS;
@@ -43,7 +44,9 @@
     try (HttpClient client = HttpClient.start("store", 1)) {
       PlatformAdapter adapter = new PlatformAdapter(client, Endpoint.of(settings.store()));
       try (GatewayProcess process =
-          GatewayProcess.start(settings, adapter.fleetStore(), adapter.headerDialect())) {
+              GatewayProcess.start(settings, adapter.fleetStore(), adapter.headerDialect());
+          SettingsWatch watch =
+              SettingsWatch.start(file, text -> process.reload(SettingsLoader.gatewayOf(text)))) {
         return ShutdownSignal.await(process::drain);
       }
     }
--- a/src/main/java/org/wigeonstage/cli/Main.java
+++ b/src/main/java/org/wigeonstage/cli/Main.java
@@ -1,11 +1,13 @@
 package org.wigeonstage.cli;
 
 import java.util.List;
-import org.wigeonstage.telemetry.LastingLogManager;
 
 /** Starts the subcommand that the first arguments name. */
 public final class Main {
 
+  /** Named as text, because loading the class before it is set installs the usual one. */
+  private static final String LOG_MANAGER = "org.wigeonstage.telemetry.LastingLogManager";
+
   private Main() {}
 
   /**
@@ -14,7 +16,7 @@
    * @param args the subcommand's name and its options
    */
   public static void main(String[] args) {
-    LastingLogManager.install();
+    System.setProperty("java.util.logging.manager", LOG_MANAGER);
     Console console = new Console(System.out, System.err);
     System.exit(new CommandRunner(commands(), console).run(args));
   }
--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -72,6 +72,12 @@
     return current != null && current.isConnected();
   }
 
+  /** Gives the attempt up if nothing was sent; returns whether nothing was, nor ever will be. */
+  boolean cancelUnsent() {
+    ClientExchange current = exchange;
+    return current == null || current.cancelUnsent();
+  }
+
   void headArrived(Duration now) {
     lastDataAt = now;
     watchedSince = core.watchedTime();
--- a/src/main/java/org/wigeonstage/gateway/Beliefs.java
+++ b/src/main/java/org/wigeonstage/gateway/Beliefs.java
@@ -16,7 +16,7 @@
 final class Beliefs {
 
   private final ClockReader clocks;
-  private final Duration maxAge;
+  private volatile Duration maxAge;
   private volatile @Nullable Confirmed confirmed;
 
   /** A configuration and when it was asked for. */
@@ -27,6 +27,11 @@
     this.maxAge = maxAge;
   }
 
+  /** Sets how old the configuration may be. */
+  void maxAge(Duration limit) {
+    maxAge = limit;
+  }
+
   /** Takes an answer of the store; returns whether it brought a newer configuration. */
   synchronized boolean confirm(RoutingRevision routing, ClockReading askedAt) {
     Confirmed current = confirmed;
--- a/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
+++ b/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
@@ -45,7 +45,8 @@
 
   private void take(ServerExchange exchange) {
     InboundCall call =
-        new InboundCall(exchange, core.dialect().decodeRequest(exchange.fields()), core.now());
+        new InboundCall(
+            exchange, core.dialect().decodeRequest(exchange.fields()), core.arrivalTime());
     if (isStarting() && early.size() < MAX_EARLY_CALLS) {
       early.addLast(call);
     } else {
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -400,7 +400,7 @@
     Attempt current = attempt;
     if (current != null && current.isSilent(route, hasAttemptsLeft())) {
       AttemptEnd end = AttemptEnd.NOT_SENT;
-      if (current.wasSent()) {
+      if (!current.cancelUnsent()) {
         end = head == null ? AttemptEnd.LOST : AttemptEnd.CUT;
       }
       attemptEnded(current, end, AttemptResult.UNREACHABLE);
@@ -410,9 +410,8 @@
   private void timeOut() {
     Attempt current = attempt;
     if (current != null) {
-      boolean wasSent = current.wasSent();
-      attemptEnded(current, AttemptEnd.TIMED_OUT, AttemptResult.NEUTRAL);
-      mayHaveRun |= wasSent;
+      AttemptEnd end = current.cancelUnsent() ? AttemptEnd.NOT_SENT : AttemptEnd.TIMED_OUT;
+      attemptEnded(current, end, AttemptResult.NEUTRAL);
       return;
     }
     core.withdraw(this);
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -33,6 +33,7 @@
 import org.wigeonstage.placement.ServerEstimate;
 import org.wigeonstage.placement.Urgency;
 import org.wigeonstage.quota.AccountQuotas;
+import org.wigeonstage.quota.QuotaTolerance;
 import org.wigeonstage.quota.RetryBudget;
 import org.wigeonstage.quota.RetryLimits;
 import org.wigeonstage.request.HeaderFields;
@@ -71,7 +72,7 @@
   private final HeaderDialect dialect;
   private final PooledHttpClient client;
   private final MetricRegistry metrics;
-  private final RetryLimits retryLimits;
+  private RetryLimits retryLimits;
   private final AccountQuotas quotas;
   private final SplittableRandom random = new SplittableRandom();
   private final TrailSampler sampler;
@@ -307,6 +308,26 @@
     return open.size();
   }
 
+  /** Takes over changed limits. */
+  void limits(RetryLimits retries, QuotaTolerance tolerance) {
+    if (!retries.equals(retryLimits)) {
+      retryLimits = retries;
+      budgets.clear();
+    }
+    quotas.tolerate(tolerance);
+  }
+
+  /**
+   * Returns when a request arrived that is handled now. While the process has no processor,
+   * requests wait in its sockets; then the end of the last tick is taken, at the cost of refusing
+   * some that came later.
+   */
+  Duration arrivalTime() {
+    Duration now = now();
+    Duration attentiveUntil = tickedAt.plus(MAX_WATCHED);
+    return attentiveUntil.compareTo(now) < 0 ? attentiveUntil : now;
+  }
+
   /** Takes over a configuration. */
   void configure(RoutingTable table) {
     quotas.configure(table.accounts(), now());
@@ -410,7 +431,7 @@
 
   private PoolScheduler pool(String name) {
     return pools.computeIfAbsent(
-        name, key -> new PoolScheduler(SchedulingLimits.DEFAULTS, new Starter()));
+        name, key -> new PoolScheduler(SchedulingLimits.DEFAULTS, new Starter(), random));
   }
 
   private RetryBudget budget(String pool) {
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -70,24 +70,16 @@
     MonotonicClock clock = MonotonicClock.system();
     ClockReader clocks = ClockReader.system();
     this.client = closer.register(PooledHttpClient.start("backend", 1, clock));
-    RetryLimits retryLimits =
-        new RetryLimits(
-            settings.retryRatio(),
-            settings.retryFixed(),
-            Duration.ofSeconds(settings.retryWindowSeconds()),
-            RETRY_SAFETY);
     this.core =
         new GatewayCore(
             clock,
             dialect,
             client,
             metrics,
-            retryLimits,
+            retryLimits(settings),
             new AccountQuotas(settings.quotaTolerance(), settings.isFirstStart(), clock.elapsed()),
             new TrailSampler(settings.logOneIn()));
-    Duration maxAge =
-        Duration.ofMillis((long) (settings.revocation().toMillis() * FRESHNESS_SHARE));
-    this.beliefs = new Beliefs(clocks, maxAge);
+    this.beliefs = new Beliefs(clocks, freshness(settings));
     this.follower = closer.register(new StoreFollower(store, clocks, beliefs, core));
     this.peers =
         closer.register(
@@ -133,6 +125,37 @@
     return process;
   }
 
+  /**
+   * Takes over changed settings. Limits take effect at once; addresses and names stay until the
+   * next start.
+   *
+   * @param changed the settings
+   */
+  public void reload(GatewaySettings changed) {
+    core.run(() -> core.limits(retryLimits(changed), changed.quotaTolerance()));
+    beliefs.maxAge(freshness(changed));
+    DecisionLog.write(
+        "settings-reloaded",
+        "revocationMillis",
+        changed.revocationMillis(),
+        "retryRatio",
+        changed.retryRatio(),
+        "retryFixed",
+        changed.retryFixed());
+  }
+
+  private static RetryLimits retryLimits(GatewaySettings settings) {
+    return new RetryLimits(
+        settings.retryRatio(),
+        settings.retryFixed(),
+        Duration.ofSeconds(settings.retryWindowSeconds()),
+        RETRY_SAFETY);
+  }
+
+  private static Duration freshness(GatewaySettings settings) {
+    return Duration.ofMillis((long) (settings.revocation().toMillis() * FRESHNESS_SHARE));
+  }
+
   /**
    * Returns where the gateway listens for callers.
    *
@@ -151,6 +174,15 @@
     return readiness.endpoint();
   }
 
+  /**
+   * Returns the number of other gateways that it hears.
+   *
+   * @return the number
+   */
+  public int peerCount() {
+    return peers.heardCount();
+  }
+
   private void tick() {
     try {
       core.run(core::tick);
--- a/src/main/java/org/wigeonstage/gateway/PeerExchange.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerExchange.java
@@ -107,6 +107,17 @@
     return peers.computeIfAbsent(peer, key -> new PeerState(core.quotas(), core.now()));
   }
 
+  /** Returns the number of gateways that were heard lately. */
+  int heardCount() {
+    int[] count = {0};
+    core.run(
+        () -> {
+          Duration now = core.now();
+          count[0] = (int) peers.values().stream().filter(peer -> peer.use.isHeard(now)).count();
+        });
+    return count[0];
+  }
+
   /** Sends loads, replaces silent links and takes shares for silent peers. */
   void tick() {
     Duration now = core.now();
--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -148,6 +148,19 @@
     }
   }
 
+  /**
+   * Gives the call up if nothing of it was sent yet.
+   *
+   * @return whether nothing was sent, nor ever will be
+   */
+  public synchronized boolean cancelUnsent() {
+    if (connection != null) {
+      return false;
+    }
+    aborted = true;
+    return true;
+  }
+
   /** Closes the connection; the listener is told as of any broken answer. */
   public void abort() {
     Connection<?> current;
--- a/src/main/java/org/wigeonstage/http/PlainHttpFilter.java
+++ b/src/main/java/org/wigeonstage/http/PlainHttpFilter.java
@@ -1,6 +1,9 @@
 package org.wigeonstage.http;
 
 import com.google.common.base.CharMatcher;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpServerFilter;
@@ -21,6 +24,7 @@
 
   private static final String CONTENT_LENGTH = "Content-Length";
   private static final String TRANSFER_ENCODING = "Transfer-Encoding";
+  private static final String LENGTH_FIELD = "\ncontent-length";
   private static final CharMatcher TOKEN =
       CharMatcher.inRange('a', 'z')
           .or(CharMatcher.inRange('A', 'Z'))
@@ -50,17 +54,28 @@
   @Override
   protected void onHttpHeadersParsed(
       HttpHeader header, MimeHeaders fields, FilterChainContext context) {
-    checkFraming(fields);
+    checkFraming(header.isChunked(), fields);
     super.onHttpHeadersParsed(header, fields, context);
     header.getUpgradeDC().recycle();
     fields.removeHeader(UPGRADE);
   }
 
+  /** The codec forgets a length beside chunks, so it is looked for in the bytes of the head. */
+  @Override
+  protected boolean onHttpHeaderParsed(
+      HttpHeader header, Buffer buffer, FilterChainContext context) {
+    if (header.isChunked()) {
+      String head = buffer.toStringContent(StandardCharsets.ISO_8859_1, 0, buffer.position());
+      refuseUnless(!head.toLowerCase(Locale.ROOT).contains(LENGTH_FIELD));
+    }
+    return super.onHttpHeaderParsed(header, buffer, context);
+  }
+
   /**
    * Refuses requests whose end two readers could place differently; such a request could carry
    * another one past this server.
    */
-  private static void checkFraming(MimeHeaders fields) {
+  private static void checkFraming(boolean isChunked, MimeHeaders fields) {
     int lengths = 0;
     int encodings = 0;
     int hosts = 0;
@@ -80,7 +95,8 @@
         hosts++;
       }
     }
-    refuseUnless(lengths + encodings <= 1 && hosts <= 1);
+    boolean isEncoded = isChunked || encodings > 0;
+    refuseUnless(lengths + (isEncoded ? 1 : 0) <= 1 && encodings <= 1 && hosts <= 1);
   }
 
   private static boolean isLength(String value) {
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -2,14 +2,15 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.TreeMap;
+import java.util.random.RandomGenerator;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.routes.PoolDefinition;
 
@@ -29,6 +30,11 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
+  /** Servers whose costs differ by less are taken as alike. */
+  private static final double ALIKE_MILLIS = 4;
+
+  private static final Duration FADE_INTERVAL = Duration.ofMillis(500);
+
   /** Engines read about a hundred tokens of a prompt in a millisecond. */
   private static final double MILLIS_PER_PROMPT_TOKEN = 0.01;
 
@@ -38,21 +44,25 @@
 
   private final SchedulingLimits limits;
   private final PlacementEffects effects;
+  private final RandomGenerator random;
   private final TreeMap<Urgency, List<PlacedRequest>> waiting = new TreeMap<>();
   private final Map<String, ServerLoad> servers = new HashMap<>();
   private final StartRates starts;
   private Map<String, Integer> runningElsewhere = Map.of();
   private NavigableMap<Urgency, Integer> waitingElsewhere = new TreeMap<>();
   private int tokensPerEvent = 1;
+  private Duration fadedAt = Duration.ZERO;
 
   /**
    * Creates a scheduler without servers.
    *
    * @param limits its limits
    * @param effects carries out its decisions
+   * @param random chooses among servers that are alike
    */
-  public PoolScheduler(SchedulingLimits limits, PlacementEffects effects) {
+  public PoolScheduler(SchedulingLimits limits, PlacementEffects effects, RandomGenerator random) {
     this.limits = limits;
+    this.random = random;
     this.effects = effects;
     this.starts = new StartRates(limits.rateWindow());
   }
@@ -223,6 +233,11 @@
    * @param now the time
    */
   public void tick(Duration now) {
+    Duration sinceFade = now.minus(fadedAt);
+    if (sinceFade.compareTo(FADE_INTERVAL) >= 0) {
+      servers.values().forEach(load -> load.fade(sinceFade));
+      fadedAt = now;
+    }
     refuseExpired(now);
     dispatch(now);
   }
@@ -329,8 +344,24 @@
     }
     List<ServerLoad> untried =
         open.stream().filter(load -> !request.hasTried(load.server().id())).toList();
-    return (untried.isEmpty() ? open : untried)
-        .stream().min(Comparator.comparingDouble(load -> cost(load, request, now)));
+    return cheapest(untried.isEmpty() ? open : untried, request, now);
+  }
+
+  /**
+   * Returns one of the servers with almost the least cost, at random, because other gateways choose
+   * from the same figures at the same time.
+   */
+  private Optional<ServerLoad> cheapest(
+      List<ServerLoad> loads, PlacedRequest request, Duration now) {
+    OptionalDouble least = loads.stream().mapToDouble(load -> cost(load, request, now)).min();
+    if (least.isEmpty()) {
+      return Optional.empty();
+    }
+    List<ServerLoad> alike =
+        loads.stream()
+            .filter(load -> cost(load, request, now) <= least.getAsDouble() + ALIKE_MILLIS)
+            .toList();
+    return Optional.of(alike.get(random.nextInt(alike.size())));
   }
 
   /** Returns how many requests wait at other gateways that go before one of this urgency. */
--- a/src/main/java/org/wigeonstage/placement/ServerLoad.java
+++ b/src/main/java/org/wigeonstage/placement/ServerLoad.java
@@ -27,9 +27,16 @@
   private static final double QUEUED_MILLIS = 60;
 
   private static final double NANOS_PER_MILLI = 1e6;
+  private static final double NANOS_PER_SECOND = 1e9;
 
-  /** The time to the first part of a short prompt before anything was learned. */
-  private static final double INITIAL_FIRST_PART_MILLIS = 40;
+  /**
+   * The time to the first part of a short prompt before anything was learned. It is low, so that
+   * new servers are tried.
+   */
+  private static final double INITIAL_FIRST_PART_MILLIS = 2;
+
+  /** What is left after a second of what was learned; a slow phase is forgotten in some seconds. */
+  private static final double KEPT_PER_SECOND = 0.93;
 
   private final SchedulingLimits limits;
   private final Map<PlacedRequest, Boolean> running = new HashMap<>();
@@ -93,6 +100,14 @@
     failureRate += FAILURE_GAIN * (1 - failureRate);
   }
 
+  /** Lets what was learned fade, so that a server that was slow or failed is tried again. */
+  void fade(Duration elapsed) {
+    double kept = Math.pow(KEPT_PER_SECOND, elapsed.toNanos() / NANOS_PER_SECOND);
+    firstPartMillis =
+        INITIAL_FIRST_PART_MILLIS + kept * (firstPartMillis - INITIAL_FIRST_PART_MILLIS);
+    failureRate *= kept;
+  }
+
   void unreachable(Duration now) {
     failed();
     Duration pause = limits.avoidAfterFailure().multipliedBy(1L << Math.min(unreachableInARow, 6));
--- a/src/main/java/org/wigeonstage/quota/AccountQuotas.java
+++ b/src/main/java/org/wigeonstage/quota/AccountQuotas.java
@@ -20,7 +20,7 @@
 public final class AccountQuotas {
 
   private final Map<String, AccountUse> uses = new HashMap<>();
-  private final QuotaTolerance tolerance;
+  private QuotaTolerance tolerance;
   private final boolean isFirstStart;
   private final Duration startedAt;
 
@@ -37,6 +37,16 @@
     this.startedAt = startedAt;
   }
 
+  /**
+   * Changes by how much the use may exceed a quota.
+   *
+   * @param changed the tolerance
+   */
+  public void tolerate(QuotaTolerance changed) {
+    tolerance = changed;
+    uses.values().forEach(use -> use.tolerate(changed));
+  }
+
   /**
    * Takes over the accounts of a configuration.
    *
--- a/src/main/java/org/wigeonstage/quota/AccountUse.java
+++ b/src/main/java/org/wigeonstage/quota/AccountUse.java
@@ -6,7 +6,7 @@
 /** The use of one account's quota, by this gateway and, as far as it is known, by the others. */
 final class AccountUse {
 
-  private final QuotaTolerance tolerance;
+  private QuotaTolerance tolerance;
   private final UseWindow window;
   private final TokenBucket bucket;
   private AccountQuota quota;
@@ -24,6 +24,11 @@
     bucket.resize(newQuota.perSecond(), newQuota.burst(), now);
   }
 
+  /** Changes the tolerance; the length of the window stays. */
+  void tolerate(QuotaTolerance changed) {
+    tolerance = changed;
+  }
+
   void assumeEarlierUse(Duration startedAt) {
     window.add(tolerance.assumedBefore(quota), startedAt);
   }
--- a/src/main/java/org/wigeonstage/telemetry/LastingLogManager.java
+++ b/src/main/java/org/wigeonstage/telemetry/LastingLogManager.java
@@ -11,11 +11,6 @@
   /** Creates the manager; the logging library does so. */
   public LastingLogManager() {}
 
-  /** Makes this class the log manager. Must be called before anything is logged. */
-  public static void install() {
-    System.setProperty("java.util.logging.manager", LastingLogManager.class.getName());
-  }
-
   @Override
   public void reset() {
     // The process ends without it.
--- /dev/null
+++ b/src/test/java/org/wigeonstage/PlatformNamesTest.java
@@ -0,0 +1,74 @@
+package org.wigeonstage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** Names of the users' platform stand in its adapter only. */
+class PlatformNamesTest {
+
+  private static final Path MAIN = Path.of("src/main/java/org/wigeonstage");
+  private static final Pattern TEXT = Pattern.compile("\"([^\"\\\\]|\\\\.)*\"");
+
+  /** Header fields, paths, kinds and fields of bodies that no other protocol here uses. */
+  private static final List<String> NAMES =
+      List.of(
+          "Attempt-Id",
+          "Deadline-Ms",
+          "Prompt-Prefix",
+          "Response-Signature",
+          "Target-Instance",
+          "Not-Executed",
+          "Instance-Id",
+          "Token-Count",
+          "Length-Hint",
+          "Credential",
+          "Kv-",
+          "/wigeonstage/",
+          "path_prefix",
+          "route_kind",
+          "timeout_ms",
+          "max_attempts",
+          "auth_exempt",
+          "traffic_split",
+          "api_keys",
+          "rate_per_s",
+          "burst_size",
+          "slot_count",
+          "cold_remaining_ms",
+          "draining",
+          "tenant",
+          "WIGEONSTAGE_BOOT");
+
+  @Test
+  void standInTheAdapterOnly() throws IOException {
+    List<String> found = new ArrayList<>();
+    try (Stream<Path> files = Files.walk(MAIN)) {
+      for (Path file : files.filter(path -> path.toString().endsWith(".java")).toList()) {
+        if (!file.startsWith(MAIN.resolve("platform"))) {
+          findIn(file, found);
+        }
+      }
+    }
+    assertThat(found).isEmpty();
+  }
+
+  private static void findIn(Path file, List<String> found) throws IOException {
+    Matcher texts = TEXT.matcher(Files.readString(file));
+    while (texts.find()) {
+      for (String name : NAMES) {
+        if (texts.group().toLowerCase().contains(name.toLowerCase())) {
+          found.add(file + ": " + texts.group());
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -0,0 +1,134 @@
+package org.wigeonstage.gateway;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.io.Closer;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.wigeonstage.common.Polling;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.platform.PlatformAdapter;
+import org.wigeonstage.platform.standin.Rehearsal;
+import org.wigeonstage.platform.standin.RunnerStandin;
+import org.wigeonstage.platform.standin.StoreStandin;
+import org.wigeonstage.settings.SettingsLoader;
+
+/** A store, runners and a gateway on loopback, and raw calls to it. */
+final class GatewayFixture implements Closeable {
+
+  private static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+  private final Closer closer = Closer.create();
+  final StoreStandin store = closer.register(StoreStandin.start(ANY_PORT));
+  final List<RunnerStandin> runners = new ArrayList<>();
+  final GatewayProcess gateway;
+
+  GatewayFixture(int runnerCount, ObjectNode configuration) {
+    for (int i = 1; i <= runnerCount; i++) {
+      addRunner("runner-" + i);
+    }
+    store.write("config", "main", configuration);
+    this.gateway = startGateway("gateway-1");
+  }
+
+  GatewayFixture(int runnerCount) {
+    this(runnerCount, Rehearsal.configuration());
+  }
+
+  RunnerStandin addRunner(String id) {
+    RunnerStandin runner = closer.register(RunnerStandin.start(id, ANY_PORT));
+    runners.add(runner);
+    store.write("servers", id, runner.entry("engines", "ready"));
+    return runner;
+  }
+
+  GatewayProcess startGateway(String name) {
+    ObjectNode settings =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("name", name)
+            .put("failureDomain", "zone-a")
+            .put("revocationMillis", 2000)
+            .put("store", store.endpoint().toString());
+    for (String address : List.of("callers", "readiness", "peers", "metrics")) {
+      settings.put(address, ANY_PORT.toString());
+    }
+    HttpClient client = closer.register(HttpClient.start("store", 1));
+    PlatformAdapter adapter = new PlatformAdapter(client, store.endpoint());
+    return closer.register(
+        GatewayProcess.start(
+            SettingsLoader.gatewayOf(settings.toString()),
+            adapter.fleetStore(),
+            adapter.headerDialect()));
+  }
+
+  /** Returns the bytes that are read until the connection ends. */
+  String exchange(String request) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", gateway.callersEndpoint().port())) {
+      socket.setSoTimeout((int) TIMEOUT.toMillis());
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().flush();
+      return new String(readAll(socket.getInputStream()), StandardCharsets.ISO_8859_1);
+    }
+  }
+
+  private static byte[] readAll(InputStream in) throws IOException {
+    return in.readAllBytes();
+  }
+
+  /** Sends one request on a connection of its own. */
+  String call(String route, String id, String... fields) throws IOException {
+    StringBuilder request = new StringBuilder("POST /" + route + "/x?q=1 HTTP/1.1\r\n");
+    request.append("Host: 127.0.0.1\r\nConnection: close\r\nAttempt-Id: ").append(id);
+    request.append("\r\nDeadline-Ms: 2500\r\nCredential: key\r\nContent-Length: 4\r\n");
+    if (route.equals("stream")) {
+      request.append("Token-Count: 10,20\r\n");
+    }
+    for (String field : fields) {
+      request.append(field).append("\r\n");
+    }
+    return exchange(request.append("\r\nbody").toString());
+  }
+
+  List<RunnerStandin.RunRecord> runsOf(String id) {
+    return runners.stream()
+        .flatMap(runner -> runner.runs().stream())
+        .filter(run -> run.attemptId().equals(id))
+        .toList();
+  }
+
+  /** Waits until a call is answered with a status; the calls have identifiers of their own. */
+  void awaitStatus(String route, int status) throws InterruptedException {
+    int[] count = {0};
+    boolean reached =
+        Polling.await(
+            () -> {
+              try {
+                return statusOf(call(route, "wait-" + route + status + count[0]++)) == status;
+              } catch (IOException e) {
+                throw new IllegalStateException(e);
+              }
+            },
+            TIMEOUT);
+    if (!reached) {
+      throw new AssertionError("status " + status + " was never answered");
+    }
+  }
+
+  static int statusOf(String answer) {
+    return answer.startsWith("HTTP/1.1 ") ? Integer.parseInt(answer.substring(9, 12)) : 0;
+  }
+
+  @Override
+  public void close() throws IOException {
+    closer.close();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
@@ -0,0 +1,280 @@
+package org.wigeonstage.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.wigeonstage.fleet.BackendServer;
+
+class PoolSchedulerTest {
+
+  private final Map<String, String> started = new LinkedHashMap<>();
+  private final Map<String, Refusal> refused = new LinkedHashMap<>();
+  private final PoolScheduler scheduler =
+      new PoolScheduler(
+          SchedulingLimits.DEFAULTS,
+          new PlacementEffects() {
+            @Override
+            public void start(
+                PlacedRequest request, BackendServer server, ServerEstimate estimate) {
+              started.put(request.id(), server.id());
+            }
+
+            @Override
+            public void refuse(PlacedRequest request, Refusal reason, Duration retryAfter) {
+              refused.put(request.id(), reason);
+              assertThat(retryAfter).isPositive();
+            }
+          },
+          new SplittableRandom(1));
+
+  private static BackendServer server(String id, int slots, boolean isLeaving) {
+    return new BackendServer(id, "pool", "10.0.0.1:1", "fd", slots, isLeaving, 0);
+  }
+
+  private void servers(BackendServer... servers) {
+    scheduler.update(List.of(servers), Duration.ZERO);
+  }
+
+  private static Duration millis(long millis) {
+    return Duration.ofMillis(millis);
+  }
+
+  private static PlacedRequest request(String id, int rank, long at) {
+    return new PlacedRequest(
+        id,
+        new Urgency(0, rank),
+        millis(at),
+        millis(at + 500),
+        millis(at + 2000),
+        100,
+        10,
+        millis(at + 10_000),
+        Optional.empty());
+  }
+
+  private PlacedRequest submit(String id, int rank, long at) {
+    PlacedRequest request = request(id, rank, at);
+    scheduler.submit(request, millis(at));
+    return request;
+  }
+
+  @Test
+  void refusesWhereNoServerIsReady() {
+    servers(server("a", 4, true));
+    submit("r", 0, 0);
+    assertThat(refused).containsEntry("r", Refusal.NO_SERVER);
+  }
+
+  @Test
+  void givesNoNewWorkToALeavingServer() {
+    servers(server("a", 4, true), server("b", 4, false));
+    for (int i = 0; i < 3; i++) {
+      submit("r" + i, 1, 0);
+    }
+    assertThat(started.values()).containsOnly("b");
+  }
+
+  /** A burst of a low tier fills all its places; urgent requests find some that it left. */
+  @Test
+  void leavesPlacesToHigherTiers() {
+    servers(server("a", 4, false));
+    for (int i = 0; i < 6; i++) {
+      submit("low" + i, 2, 0);
+    }
+    assertThat(started).hasSize(2);
+    submit("middle", 1, 1);
+    assertThat(started).containsKey("middle");
+    for (int i = 0; i < 4; i++) {
+      submit("high" + i, 0, 2);
+    }
+    assertThat(started).containsKeys("high0", "high1", "high2").doesNotContainKey("high3");
+  }
+
+  @Test
+  void startsTheMostUrgentFirstWhenAPlaceIsFree() {
+    servers(server("a", 1, false));
+    PlacedRequest first = submit("first", 1, 0);
+    submit("low", 2, 1);
+    submit("middle", 1, 2);
+    scheduler.ended(first, "a", AttemptResult.SERVED, millis(10));
+    assertThat(started.keySet()).containsExactly("first", "middle");
+  }
+
+  @Test
+  void startsRequestsThatCanBeOnTimeBeforeLateOnes() {
+    servers(server("a", 1, false));
+    PlacedRequest first = submit("first", 1, 0);
+    submit("late", 1, 1);
+    submit("fresh", 1, 900);
+    scheduler.ended(first, "a", AttemptResult.SERVED, millis(1000));
+    assertThat(started.keySet()).containsExactly("first", "fresh");
+  }
+
+  /** A place is free here, and more urgent requests wait at another gateway. */
+  @Test
+  void leavesFreePlacesToMoreUrgentRequestsOfOtherGateways() {
+    servers(server("a", 4, false));
+    scheduler.loadElsewhere(Map.of(), new TreeMap<>(Map.of(new Urgency(0, 0), 3)), millis(0));
+    submit("low", 1, 0);
+    assertThat(started).isEmpty();
+    scheduler.loadElsewhere(Map.of(), new TreeMap<>(), millis(50));
+    assertThat(started).containsKey("low");
+  }
+
+  /** Many gateways read the same loads; what others run counts against a server's places. */
+  @Test
+  void countsWhatOtherGatewaysRun() {
+    servers(server("a", 4, false), server("b", 4, false));
+    scheduler.loadElsewhere(Map.of("a", 4, "b", 1), new TreeMap<>(), millis(0));
+    submit("r1", 1, 0);
+    submit("r2", 1, 0);
+    submit("r3", 1, 0);
+    assertThat(started).containsEntry("r1", "b").containsEntry("r2", "b").hasSize(2);
+  }
+
+  @Test
+  void refusesTruthfullyWhenNoPlaceBecomesFree() {
+    servers(server("a", 1, false));
+    submit("first", 1, 0);
+    submit("second", 1, 1);
+    scheduler.tick(millis(1990));
+    assertThat(refused).isEmpty();
+    scheduler.tick(millis(2001));
+    assertThat(refused).containsExactly(Map.entry("second", Refusal.WAITED_TOO_LONG));
+    assertThat(scheduler.waitingCount()).isZero();
+  }
+
+  @Test
+  void refusesAtOnceWhatThoseAheadLeaveNoTimeFor() {
+    servers(server("a", 1, false));
+    submit("first", 1, 0);
+    for (int i = 0; i < 5; i++) {
+      submit("waiting" + i, 1, 1);
+    }
+    assertThat(refused.values()).contains(Refusal.QUEUE_TOO_LONG);
+    assertThat(refused).doesNotContainKey("waiting0");
+  }
+
+  @Test
+  void neverRefusesAHigherTierBecauseOfALowerOne() {
+    servers(server("a", 2, false));
+    for (int i = 0; i < 20; i++) {
+      submit("low" + i, 2, 0);
+    }
+    submit("high", 0, 1);
+    assertThat(refused).doesNotContainKey("high");
+    assertThat(started).containsKey("high");
+  }
+
+  @Test
+  void avoidsAServerThatCannotBeReachedUntilAllAre() {
+    servers(server("a", 4, false), server("b", 4, false));
+    PlacedRequest first = submit("first", 0, 0);
+    String lost = started.get("first");
+    scheduler.ended(first, lost, AttemptResult.UNREACHABLE, millis(1));
+    for (int i = 0; i < 4; i++) {
+      submit("r" + i, 0, 2);
+    }
+    assertThat(new ArrayList<>(started.values()).subList(1, 5)).doesNotContain(lost);
+    PlacedRequest second = request("second", 0, 3);
+    String other = lost.equals("a") ? "b" : "a";
+    scheduler.ended(second, other, AttemptResult.UNREACHABLE, millis(3));
+    submit("last", 0, 4);
+    assertThat(started).containsKey("last");
+  }
+
+  /** A quarter of the servers fails part of its requests while their health is good. */
+  @Test
+  void givesLessWorkToAServerThatFails() {
+    servers(server("a", 100, false), server("b", 100, false));
+    int atA = 0;
+    for (int i = 0; i < 200; i++) {
+      PlacedRequest request = submit("r" + i, 1, i);
+      String server = started.get(request.id());
+      boolean fails = server.equals("a") && i % 2 == 0;
+      atA += server.equals("a") ? 1 : 0;
+      scheduler.ended(
+          request, server, fails ? AttemptResult.FAILED : AttemptResult.SERVED, millis(i));
+    }
+    assertThat(atA).isLessThan(60);
+  }
+
+  @Test
+  void prefersTheServerThatMakesEventsFaster() {
+    servers(server("slow", 10, false), server("fast", 10, false));
+    for (int i = 0; i < 40; i++) {
+      scheduler.eventPace("slow", millis(80));
+      scheduler.eventPace("fast", millis(10));
+    }
+    for (int i = 0; i < 5; i++) {
+      PlacedRequest big =
+          new PlacedRequest(
+              "big" + i,
+              new Urgency(0, 0),
+              millis(0),
+              millis(500),
+              millis(2000),
+              8000,
+              100,
+              millis(5000),
+              Optional.empty());
+      scheduler.submit(big, millis(0));
+    }
+    assertThat(started.values()).containsOnly("fast");
+  }
+
+  @Test
+  void triesAnotherServerSecond() {
+    servers(server("a", 4, false), server("b", 4, false));
+    PlacedRequest request = submit("r", 0, 0);
+    String first = started.get("r");
+    scheduler.ended(request, first, AttemptResult.FAILED, millis(5));
+    scheduler.submit(request, millis(5));
+    assertThat(started.get("r")).isNotEqualTo(first);
+  }
+
+  /** A server is added to a pool whose servers are known to be fast. */
+  @Test
+  void triesAServerThatNothingIsKnownOf() {
+    servers(server("a", 100, false));
+    for (int i = 0; i < 50; i++) {
+      PlacedRequest request = submit("r" + i, 1, i);
+      scheduler.firstPart(request, "a", millis(12));
+      scheduler.ended(request, "a", AttemptResult.SERVED, millis(i));
+    }
+    servers(server("a", 100, false), server("b", 100, false));
+    submit("new", 1, 60);
+    assertThat(started).containsEntry("new", "b");
+  }
+
+  /** A server is slow for a while and then as fast as the others. */
+  @Test
+  void forgetsASlowPhase() {
+    servers(server("a", 100, false), server("b", 100, false));
+    PlacedRequest slow = submit("slow", 1, 0);
+    String slowServer = started.get("slow");
+    scheduler.firstPart(slow, slowServer, millis(900));
+    scheduler.ended(slow, slowServer, AttemptResult.SERVED, millis(900));
+    PlacedRequest next = submit("next", 1, 901);
+    assertThat(started.get("next")).isNotEqualTo(slowServer);
+    String other = started.get("next");
+    scheduler.firstPart(next, other, millis(40));
+    scheduler.ended(next, other, AttemptResult.SERVED, millis(950));
+    for (int second = 1; second < 60; second++) {
+      scheduler.tick(Duration.ofSeconds(second));
+      PlacedRequest steady = request("steady" + second, 1, second * 1000L);
+      scheduler.firstPart(steady, other, millis(40));
+    }
+    submit("later", 1, 60_000);
+    submit("later2", 1, 60_000);
+    assertThat(List.of(started.get("later"), started.get("later2"))).contains(slowServer);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/wigeonstage/platform/DecodersTest.java
@@ -0,0 +1,97 @@
+package org.wigeonstage.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.wigeonstage.common.Json;
+import org.wigeonstage.common.KeyHash;
+import org.wigeonstage.routes.Route;
+import org.wigeonstage.routes.RouteKind;
+import org.wigeonstage.routes.RoutingTable;
+
+class DecodersTest {
+
+  private static final String ENTRY =
+      """
+      {"service": "engines", "address": "10.128.0.9:8080", "zone": "cl-sur-a", "version": "v1",
+       "slot_count": 14, "state": "ready", "cold_remaining_ms": 0, "sequence": 4}
+      """;
+
+  private static ObjectNode entry() {
+    return (ObjectNode) Json.parse(ENTRY);
+  }
+
+  @Test
+  void readsARunnersEntry() {
+    assertThat(ServerDecoder.decode("i-1", entry()))
+        .hasValueSatisfying(
+            server -> {
+              assertThat(server.pool()).isEqualTo("engines");
+              assertThat(server.address()).isEqualTo("10.128.0.9:8080");
+              assertThat(server.slots()).isEqualTo(14);
+              assertThat(server.isLeaving()).isFalse();
+            });
+    assertThat(ServerDecoder.decode("i-1", entry().put("state", "draining")))
+        .hasValueSatisfying(server -> assertThat(server.isLeaving()).isTrue());
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"service", "address", "zone", "version", "slot_count", "state", "sequence"})
+  void leavesOutEntriesThatLackAFieldOrHaveAnotherType(String field) {
+    ObjectNode missing = entry();
+    missing.remove(field);
+    assertThat(ServerDecoder.decode("i-1", missing)).isEmpty();
+    ObjectNode other = entry();
+    other.putArray(field);
+    assertThat(ServerDecoder.decode("i-1", other)).isEmpty();
+  }
+
+  @Test
+  void leavesOutEntriesWithUnknownWords() {
+    assertThat(ServerDecoder.decode("i-1", entry().put("state", "resting"))).isEmpty();
+    assertThat(ServerDecoder.decode("i-1", entry().put("address", "host:80"))).isEmpty();
+    assertThat(ServerDecoder.decode("i-1", entry().put("slot_count", 0))).isEmpty();
+    assertThat(ServerDecoder.decode("i-1", Json.parse("\"text\""))).isEmpty();
+  }
+
+  @Test
+  void readsAConfiguration() {
+    RoutingTable table =
+        RoutingDecoder.decode(
+            Json.parse(
+                """
+                {"version": 7, "routes": [
+                  {"name": "r1", "host": "a.example", "path_prefix": "/x/",
+                   "route_kind": "streaming", "timeout_ms": 15000, "target_latency_ms": 800,
+                   "priority": 1, "max_attempts": 2, "auth_exempt": true, "resumable": true,
+                   "target_gap_ms": 400, "traffic_split": [
+                     {"service": "s1", "traffic_weight": 90},
+                     {"service": "s2", "traffic_weight": 10}]},
+                  {"name": "r2", "host": "a.example", "path_prefix": "/y/",
+                   "route_kind": "non_idempotent", "timeout_ms": 800, "service": "s2"}],
+                 "services": [{"name": "s1", "health_path": "/healthz", "max_connections": 620,
+                   "engine_type": {"slot_count": 14, "kv_capacity_tokens": 781367, "stride": 5}}],
+                 "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+                 "tenants": [{"name": "shop", "api_keys": ["k1", "k2"], "priority": 1,
+                   "billing_unit": "tokens", "plain_tokens": 200, "rate_per_s": 100,
+                   "burst_size": 50}]}
+                """));
+    assertThat(table.version()).isEqualTo(7);
+    Route stream = table.route("a.example", "/x/1").orElseThrow();
+    assertThat(stream.kind()).isEqualTo(RouteKind.STREAMING);
+    assertThat(stream.mayRepeat()).isTrue();
+    assertThat(stream.isOpen()).isTrue();
+    assertThat(stream.poolFor(0.95)).isEqualTo("s2");
+    Route plain = table.route("a.example", "/y/").orElseThrow();
+    assertThat(plain.kind()).isEqualTo(RouteKind.NON_IDEMPOTENT);
+    assertThat(plain.poolFor(0.5)).isEqualTo("s2");
+    assertThat(table.pool("s1").orElseThrow().tokensPerEvent()).isEqualTo(5);
+    assertThat(table.account(KeyHash.of("k2")).orElseThrow().quota().costOf(-1)).isEqualTo(200);
+    assertThat(table.limits().idleTimeout()).hasSeconds(15);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/wigeonstage/platform/PlatformHeadersTest.java
@@ -0,0 +1,103 @@
+package org.wigeonstage.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.wigeonstage.forward.AnswerFields;
+import org.wigeonstage.forward.AttemptFields;
+import org.wigeonstage.forward.RequestFields;
+import org.wigeonstage.request.HeaderFields;
+
+class PlatformHeadersTest {
+
+  private final PlatformHeaders headers = new PlatformHeaders();
+
+  private static HeaderFields request() {
+    return HeaderFields.NONE
+        .with("Host", "a.example")
+        .with("Attempt-Id", "9c41")
+        .with("Last-Event-Id", "12")
+        .with("Model", "m")
+        .with("Token-Count", "1460,80")
+        .with("Length-Hint", "31")
+        .with("Prompt-Prefix", "5c1e:800,91bd:410,e440:250")
+        .with("Deadline-Ms", "15000")
+        .with("Credential", "secret")
+        .with("Tenant", "forged")
+        .with("Hold", "forged")
+        .with("kv-from", "forged")
+        .with("Connection", "X-Private, keep-alive")
+        .with("X-Private", "1")
+        .with("X-Public", "2");
+  }
+
+  @Test
+  void decodesWhatACallerSays() {
+    RequestFields fields = headers.decodeRequest(request());
+    assertThat(fields.id()).isEqualTo("9c41");
+    assertThat(fields.deadline()).contains(Duration.ofSeconds(15));
+    assertThat(fields.key()).contains("secret");
+    assertThat(fields.promptTokens()).isEqualTo(1460);
+    assertThat(fields.outputTokens()).isEqualTo(80);
+    assertThat(fields.expectedOutputTokens()).isEqualTo(31);
+    assertThat(fields.declaredTokens()).isEqualTo(1540);
+    assertThat(fields.promptTail()).contains("e440");
+    assertThat(fields.resumeAfter()).hasValue(12);
+  }
+
+  @Test
+  void setsSystemFieldsItselfAndNeverTakesThemFromCallers() {
+    HeaderFields sent =
+        headers.encodeRequest(
+            headers.decodeRequest(request()),
+            new AttemptFields(
+                "i-1", Duration.ofMillis(900), Optional.of("shop"), OptionalLong.of(14)));
+    assertThat(sent.first("Attempt-Id")).contains("9c41");
+    assertThat(sent.first("Model")).contains("m");
+    assertThat(sent.first("Token-Count")).contains("1460,80");
+    assertThat(sent.first("Prompt-Prefix")).contains("5c1e:800,91bd:410,e440:250");
+    assertThat(sent.first("Deadline-Ms")).contains("900");
+    assertThat(sent.first("Target-Instance")).contains("i-1");
+    assertThat(sent.first("Tenant")).contains("shop");
+    assertThat(sent.count("Tenant")).isEqualTo(1);
+    assertThat(sent.first("Last-Event-Id")).contains("14");
+    assertThat(sent.first("X-Public")).contains("2");
+    for (String dropped : new String[] {"Credential", "Hold", "Kv-From", "X-Private", "Host"}) {
+      assertThat(sent.first(dropped)).isEmpty();
+    }
+  }
+
+  @Test
+  void takesMalformedNumbersForNone() {
+    RequestFields fields =
+        headers.decodeRequest(
+            HeaderFields.NONE.with("Token-Count", "12,x").with("Deadline-Ms", "-4"));
+    assertThat(fields.declaredTokens()).isEqualTo(-1);
+    assertThat(fields.deadline()).isEmpty();
+    assertThat(fields.id()).isEmpty();
+  }
+
+  @Test
+  void decodesWhatARunnerSays() {
+    AnswerFields fields =
+        headers.decodeAnswer(
+            HeaderFields.NONE
+                .with("Attempt-Id", "9c41")
+                .with("Response-Signature", "s")
+                .with("Connection", "Close")
+                .with("Content-Length", "3")
+                .with("X-Kept", "1"));
+    assertThat(fields.requestId()).contains("9c41");
+    assertThat(fields.isSigned()).isTrue();
+    assertThat(fields.isNotRun()).isFalse();
+    assertThat(fields.isLeaving()).isTrue();
+    assertThat(fields.passedBack().first("X-Kept")).contains("1");
+    assertThat(fields.passedBack().first("Response-Signature")).contains("s");
+    assertThat(fields.passedBack().first("Content-Length")).isEmpty();
+    assertThat(headers.decodeAnswer(HeaderFields.NONE.with("Not-Executed", "1")).isNotRun())
+        .isTrue();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/wigeonstage/quota/AccountQuotasTest.java
@@ -0,0 +1,146 @@
+package org.wigeonstage.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.wigeonstage.routes.AccountQuota;
+import org.wigeonstage.routes.ClientAccount;
+
+class AccountQuotasTest {
+
+  private static final QuotaTolerance TOLERANCE =
+      new QuotaTolerance(Duration.ofSeconds(8), 0.1, 100);
+  private static final String SHOP = "shop";
+
+  private static AccountQuotas quotas(boolean isFirstStart, Duration now) {
+    AccountQuotas quotas = new AccountQuotas(TOLERANCE, isFirstStart, now);
+    quotas.configure(accounts(10), now);
+    return quotas;
+  }
+
+  private static List<ClientAccount> accounts(double perSecond) {
+    return List.of(new ClientAccount(SHOP, Set.of(), 0, new AccountQuota(perSecond, 10, true, 1)));
+  }
+
+  private static Duration seconds(double seconds) {
+    return Duration.ofNanos((long) (seconds * 1e9));
+  }
+
+  @Test
+  void servesBeyondTheQuotaOnlyWhilePlacesAreFree() {
+    AccountQuotas quotas = quotas(true, Duration.ZERO);
+    assertThat(quotas.tryTake(SHOP, 50, false, seconds(0.5))).isFalse();
+    assertThat(quotas.tryTake(SHOP, 50, true, seconds(0.5))).isTrue();
+    assertThat(quotas.tryTake(SHOP, 5, false, seconds(0.5))).isFalse();
+    assertThat(quotas.tryTake(SHOP, 5, false, seconds(1.5))).isTrue();
+  }
+
+  @Test
+  void assumesEarlierUseAfterARestart() {
+    AccountQuotas fresh = quotas(true, seconds(100));
+    AccountQuotas restarted = quotas(false, seconds(100));
+    assertThat(fresh.tryTake(SHOP, 120, true, seconds(100))).isTrue();
+    assertThat(restarted.tryTake(SHOP, 120, true, seconds(100))).isFalse();
+    assertThat(restarted.tryTake(SHOP, 120, true, seconds(109))).isTrue();
+  }
+
+  @Test
+  void countsWhatPeersUse() {
+    AccountQuotas quotas = quotas(true, Duration.ZERO);
+    PeerUse peer = new PeerUse(quotas, Duration.ZERO);
+    peer.heard(1, Map.of(SHOP, 150L), seconds(1));
+    assertThat(quotas.tryTake(SHOP, 30, true, seconds(1))).isFalse();
+    peer.heard(2, Map.of(SHOP, 5L), seconds(11));
+    assertThat(quotas.tryTake(SHOP, 30, true, seconds(11))).isTrue();
+  }
+
+  @Test
+  void takesTheShareOfASilentPeerUntilItIsHeardAgain() {
+    AccountQuotas quotas = quotas(true, Duration.ZERO);
+    PeerUse peer = new PeerUse(quotas, Duration.ZERO);
+    peer.heard(1, Map.of(SHOP, 0L), seconds(0));
+    for (int tenth = 1; tenth <= 80; tenth++) {
+      peer.tick(2, seconds(tenth / 10.0));
+    }
+    assertThat(quotas.tryTake(SHOP, 145, true, seconds(8))).isFalse();
+    peer.heard(1, Map.of(SHOP, 0L), seconds(8));
+    assertThat(quotas.tryTake(SHOP, 145, true, seconds(8))).isTrue();
+  }
+
+  @Test
+  void takesNothingForAPeerThatDoesNotRun() {
+    AccountQuotas quotas = quotas(true, Duration.ZERO);
+    PeerUse peer = new PeerUse(quotas, Duration.ZERO);
+    for (int tenth = 1; tenth <= 80; tenth++) {
+      peer.notRunning(seconds(tenth / 10.0));
+      peer.tick(2, seconds(tenth / 10.0));
+    }
+    assertThat(quotas.tryTake(SHOP, 150, true, seconds(8))).isTrue();
+  }
+
+  @Test
+  void givesBackWhatHasNotRun() {
+    AccountQuotas quotas = quotas(true, Duration.ZERO);
+    assertThat(quotas.tryTake(SHOP, 150, true, seconds(1))).isTrue();
+    quotas.giveBack(SHOP, 150, seconds(1));
+    assertThat(quotas.tryTake(SHOP, 150, true, seconds(1))).isTrue();
+    assertThat(quotas.ownUse()).containsEntry(SHOP, 150L);
+  }
+
+  /** One account sends many times its usual to several gateways that hear each other. */
+  @Property(tries = 30)
+  void keepsTheSumOfAllGatewaysBelowTheLimitInEveryWindow(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<AccountQuotas> gateways = new ArrayList<>();
+    List<List<PeerUse>> views = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      AccountQuotas quotas = quotas(true, Duration.ZERO);
+      gateways.add(quotas);
+      List<PeerUse> peers = new ArrayList<>();
+      for (int j = 0; j < 4; j++) {
+        peers.add(new PeerUse(quotas, Duration.ZERO));
+      }
+      views.add(peers);
+    }
+    List<double[]> used = new ArrayList<>();
+    for (int step = 0; step < 2000; step++) {
+      Duration now = Duration.ofMillis(step * 10L);
+      int gateway = random.nextInt(4);
+      int units = 1 + random.nextInt(8);
+      if (gateways.get(gateway).tryTake(SHOP, units, random.nextBoolean(), now)) {
+        used.add(new double[] {step * 10.0, units});
+      }
+      if (step % 5 == 0) {
+        exchange(gateways, views, now);
+      }
+    }
+    double limit = (10 * 8 + 10) * 1.1 + 100;
+    for (double[] first : used) {
+      double sum =
+          used.stream()
+              .filter(use -> use[0] >= first[0] && use[0] < first[0] + 8000)
+              .mapToDouble(use -> use[1])
+              .sum();
+      assertThat(sum).isLessThanOrEqualTo(limit);
+    }
+  }
+
+  private static void exchange(
+      List<AccountQuotas> gateways, List<List<PeerUse>> views, Duration now) {
+    for (int to = 0; to < 4; to++) {
+      for (int from = 0; from < 4; from++) {
+        if (to != from) {
+          views.get(to).get(from).heard(1, gateways.get(from).ownUse(), now);
+        }
+      }
+    }
+  }
+}
