--- a/src/main/java/org/wigeonstage/cli/CommandRunner.java
+++ b/src/main/java/org/wigeonstage/cli/CommandRunner.java
@@ -29,17 +29,55 @@
   }
 
   int run(String[] args) {
-    if (args.length == 0 || args[0].equals("--help") || args[0].equals("help")) {
+    if (args.length == 0 || isHelp(args[0])) {
       printOverview();
       return args.length == 0 ? Command.USAGE : Command.SUCCESS;
     }
     Optional<Command> command = find(args);
+    if (command.isEmpty() && isGroup(args[0])) {
+      return runGroup(args);
+    }
+    if (args.length == 2 && isGroup(args[0]) && isHelp(args[1])) {
+      printGroup(args[0]);
+    }
     if (command.isEmpty()) {
       return usageError("unknown command '" + String.join(" ", args) + "'; see --help");
     }
     return run(command.get(), rest(command.get(), args));
   }
 
+  private static boolean isHelp(String word) {
+    return word.equals("--help") || word.equals("help");
+  }
+
+  private boolean isGroup(String word) {
+    return commands.stream().anyMatch(command -> command.name().startsWith(word + " "));
+  }
+
+  /** Answers a word that only begins the names of commands. */
+  private int runGroup(String[] args) {
+    boolean isHelp = args.length == 2 && isHelp(args[1]);
+    if (!isHelp) {
+      return usageError(
+          "unknown command '" + String.join(" ", args) + "'; see " + args[0] + " --help");
+    }
+    printGroup(args[0]);
+    return Command.SUCCESS;
+  }
+
+  private void printGroup(String word) {
+    console.out().println("usage: " + PROGRAM + " " + word + " <command> [options]");
+    console.out().println();
+    commands.stream()
+        .filter(command -> command.name().startsWith(word + " "))
+        .forEach(this::printSummary);
+    console.out().println();
+  }
+
+  private void printSummary(Command command) {
+    console.out().printf("  %-18s %s%n", command.name(), command.summary());
+  }
+
   private Optional<Command> find(String[] args) {
     String given = String.join(" ", args) + " ";
     return commands.stream().filter(command -> given.startsWith(command.name() + " ")).findFirst();
@@ -86,9 +124,7 @@
   private void printOverview() {
     console.out().println("usage: " + PROGRAM + " <command> [options]");
     console.out().println();
-    for (Command command : commands) {
-      console.out().printf("  %-18s %s%n", command.name(), command.summary());
-    }
+    commands.forEach(this::printSummary);
     console.out().println();
     console.out().println(PROGRAM + " <command> --help shows a command's options.");
   }
--- /dev/null
+++ b/src/main/java/org/wigeonstage/cli/ExplainCommand.java
@@ -0,0 +1,54 @@
+package org.wigeonstage.cli;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.wigeonstage.telemetry.RequestStory;
+
+/** Tells from logs on standard input what became of a request, and why. */
+final class ExplainCommand implements Command {
+
+  private final InputStream in;
+
+  ExplainCommand(InputStream in) {
+    this.in = in;
+  }
+
+  @Override
+  public String name() {
+    return "explain";
+  }
+
+  @Override
+  public String summary() {
+    return "tell from the logs on standard input what became of a request, and why";
+  }
+
+  @Override
+  public Options options() {
+    return new Options().addOption(Arguments.required("request", "id", "the request's identifier"));
+  }
+
+  @Override
+  public int run(CommandLine line, Console console) throws IOException {
+    RequestStory story = new RequestStory(line.getOptionValue("request"));
+    BufferedReader reader = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8));
+    for (String text = reader.readLine(); text != null; text = reader.readLine()) {
+      story.add(text);
+    }
+    List<String> told = story.tell();
+    told.forEach(console.out()::println);
+    if (story.unreadable() > 0) {
+      console.err().println("lines that could not be read: " + story.unreadable());
+    }
+    if (told.isEmpty()) {
+      console.err().println("no line is about this request; ordinary ones are logged one in many");
+    }
+    return told.isEmpty() ? FAILURE : SUCCESS;
+  }
+}
--- a/src/main/java/org/wigeonstage/cli/Main.java
+++ b/src/main/java/org/wigeonstage/cli/Main.java
@@ -39,6 +39,7 @@
         new LoadCommand(),
         new DemoCommand(),
         new BenchCommand(),
+        new ExplainCommand(System.in),
         new RehearseCommand(),
         new VersionCommand());
   }
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -84,13 +84,14 @@
     this.peers =
         closer.register(
             new PeerExchange(settings.name(), Endpoint.of(settings.peers()), store, core, metrics));
+    ProbeHandler probes = new ProbeHandler(new ProbePages(metrics, this::isReady));
+    ServerOptions probeOptions =
+        new ServerOptions(MAX_HEAD_BYTES, PROBE_BODY_BYTES, IDLE_TIMEOUT, 1);
+    closer.register(
+        HttpServer.start("metrics", Endpoint.of(settings.metrics()), probeOptions, probes));
     this.readiness =
         closer.register(
-            HttpServer.start(
-                "readiness",
-                Endpoint.of(settings.readiness()),
-                new ServerOptions(MAX_HEAD_BYTES, PROBE_BODY_BYTES, IDLE_TIMEOUT, 1),
-                new ProbeHandler(new ProbePages(metrics, this::isReady))));
+            HttpServer.start("readiness", Endpoint.of(settings.readiness()), probeOptions, probes));
     this.endpoint = new CallersEndpoint(core, beliefs, settings.grace());
     this.callers =
         closer.register(
--- a/src/test/java/org/wigeonstage/cli/CommandRunnerTest.java
+++ b/src/test/java/org/wigeonstage/cli/CommandRunnerTest.java
@@ -22,6 +22,10 @@
     return new CommandRunner(Main.commands(), console).run(args);
   }
 
+  private String output() {
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
   private String errors() {
     return err.toString(StandardCharsets.UTF_8);
   }
@@ -85,4 +89,31 @@
     assertThat(run("config", "validate", "--file", file.toString())).isEqualTo(1);
     assertThat(errors().lines()).hasSize(3);
   }
+
+  @Test
+  void aGroupOfCommandsIsListed() {
+    assertThat(run("config", "--help")).isZero();
+    assertThat(output()).contains("config get").contains("config apply");
+    assertThat(run("standin", "--help")).isZero();
+    assertThat(output()).contains("standin engine");
+    assertThat(run("load", "--help")).isZero();
+    assertThat(output()).contains("load compare");
+  }
+
+  @Test
+  void everyFaultOfAGatewaysSettingsIsPrinted(@TempDir Path directory) throws IOException {
+    Path file = directory.resolve("gateway.json");
+    Files.writeString(
+        file,
+        "{\"name\":\"g 1\",\"failureDomain\":\"a\",\"callers\":\"127.0.0.1:99999\","
+            + "\"readiness\":\"127.0.0.1:1\",\"peers\":\"127.0.0.1:2\","
+            + "\"metrics\":\"127.0.0.1:3\",\"graceSeconds\":0,\"unknown\":1}");
+    assertThat(run("gateway", "--settings", file.toString(), "--check")).isEqualTo(1);
+    assertThat(errors())
+        .contains("4 faults")
+        .contains("/name")
+        .contains("/callers")
+        .contains("/store")
+        .contains("/graceSeconds");
+  }
 }
