Let resumed streams wait as from their break, and time each line of a request

Cause: a stream that broke after more than the patience for a first part was refused a second server and broken off; its lines all bore the time of its end.

--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -41,6 +41,9 @@
   /** The least time with which another attempt is worth making. */
   private static final Duration MIN_REMAINING = Duration.ofMillis(60);
 
+  /** Callers leave a stream after a pause of two seconds or more. */
+  private static final Duration RESUME_PATIENCE = Duration.ofMillis(1700);
+
   private static final int OK = 200;
   private static final int MULTIPLE_CHOICES = 300;
   private static final int SERVER_ERROR = 500;
@@ -50,7 +53,8 @@
   private final InboundCall call;
   private final Route route;
   private final String pool;
-  private final PlacedRequest placed;
+  private final Duration arrivedAt;
+  private PlacedRequest placed;
   private final Duration deadline;
   private final RequestTrail trail;
   private final EventSplitter splitter = new EventSplitter();
@@ -76,6 +80,7 @@
     this.route = call.route();
     this.pool = pool;
     this.placed = placed;
+    this.arrivedAt = placed.arrivedAt();
     this.deadline = deadline;
     this.trail = trail;
     call.fields().resumeAfter().ifPresent(id -> lastEventId = id);
@@ -311,8 +316,8 @@
         .step("answered")
         .put("status", current.status())
         .put("server", source.server().id())
-        .put("firstPartMillis", source.firstPartSince(placed.arrivedAt()).toMillis())
-        .put("totalMillis", core.now().minus(placed.arrivedAt()).toMillis());
+        .put("firstPartMillis", source.firstPartSince(arrivedAt).toMillis())
+        .put("totalMillis", core.now().minus(arrivedAt).toMillis());
     core.finished(this, true);
   }
 
@@ -374,7 +379,13 @@
 
   private void follow(Verdict verdict, AttemptEnd end) {
     switch (verdict) {
-      case RETRY, RESUME -> core.submitAgain(this);
+      case RETRY -> core.submitAgain(this);
+      case RESUME -> {
+        PlacedRequest before = placed;
+        placed = before.resumed(core.now(), route.pauseObjective(), RESUME_PATIENCE);
+        core.replace(before, this);
+        core.submitAgain(this);
+      }
       case REFUSE ->
           reject(
               Rejection.retryable(
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -145,7 +145,7 @@
             pool(pool).eventsOf(call.fields().expectedOutputTokens()),
             arrivedAt.plus(limit),
             call.fields().promptTail());
-    RequestTrail trail = new RequestTrail(call.fields().id(), arrivedAt);
+    RequestTrail trail = new RequestTrail(call.fields().id(), arrivedAt, clock);
     trail
         .step("accepted")
         .put("route", route.name())
@@ -194,6 +194,12 @@
     pool(request.pool()).submit(request.placed(), now());
   }
 
+  /** Takes over the new placement of an open request. */
+  void replace(PlacedRequest before, ForwardedRequest request) {
+    open.remove(before);
+    open.put(request.placed(), request);
+  }
+
   void withdraw(ForwardedRequest request) {
     pool(request.pool()).withdraw(request.placed());
   }
@@ -245,7 +251,6 @@
         .step("rejected")
         .put("code", rejection.code().text())
         .put("detail", rejection.detail())
-        .put("afterMillis", now().minus(call.arrivedAt()).toMillis())
         .notable();
     HeaderFields fields = HeaderFields.NONE.with("Content-Type", Problem.MEDIA_TYPE);
     if (rejection.retryAfter().isPresent()) {
@@ -264,7 +269,7 @@
 
   /** Ends a request that did not pass a filter. */
   void rejectEarly(InboundCall call, Rejection rejection) {
-    RequestTrail trail = new RequestTrail(call.fields().id(), call.arrivedAt());
+    RequestTrail trail = new RequestTrail(call.fields().id(), call.arrivedAt(), clock);
     answer(call, rejection, trail);
     sampler.write(trail, now());
   }
--- a/src/main/java/org/wigeonstage/gateway/RequestTrail.java
+++ b/src/main/java/org/wigeonstage/gateway/RequestTrail.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.wigeonstage.common.MonotonicClock;
 
 /**
  * The decisions on one request, kept until its end, so that all of its lines are written or none.
@@ -13,12 +14,14 @@
 
   private final String requestId;
   private final Duration beganAt;
+  private final MonotonicClock clock;
   private final List<Step> steps = new ArrayList<>();
   private boolean notable;
 
-  RequestTrail(String requestId, Duration beganAt) {
+  RequestTrail(String requestId, Duration beganAt, MonotonicClock clock) {
     this.requestId = requestId;
     this.beganAt = beganAt;
+    this.clock = clock;
   }
 
   /** One decision with what it rests on. */
@@ -43,7 +46,11 @@
   }
 
   Step step(String event) {
-    Step step = new Step().put("event", event).put("request", requestId);
+    Step step =
+        new Step()
+            .put("event", event)
+            .put("request", requestId)
+            .put("sinceArrivalMillis", clock.elapsed().minus(beganAt).toMillis());
     steps.add(step);
     return step;
   }
--- a/src/main/java/org/wigeonstage/placement/PlacedRequest.java
+++ b/src/main/java/org/wigeonstage/placement/PlacedRequest.java
@@ -53,6 +53,31 @@
     this.affinity = affinity;
   }
 
+  /**
+   * Returns the same request as it goes on after its answer broke off. Its caller waits for the
+   * next part as from now.
+   *
+   * @param now the time
+   * @param pauseObjective the longest pause that is on time
+   * @param patience the longest pause after which the caller is still there
+   * @return the request to place again
+   */
+  public PlacedRequest resumed(Duration now, Duration pauseObjective, Duration patience) {
+    PlacedRequest next =
+        new PlacedRequest(
+            id,
+            urgency,
+            now,
+            now.plus(pauseObjective),
+            now.plus(patience),
+            promptTokens,
+            expectedEvents,
+            deadline,
+            affinity);
+    next.triedServers.addAll(triedServers);
+    return next;
+  }
+
   /**
    * Returns the identifier.
    *
--- a/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
+++ b/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
@@ -277,4 +277,16 @@
     submit("later2", 1, 60_000);
     assertThat(List.of(started.get("later"), started.get("later2"))).contains(slowServer);
   }
+
+  /** A server is lost with streams that run for longer than callers wait for a first part. */
+  @Test
+  void placesAStreamAgainWhoseFirstPatienceIsOver() {
+    servers(server("a", 1, false), server("b", 1, false));
+    PlacedRequest stream = submit("stream", 0, 0);
+    String lost = started.get("stream");
+    scheduler.ended(stream, lost, AttemptResult.UNREACHABLE, millis(9000));
+    scheduler.submit(stream.resumed(millis(9000), millis(400), millis(1700)), millis(9000));
+    assertThat(refused).isEmpty();
+    assertThat(started.get("stream")).isNotEqualTo(lost);
+  }
 }
