Do not count again after a restart what peers had used before

Cause: a restarted gateway charged the whole use of each peer since that peer's start to its own window, and assumed half of the limit beside that, so it refused accounts for eight seconds. It now takes the peers' window over and counts only what follows.

--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -83,6 +83,7 @@
   private Set<String> knownServers = Set.of();
   private int gateways = 1;
   private boolean serversKnown;
+  private boolean othersStay;
   private Duration watchedTime = Duration.ZERO;
   private Duration tickedAt;
   private @Nullable Duration leavingSince;
@@ -287,6 +288,11 @@
     return leavingSince != null;
   }
 
+  /** Returns whether another gateway was heard lately that is not leaving. */
+  boolean othersStay() {
+    return othersStay;
+  }
+
   /** Returns how long the process has been leaving, or zero. */
   Duration leavingFor() {
     Duration since = leavingSince;
@@ -383,7 +389,8 @@
   }
 
   /** Takes over what runs and waits at the other gateways. */
-  void loadElsewhere(Map<String, Integer> running, List<WaitingCount> waiting) {
+  void loadElsewhere(Map<String, Integer> running, List<WaitingCount> waiting, boolean othersStay) {
+    this.othersStay = othersStay;
     Duration now = now();
     Map<String, NavigableMap<Urgency, Integer>> byPool = new HashMap<>();
     for (WaitingCount part : waiting) {
@@ -409,7 +416,8 @@
                         waiting.add(
                             new WaitingCount(
                                 name, urgency.accountRank(), urgency.routeRank(), count))));
-    return new Message.GatewayLoad(running, waiting, quotas.ownUse());
+    return new Message.GatewayLoad(
+        isLeaving(), running, waiting, quotas.ownUse(), quotas.usedLately(now()));
   }
 
   /**
--- a/src/main/java/org/wigeonstage/gateway/PeerExchange.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerExchange.java
@@ -57,6 +57,7 @@
   private final ScheduledExecutorService storeCalls = ControlThreads.single("peer-calls");
   private final Map<String, PeerState> peers = new HashMap<>();
   private Duration sentAt = Duration.ZERO;
+  private boolean hasLearned;
   private volatile boolean registered;
   private volatile long lastListMillis;
 
@@ -104,7 +105,8 @@
   }
 
   private PeerState state(String peer) {
-    return peers.computeIfAbsent(peer, key -> new PeerState(core.quotas(), core.now()));
+    return peers.computeIfAbsent(
+        peer, key -> new PeerState(core.quotas(), incarnation, core.now()));
   }
 
   /** Returns the number of gateways that were heard lately. */
@@ -170,7 +172,9 @@
         waiting.addAll(peer.load.waiting());
       }
     }
-    core.loadElsewhere(running, waiting);
+    boolean othersStay =
+        peers.values().stream().anyMatch(peer -> peer.use.isHeard(now) && !peer.load.isLeaving());
+    core.loadElsewhere(running, waiting, othersStay);
   }
 
   @Override
@@ -196,6 +200,10 @@
     PeerState peer = state(link.peer().name());
     peer.heardAt = now;
     peer.load = load;
+    if (link.peer().incarnation() < incarnation && !hasLearned) {
+      core.quotas().learnEarlierUse(load.usedLately(), now);
+      hasLearned = true;
+    }
     peer.use.heard(link.peer().incarnation(), load.used(), now);
   }
 
--- a/src/main/java/org/wigeonstage/gateway/PeerState.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerState.java
@@ -16,12 +16,12 @@
   final PeerUse use;
   @Nullable Peer peer;
   @Nullable Link link;
-  Message.GatewayLoad load = new Message.GatewayLoad(Map.of(), List.of(), Map.of());
+  Message.GatewayLoad load = new Message.GatewayLoad(true, Map.of(), List.of(), Map.of(), Map.of());
   Duration heardAt;
   Duration attemptedAt = Duration.ZERO;
 
-  PeerState(AccountQuotas quotas, Duration now) {
-    this.use = new PeerUse(quotas, now);
+  PeerState(AccountQuotas quotas, long ownIncarnation, Duration now) {
+    this.use = new PeerUse(quotas, ownIncarnation, now);
     this.heardAt = now;
   }
 
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -182,12 +182,18 @@
   /**
    * What a gateway runs and has used, sent to its peers again and again.
    *
+   * @param isLeaving whether it takes no more requests than it must
    * @param running its running requests, by backend server
    * @param waiting its waiting requests
    * @param used what it has taken from quotas since its start, by client account
+   * @param usedLately what all gateways have taken in the last window, as far as it knows
    */
   record GatewayLoad(
-      Map<String, Integer> running, List<WaitingCount> waiting, Map<String, Long> used)
+      boolean isLeaving,
+      Map<String, Integer> running,
+      List<WaitingCount> waiting,
+      Map<String, Long> used,
+      Map<String, Long> usedLately)
       implements Message {
 
     /** Makes the collections immutable. */
@@ -195,6 +201,7 @@
       waiting = List.copyOf(waiting);
       running = Map.copyOf(running);
       used = Map.copyOf(used);
+      usedLately = Map.copyOf(usedLately);
     }
   }
 }
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -46,6 +46,7 @@
   private final PlacementEffects effects;
   private final RandomGenerator random;
   private final TreeMap<Urgency, List<PlacedRequest>> waiting = new TreeMap<>();
+  private final Map<Urgency, Duration> waitingSince = new HashMap<>();
   private final Map<String, ServerLoad> servers = new HashMap<>();
   private final StartRates starts;
   private Map<String, Integer> runningElsewhere = Map.of();
@@ -133,7 +134,12 @@
       effects.refuse(request, Refusal.QUEUE_TOO_LONG, retryAfter(wait));
       return;
     }
-    waiting.computeIfAbsent(request.urgency(), key -> new ArrayList<>()).add(request);
+    List<PlacedRequest> queue =
+        waiting.computeIfAbsent(request.urgency(), key -> new ArrayList<>());
+    if (queue.isEmpty()) {
+      waitingSince.put(request.urgency(), now);
+    }
+    queue.add(request);
     dispatch(now);
   }
 
@@ -380,7 +386,9 @@
   /** Returns how long the requests of an urgency that wait already will take to start. */
   private Duration expectedWait(Urgency urgency, Duration now) {
     List<PlacedRequest> queue = waiting.get(urgency);
-    return starts.timeFor(queue == null ? 0 : queue.size(), urgency, now);
+    return queue == null || queue.isEmpty()
+        ? Duration.ZERO
+        : starts.timeFor(queue.size(), urgency, waitingSince.getOrDefault(urgency, now), now);
   }
 
   private static Duration retryAfter(Duration wait) {
--- a/src/main/java/org/wigeonstage/quota/AccountQuotas.java
+++ b/src/main/java/org/wigeonstage/quota/AccountQuotas.java
@@ -139,6 +139,35 @@
     return own;
   }
 
+  /**
+   * Returns what all gateways have used in the last window, as far as it is known here.
+   *
+   * @param now the time
+   * @return units by account
+   */
+  public Map<String, Long> usedLately(Duration now) {
+    Map<String, Long> lately = new HashMap<>();
+    uses.forEach((account, use) -> lately.put(account, use.usedLately(now)));
+    return lately;
+  }
+
+  /**
+   * Takes over what a gateway knows that has run for longer, in place of what was assumed at the
+   * start.
+   *
+   * @param lately what was used in the last window, by account
+   * @param now the time
+   */
+  public void learnEarlierUse(Map<String, Long> lately, Duration now) {
+    lately.forEach(
+        (account, units) -> {
+          AccountUse use = uses.get(account);
+          if (use != null) {
+            use.learnEarlierUse(units, startedAt, now);
+          }
+        });
+  }
+
   /**
    * Returns the limits in force.
    *
--- a/src/main/java/org/wigeonstage/quota/AccountUse.java
+++ b/src/main/java/org/wigeonstage/quota/AccountUse.java
@@ -11,6 +11,7 @@
   private final TokenBucket bucket;
   private AccountQuota quota;
   private long own;
+  private double assumed;
 
   AccountUse(AccountQuota quota, QuotaTolerance tolerance, Duration now) {
     this.quota = quota;
@@ -30,7 +31,20 @@
   }
 
   void assumeEarlierUse(Duration startedAt) {
-    window.add(tolerance.assumedBefore(quota), startedAt);
+    assumed = tolerance.assumedBefore(quota);
+    window.add(assumed, startedAt);
+  }
+
+  /** Replaces what was assumed; counts until a window after the start at the latest. */
+  void learnEarlierUse(long units, Duration startedAt, Duration now) {
+    if (assumed > 0 && now.minus(startedAt).compareTo(tolerance.window()) < 0) {
+      window.add(units - assumed, now);
+    }
+    assumed = 0;
+  }
+
+  long usedLately(Duration now) {
+    return Math.round(window.sum(now));
   }
 
   boolean tryTake(long units, boolean placesToSpare, Duration now) {
--- a/src/main/java/org/wigeonstage/quota/PeerUse.java
+++ b/src/main/java/org/wigeonstage/quota/PeerUse.java
@@ -19,6 +19,7 @@
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final AccountQuotas quotas;
+  private final long ownIncarnation;
   private final Map<String, Long> known = new HashMap<>();
   private final Map<String, Double> assumed = new HashMap<>();
   private long incarnation;
@@ -29,16 +30,18 @@
    * Creates the record of a peer that was not heard yet.
    *
    * @param quotas what its use is taken from
+   * @param ownIncarnation names this gateway's start; lower ones are earlier
    * @param now the time
    */
-  public PeerUse(AccountQuotas quotas, Duration now) {
+  public PeerUse(AccountQuotas quotas, long ownIncarnation, Duration now) {
     this.quotas = quotas;
+    this.ownIncarnation = ownIncarnation;
     this.heardAt = now;
     this.assumedUntil = now;
   }
 
   /**
-   * Takes a report of the peer.
+   * Takes a report of the peer. What it had used before this gateway started is not counted again.
    *
    * @param newIncarnation names the peer's start; its counts begin anew with each
    * @param used its use since its start, by account
@@ -46,8 +49,12 @@
    */
   public void heard(long newIncarnation, Map<String, Long> used, Duration now) {
     if (newIncarnation != incarnation) {
+      boolean ranBefore = incarnation == 0 && newIncarnation < ownIncarnation;
       incarnation = newIncarnation;
       known.clear();
+      if (ranBefore) {
+        known.putAll(used);
+      }
     }
     used.forEach(
         (account, units) -> {
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -60,6 +60,7 @@
   }
 
   private static Message readGatewayLoad(MessageUnpacker in) throws IOException {
+    boolean isLeaving = in.unpackBoolean();
     int servers = in.unpackMapHeader();
     Map<String, Integer> running = new HashMap<>();
     for (int i = 0; i < servers; i++) {
@@ -71,12 +72,16 @@
       waiting.add(
           new WaitingCount(in.unpackString(), in.unpackInt(), in.unpackInt(), in.unpackInt()));
     }
+    return new Message.GatewayLoad(isLeaving, running, waiting, readUse(in), readUse(in));
+  }
+
+  private static Map<String, Long> readUse(MessageUnpacker in) throws IOException {
     int accounts = in.unpackMapHeader();
-    Map<String, Long> used = new HashMap<>();
+    Map<String, Long> use = new HashMap<>();
     for (int i = 0; i < accounts; i++) {
-      used.put(in.unpackString(), in.unpackLong());
+      use.put(in.unpackString(), in.unpackLong());
     }
-    return new Message.GatewayLoad(running, waiting, used);
+    return use;
   }
 
   private static Message readAbout(MessageType type, RequestId id, MessageUnpacker in)
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -55,7 +55,7 @@
 
   private static void writeGatewayLoad(MessageBufferPacker packer, Message.GatewayLoad load)
       throws IOException {
-    packer.packMapHeader(load.running().size());
+    packer.packBoolean(load.isLeaving()).packMapHeader(load.running().size());
     for (Map.Entry<String, Integer> entry : load.running().entrySet()) {
       packer.packString(entry.getKey()).packInt(entry.getValue());
     }
@@ -67,8 +67,14 @@
           .packInt(waiting.routeRank())
           .packInt(waiting.count());
     }
-    packer.packMapHeader(load.used().size());
-    for (Map.Entry<String, Long> entry : load.used().entrySet()) {
+    writeUse(packer, load.used());
+    writeUse(packer, load.usedLately());
+  }
+
+  private static void writeUse(MessageBufferPacker packer, Map<String, Long> use)
+      throws IOException {
+    packer.packMapHeader(use.size());
+    for (Map.Entry<String, Long> entry : use.entrySet()) {
       packer.packString(entry.getKey()).packLong(entry.getValue());
     }
   }
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -7,12 +7,14 @@
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.handover.Message;
+import org.wigeonstage.handover.WaitingCount;
 import org.wigeonstage.request.HttpCall;
 import org.wigeonstage.request.IdempotencyKey;
 import org.wigeonstage.request.Outcome;
@@ -61,6 +63,12 @@
             new Message.Ping(1, 2),
             new Message.Pong(1, 2, new LoadReport(1, 2, 3, 4, 5, -1, LoadReport.IDLE.room())),
             new Message.Leaving(),
+            new Message.GatewayLoad(
+                true,
+                Map.of("s1", 3),
+                List.of(new WaitingCount("pool", 0, 2, 5)),
+                Map.of("shop", 1L << 40),
+                Map.of("shop", 7L)),
             new Message.ConfigSnapshot(8, "{}"));
     for (Message message : messages) {
       assertThat(MessageDecoder.decode(MessageEncoder.encode(message))).isEqualTo(message);
