--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -63,9 +63,12 @@
   /** The part of the objective that a request may wait and still be on time. */
   private static final double ON_TIME_SHARE = 0.8;
 
-  /** What one tick adds to the watched time at most: two intervals. */
+  /** A tick that comes later, after two intervals, shows that the process had no processor. */
   private static final Duration MAX_WATCHED = Duration.ofMillis(40);
 
+  /** What a late tick adds to the watched time, so that silence is noticed in the end. */
+  private static final Duration LATE_TICK = Duration.ofMillis(5);
+
   private static final Duration DECLINED_RETRY_AFTER = Duration.ofMillis(300);
 
   private final MonotonicClock clock;
@@ -436,7 +439,8 @@
   void tick() {
     Duration now = now();
     Duration sinceTick = now.minus(tickedAt);
-    watchedTime = watchedTime.plus(sinceTick.compareTo(MAX_WATCHED) < 0 ? sinceTick : MAX_WATCHED);
+    boolean isOnTime = sinceTick.compareTo(MAX_WATCHED) <= 0;
+    watchedTime = watchedTime.plus(isOnTime ? sinceTick : LATE_TICK);
     tickedAt = now;
     List.copyOf(open.values()).forEach(request -> request.tick(now));
     pools.values().forEach(pool -> pool.tick(now));
