--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -193,11 +193,11 @@
 
   @Override
   public void notConnected(Throwable cause) {
-    core.run(() -> request.lost(this, false));
+    core.run(() -> request.lost(this, false, cause));
   }
 
   @Override
   public void broken(Throwable cause) {
-    core.run(() -> request.lost(this, true));
+    core.run(() -> request.lost(this, true, cause));
   }
 }
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -146,6 +146,10 @@
 
   /** Refuses the request because no backend server can take it. */
   void refuse(Refusal reason, Duration retryAfter) {
+    trail
+        .step("refused")
+        .put("reason", reason.name())
+        .put("retryAfterMillis", retryAfter.toMillis());
     if (begun) {
       breakOff();
       return;
@@ -322,10 +326,14 @@
   }
 
   /** Takes the loss of an attempt. */
-  void lost(Attempt source, boolean wasSent) {
+  void lost(Attempt source, boolean wasSent, Throwable cause) {
     if (source != attempt || finished) {
       return;
     }
+    trail
+        .step("connection-lost")
+        .put("server", source.server().id())
+        .put("cause", cause.toString());
     AttemptEnd end = AttemptEnd.NOT_SENT;
     if (wasSent) {
       end = head == null ? AttemptEnd.LOST : AttemptEnd.CUT;
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -467,7 +467,6 @@
     public void refuse(PlacedRequest placed, Refusal reason, Duration retryAfter) {
       ForwardedRequest request = open.get(placed);
       if (request != null) {
-        request.trail().step("refused").put("reason", reason.name());
         request.refuse(reason, retryAfter);
       }
     }
--- /dev/null
+++ b/src/test/java/org/wigeonstage/gateway/ExplanationIT.java
@@ -0,0 +1,120 @@
+package org.wigeonstage.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wigeonstage.common.Polling;
+import org.wigeonstage.platform.standin.RunnerStandin.Behaviour;
+import org.wigeonstage.telemetry.DecisionLog;
+import org.wigeonstage.telemetry.RequestStory;
+
+/** What became of a failed request, and why, is found from the logs alone. */
+class ExplanationIT {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+  private final Logger logger = Logger.getLogger(DecisionLog.class.getName());
+  private final List<String> lines = new CopyOnWriteArrayList<>();
+  private final Handler capture =
+      new Handler() {
+        private final SimpleFormatter formatter = new SimpleFormatter();
+
+        @Override
+        public void publish(LogRecord record) {
+          lines.add(formatter.formatMessage(record));
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void close() {}
+      };
+
+  private GatewayFixture fixture;
+
+  @BeforeEach
+  void start() throws InterruptedException {
+    logger.addHandler(capture);
+    fixture = new GatewayFixture(1);
+    fixture.awaitStatus("plain", 200);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    fixture.close();
+    logger.removeHandler(capture);
+  }
+
+  private List<String> story(String id) throws InterruptedException {
+    Polling.await(() -> lines.stream().anyMatch(line -> isLastOf(id, line)), TIMEOUT);
+    RequestStory story = new RequestStory(id);
+    lines.forEach(story::add);
+    assertThat(story.unreadable()).isZero();
+    return story.tell();
+  }
+
+  private static boolean isLastOf(String id, String line) {
+    return line.contains(id) && (line.contains("\"rejected\"") || line.contains("\"broken-off\""));
+  }
+
+  @Test
+  void tellsWhyTheOutcomeOfARequestIsUnknown() throws Exception {
+    fixture.runners.get(0).behave(Behaviour.LOSES_ANSWER);
+    fixture.call("plain", "unknown-1");
+    assertThat(String.join("\n", story("unknown-1")))
+        .containsSubsequence(
+            "accepted",
+            "kind=NON_IDEMPOTENT",
+            "placed",
+            "server=runner-1",
+            "connection-lost",
+            "cause=",
+            "attempt-ended",
+            "end=LOST",
+            "verdict=REPORT_UNKNOWN",
+            "rejected",
+            "code=answer-lost");
+  }
+
+  @Test
+  void tellsWhyARequestWasRefused() throws Exception {
+    fixture.runners.get(0).behave(Behaviour.DECLINES);
+    fixture.call("plain", "refused-1");
+    assertThat(String.join("\n", story("refused-1")))
+        .containsSubsequence("placed", "end=DECLINED", "verdict=RE", "rejected", "code=");
+  }
+
+  @Test
+  void tellsWhereAStreamBroke() throws Exception {
+    fixture.runners.get(0).behave(Behaviour.CUTS_ANSWER);
+    fixture.call("stream", "broken-1");
+    assertThat(String.join("\n", story("broken-1")))
+        .containsSubsequence(
+            "placed", "connection-lost", "end=CUT", "verdict=RESUME", "broken-off", "lastEvent=3");
+  }
+
+  @Test
+  void writesAllLinesOfARequestOrNone() throws Exception {
+    for (int i = 0; i < 200; i++) {
+      fixture.call("plain", "ordinary-" + i + ".");
+    }
+    int written = 0;
+    for (int i = 0; i < 200; i++) {
+      String id = "ordinary-" + i + ".";
+      List<String> own = lines.stream().filter(line -> line.contains(id)).toList();
+      assertThat(own.size()).isIn(0, 3);
+      written += own.isEmpty() ? 0 : 1;
+    }
+    assertThat(written).isBetween(1, 30);
+  }
+}
