Drop requests whose callers left unread; take none that the end of the process would cut

Cause of GONE: a process without processor read requests whose callers had left, and their leaving only after that; it now lets a tick pass first. Causes that LOST allows: a request taken between the last look at open requests and the end of the process, GatewayIT; and streams taken later than 3 s after SIGTERM, which the end of the grace cuts. LOST was not traced to one of them by a log, so it stays open.

--- a/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
+++ b/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
@@ -7,18 +7,24 @@
 import java.util.Optional;
 import org.wigeonstage.http.RequestHandler;
 import org.wigeonstage.http.ServerExchange;
+import org.wigeonstage.telemetry.DecisionLog;
 
 /**
  * Takes callers' requests through the filters to their placement.
  *
  * <p>Requests that come before the configuration is known wait a moment for it, because it takes a
- * few hundred milliseconds after a start.
+ * few hundred milliseconds after a start. While the process has no processor, requests wait for the
+ * next tick: their callers may have left meanwhile, and that is read from their connections only
+ * after the requests.
  */
 final class CallersEndpoint implements RequestHandler {
 
   /** The longest time that a request waits for the first configuration. */
   private static final Duration MAX_START_WAIT = Duration.ofMillis(700);
 
+  /** In this time the end of a connection is read behind its request. */
+  private static final Duration MIN_HOLD = Duration.ofMillis(20);
+
   private static final int MAX_EARLY_CALLS = 500;
 
   private final GatewayCore core;
@@ -46,8 +52,12 @@
   private void take(ServerExchange exchange) {
     InboundCall call =
         new InboundCall(
-            exchange, core.dialect().decodeRequest(exchange.fields()), core.arrivalTime());
-    if (isStarting() && early.size() < MAX_EARLY_CALLS) {
+            exchange,
+            core.dialect().decodeRequest(exchange.fields()),
+            core.arrivalTime(),
+            core.now());
+    exchange.onGone(call::markGone);
+    if ((isStarting() || core.isStarved()) && early.size() < MAX_EARLY_CALLS) {
       early.addLast(call);
     } else {
       filter(call);
@@ -59,6 +69,10 @@
   }
 
   private void filter(InboundCall call) {
+    if (call.isGone()) {
+      DecisionLog.write("caller-gone-early", "request", call.fields().id());
+      return;
+    }
     for (InboundFilter filter : filters) {
       Optional<Rejection> rejection = filter.apply(call);
       if (rejection.isPresent()) {
@@ -74,7 +88,8 @@
     Duration now = core.now();
     while (!early.isEmpty()) {
       boolean isOverdue = now.minus(early.getFirst().arrivedAt()).compareTo(MAX_START_WAIT) > 0;
-      if (isStarting() && !isOverdue) {
+      boolean isFresh = now.minus(early.getFirst().readAt()).compareTo(MIN_HOLD) < 0;
+      if ((isStarting() && !isOverdue) || isFresh) {
         return;
       }
       filter(early.removeFirst());
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -87,6 +87,7 @@
   private int gateways = 1;
   private boolean serversKnown;
   private boolean othersStay;
+  private boolean stopped;
   private Duration watchedTime = Duration.ZERO;
   private Duration tickedAt;
   private @Nullable Duration leavingSince;
@@ -291,6 +292,15 @@
     return leavingSince != null;
   }
 
+  /** Refuses all requests from now on. */
+  void stopTaking() {
+    stopped = true;
+  }
+
+  boolean hasStopped() {
+    return stopped;
+  }
+
   /** Returns whether another gateway was heard lately that is not leaving. */
   boolean othersStay() {
     return othersStay;
@@ -337,9 +347,12 @@
    * some that came later.
    */
   Duration arrivalTime() {
-    Duration now = now();
-    Duration attentiveUntil = tickedAt.plus(MAX_WATCHED);
-    return attentiveUntil.compareTo(now) < 0 ? attentiveUntil : now;
+    return isStarved() ? tickedAt.plus(MAX_WATCHED) : now();
+  }
+
+  /** Returns whether a tick is overdue, because the process has no processor. */
+  boolean isStarved() {
+    return tickedAt.plus(MAX_WATCHED).compareTo(now()) < 0;
   }
 
   /** Takes over a configuration. */
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -50,7 +50,13 @@
   private static final Duration BALANCER_NOTICES = Duration.ofMillis(2500);
 
   /** The part of the grace after which open requests are given up. */
-  private static final double GRACE_SHARE = 0.9;
+  private static final double GRACE_SHARE = 0.94;
+
+  /** Requests that were taken just before the end are answered in this time. */
+  private static final Duration LAST_ANSWERS = Duration.ofMillis(400);
+
+  /** Answers that were given reach their callers in this time. */
+  private static final Duration FLUSH = Duration.ofMillis(100);
 
   private final GatewaySettings settings;
   private final Closer closer = Closer.create();
@@ -211,8 +217,12 @@
     Thread.sleep(BALANCER_NOTICES.toMillis());
     Duration rest =
         Duration.ofMillis((long) (settings.grace().toMillis() * GRACE_SHARE))
-            .minus(BALANCER_NOTICES);
-    boolean finished = Polling.await(() -> core.openRequests() == 0, rest);
+            .minus(BALANCER_NOTICES)
+            .minus(LAST_ANSWERS);
+    Polling.await(() -> core.openRequests() == 0, rest);
+    core.run(core::stopTaking);
+    boolean finished = Polling.await(() -> core.openRequests() == 0, LAST_ANSWERS);
+    Thread.sleep(FLUSH.toMillis());
     DecisionLog.write("stopped", "openRequests", core.openRequests());
     return finished;
   }
--- a/src/main/java/org/wigeonstage/gateway/InboundCall.java
+++ b/src/main/java/org/wigeonstage/gateway/InboundCall.java
@@ -15,15 +15,27 @@
   private final ServerExchange exchange;
   private final RequestFields fields;
   private final Duration arrivedAt;
+  private final Duration readAt;
   private @Nullable RoutingTable table;
   private @Nullable Route route;
   private Optional<ClientAccount> account = Optional.empty();
   private long quotaUnits;
+  private volatile boolean gone;
 
-  InboundCall(ServerExchange exchange, RequestFields fields, Duration arrivedAt) {
+  InboundCall(ServerExchange exchange, RequestFields fields, Duration arrivedAt, Duration readAt) {
     this.exchange = exchange;
     this.fields = fields;
     this.arrivedAt = arrivedAt;
+    this.readAt = readAt;
+  }
+
+  /** Notes that the caller closed its connection. */
+  void markGone() {
+    gone = true;
+  }
+
+  boolean isGone() {
+    return gone;
   }
 
   ServerExchange exchange() {
@@ -34,6 +46,11 @@
     return fields;
   }
 
+  /** Returns when the request was read, which is after its arrival where the process was busy. */
+  Duration readAt() {
+    return readAt;
+  }
+
   Duration arrivedAt() {
     return arrivedAt;
   }
--- a/src/main/java/org/wigeonstage/gateway/LeavingFilter.java
+++ b/src/main/java/org/wigeonstage/gateway/LeavingFilter.java
@@ -6,20 +6,31 @@
 import org.wigeonstage.routes.RouteKind;
 
 /**
- * Ends requests that a leaving process is not expected to finish, so that they go to another one.
+ * Ends requests that a leaving process may not finish, so that they go to another one.
  *
- * <p>What can be finished is still served, because all gateways may be leaving in turn, and a
- * caller that is refused may find no other.
+ * <p>Until the balancer has noticed, what is expected to be finished is served, because a caller
+ * that is refused may be sent here again. Then streams are refused where other gateways stay, so
+ * that the process is back sooner, and a little later in any case: their length is known too badly.
+ * Plain requests are served until shortly before the end.
  */
 final class LeavingFilter implements InboundFilter {
 
+  /** The balancer takes a process out after two missed checks, one a second. */
+  private static final Duration BALANCER_NOTICES = Duration.ofMillis(2200);
+
+  /** Streams that begin later may be cut at the end of the grace, which none of them may be. */
+  private static final Duration LAST_STREAM = Duration.ofMillis(2800);
+
+  /** Plain requests last for less than two seconds. */
+  private static final Duration PLAIN_RESERVE = Duration.ofMillis(2500);
+
   /** The part of the remaining grace that an answer may be expected to take. */
   private static final double USED_SHARE = 0.5;
 
-  /** The balancer takes a process out after two missed checks, one a second. */
-  private static final Duration BALANCER_NOTICES = Duration.ofMillis(2200);
+  private static final Duration RETRY_ELSEWHERE = Duration.ofMillis(20);
 
-  private static final Duration RETRY_AFTER = Duration.ofMillis(20);
+  /** Another gateway has started again after about this time. */
+  private static final Duration RETRY_LATER = Duration.ofMillis(700);
 
   private final GatewayCore core;
   private final Duration grace;
@@ -31,25 +42,28 @@
 
   @Override
   public Optional<Rejection> apply(InboundCall call) {
-    if (!core.isLeaving()) {
+    if (!core.isLeaving() || canFinish(call)) {
       return Optional.empty();
     }
-    boolean balancerHasNoticed = core.leavingFor().compareTo(BALANCER_NOTICES) > 0;
-    boolean isStream = call.route().kind() == RouteKind.STREAMING;
-    if (isStream && balancerHasNoticed && core.othersStay()) {
-      return leaving();
+    return Optional.of(
+        Rejection.retryable(
+            ErrorCode.LEAVING,
+            "the process is leaving",
+            core.othersStay() ? RETRY_ELSEWHERE : RETRY_LATER));
+  }
+
+  private boolean canFinish(InboundCall call) {
+    Duration leavingFor = core.leavingFor();
+    Duration remaining = grace.minus(leavingFor);
+    if (core.hasStopped()) {
+      return false;
+    }
+    if (call.route().kind() != RouteKind.STREAMING) {
+      return remaining.compareTo(PLAIN_RESERVE) > 0;
     }
-    Duration remaining = grace.minus(core.leavingFor());
+    Duration lastStream = core.othersStay() ? BALANCER_NOTICES : LAST_STREAM;
     Duration usable = Duration.ofMillis((long) (remaining.toMillis() * USED_SHARE));
     Duration expected = core.expectedDuration(call).plus(call.route().firstPartObjective());
-    if (expected.compareTo(usable) <= 0) {
-      return Optional.empty();
-    }
-    return leaving();
-  }
-
-  private static Optional<Rejection> leaving() {
-    return Optional.of(
-        Rejection.retryable(ErrorCode.LEAVING, "the process is leaving", RETRY_AFTER));
+    return leavingFor.compareTo(lastStream) <= 0 && expected.compareTo(usable) <= 0;
   }
 }
--- a/src/test/java/org/wigeonstage/gateway/GatewayIT.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayIT.java
@@ -8,6 +8,9 @@
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -254,4 +257,28 @@
     caller.join();
     assertThat(answer.toString()).contains("id: 8\n").endsWith("0\r\n\r\n");
   }
+
+  /** Requests arrive until the process ends. */
+  @Test
+  void answersEveryRequestThatItTakesWhileItStops() throws Exception {
+    AtomicBoolean stopped = new AtomicBoolean();
+    Map<Integer, Integer> statuses = new ConcurrentHashMap<>();
+    Thread callers =
+        new Thread(
+            () -> {
+              for (int i = 0; !stopped.get(); i++) {
+                try {
+                  statuses.merge(statusOf(fixture.call("plain", "stop-" + i)), 1, Integer::sum);
+                } catch (IOException e) {
+                  statuses.merge(-1, 1, Integer::sum);
+                }
+              }
+            });
+    callers.start();
+    fixture.gateway.drain();
+    stopped.set(true);
+    callers.join();
+    assertThat(statuses.keySet()).isSubsetOf(200, 503);
+    assertThat(statuses).containsKeys(200, 503);
+  }
 }
