Count what ran for callers that left; weigh servers' failures; join only events to a stream

Found by reading the code again: the quota of a request that ran was given back when its caller left; a server's 5xx that was passed on counted as served; a plain answer to a resumed stream would have been joined to its events. Tests in GatewayIT.

--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -209,7 +209,8 @@
     if (status >= SERVER_ERROR && (begun || canRepeatFailure())) {
       return Optional.of(AttemptEnd.FAILED);
     }
-    return begun && !isSuccess ? Optional.of(AttemptEnd.INVALID) : Optional.empty();
+    boolean canGoOn = isSuccess && isEventStream(newHead);
+    return begun && !canGoOn ? Optional.of(AttemptEnd.INVALID) : Optional.empty();
   }
 
   private boolean canRepeatFailure() {
@@ -298,7 +299,8 @@
     if (source != attempt || finished || current == null) {
       return;
     }
-    source.report(AttemptResult.SERVED);
+    boolean hasFailed = current.status() >= SERVER_ERROR;
+    source.report(hasFailed ? AttemptResult.FAILED : AttemptResult.SERVED);
     attempt = null;
     finished = true;
     if (isEventStream(current)) {
@@ -455,6 +457,7 @@
     Attempt current = attempt;
     attempt = null;
     if (current != null) {
+      mayHaveRun |= !current.cancelUnsent();
       current.abandon(AttemptResult.NEUTRAL);
     }
     core.withdraw(this);
--- a/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
+++ b/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
@@ -35,9 +35,13 @@
     CUTS_ANSWER,
     /** Run, and the answer names another request. */
     ANSWERS_ANOTHER,
+    /** Run, and a stream is answered with a plain body. */
+    ANSWERS_PLAINLY,
     /** Run, and the answer has no signature. */
     UNSIGNED,
-    /** Nothing is answered. */
+    /** Run, and never answered. */
+    RUNS_FOREVER,
+    /** Nothing is run or answered. */
     SILENT
   }
 
@@ -157,6 +161,9 @@
   }
 
   private void run(ServerExchange exchange, Behaviour current, String attemptId) {
+    if (current == Behaviour.RUNS_FOREVER) {
+      return;
+    }
     if (current == Behaviour.LOSES_ANSWER) {
       exchange.abort();
       return;
@@ -169,7 +176,7 @@
     }
     if (current == Behaviour.FAILS) {
       exchange.respond(FAILURE, fields, "failed".getBytes(StandardCharsets.UTF_8));
-    } else if (exchange.header("Token-Count") != null) {
+    } else if (exchange.header("Token-Count") != null && current != Behaviour.ANSWERS_PLAINLY) {
       stream(exchange, fields, current == Behaviour.CUTS_ANSWER);
     } else {
       plain(exchange, fields, current == Behaviour.CUTS_ANSWER);
--- a/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -57,6 +57,7 @@
             .put("name", name)
             .put("failureDomain", "zone-a")
             .put("revocationMillis", 2000)
+            .put("isFirstStart", true)
             .put("store", store.endpoint().toString());
     for (String address : List.of("callers", "readiness", "peers", "metrics")) {
       settings.put(address, ANY_PORT.toString());
@@ -98,6 +99,21 @@
     return exchange(request.append("\r\nbody").toString());
   }
 
+  /** Sends a plain request whose answer is never read, and closes the connection. */
+  void sendAndLeave(String id) throws IOException, InterruptedException {
+    String request =
+        "POST /plain/x HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: "
+            + id
+            + "\r\nDeadline-Ms: 2500\r\nCredential: key\r\nContent-Length: 0\r\n\r\n";
+    try (Socket socket = new Socket("127.0.0.1", gateway.callersEndpoint().port())) {
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().flush();
+      if (!Polling.await(() -> !runsOf(id).isEmpty(), TIMEOUT)) {
+        throw new AssertionError(id + " was never run");
+      }
+    }
+  }
+
   List<RunnerStandin.RunRecord> runsOf(String id) {
     return runners.stream()
         .flatMap(runner -> runner.runs().stream())
--- a/src/test/java/org/wigeonstage/gateway/GatewayIT.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayIT.java
@@ -281,4 +281,45 @@
     assertThat(statuses.keySet()).isSubsetOf(200, 503);
     assertThat(statuses).containsKeys(200, 503);
   }
+
+  @Test
+  void doesNotJoinAnotherKindOfAnswerToABrokenStream() throws Exception {
+    RunnerStandin second = fixture.addRunner("runner-2");
+    awaitRuns(second);
+    runner().behave(Behaviour.CUTS_ANSWER);
+    second.behave(Behaviour.ANSWERS_PLAINLY);
+    boolean resumed = false;
+    for (int i = 0; i < 100 && !resumed; i++) {
+      String answer = fixture.call("stream", "j" + i);
+      resumed = fixture.runsOf("j" + i).size() == 2;
+      if (resumed) {
+        assertThat(answer).doesNotContain("answer of").doesNotEndWith("0\r\n\r\n");
+      }
+    }
+    assertThat(resumed).isTrue();
+  }
+
+  /** One account's callers leave early and come again. */
+  @Test
+  void countsWhatRanForACallerThatLeftAgainstItsQuota() throws Exception {
+    ObjectNode limited = Rehearsal.configuration();
+    ((ObjectNode) limited.path("tenants").path(0)).put("rate_per_s", 1).put("burst_size", 500);
+    fixture.close();
+    fixture = new GatewayFixture(1, limited);
+    String probe = "GET /nowhere HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n\r\n";
+    Polling.await(
+        () -> {
+          try {
+            return statusOf(fixture.exchange(probe)) == 404;
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        },
+        Duration.ofSeconds(20));
+    runner().behave(Behaviour.RUNS_FOREVER);
+    fixture.sendAndLeave("left");
+    runner().behave(Behaviour.SOUND);
+    assertThat(statusOf(fixture.call("plain", "q1"))).isEqualTo(200);
+    assertThat(statusOf(fixture.call("plain", "q2"))).isEqualTo(429);
+  }
 }
