--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
@@ -480,9 +479,4 @@
     core.answer(call, rejection, trail);
     core.finished(this, false);
   }
-
-  /** Returns what the request shows on the status page. */
-  Map<String, Object> describe() {
-    return Map.of("id", placed.id(), "pool", pool, "attempts", attempts, "begun", begun);
-  }
 }
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -82,7 +82,6 @@
   private final Map<String, PoolScheduler> pools = new HashMap<>();
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private final Map<PlacedRequest, ForwardedRequest> open = new HashMap<>();
-  private List<BackendServer> servers = List.of();
   private Set<String> knownServers = Set.of();
   private int gateways = 1;
   private boolean serversKnown;
@@ -364,7 +363,7 @@
   /** Takes over the list of backend servers. */
   void update(ServerList list) {
     serversKnown = true;
-    servers = list.servers();
+    List<BackendServer> servers = list.servers();
     Set<String> ids = servers.stream().map(BackendServer::id).collect(Collectors.toSet());
     logChanges(ids, list);
     knownServers = ids;
@@ -484,11 +483,4 @@
       }
     }
   }
-
-  /** Returns the open requests, for the status page. */
-  List<Map<String, Object>> describe() {
-    List<Map<String, Object>> requests = new ArrayList<>();
-    open.values().forEach(request -> requests.add(request.describe()));
-    return requests;
-  }
 }
--- a/src/main/java/org/wigeonstage/http/HttpClient.java
+++ b/src/main/java/org/wigeonstage/http/HttpClient.java
@@ -78,8 +78,7 @@
     return exchange;
   }
 
-  private static CompletionHandler<Connection> whenConnected(
-      ClientExchange exchange, HttpPacket packet) {
+  static CompletionHandler<Connection> whenConnected(ClientExchange exchange, HttpPacket packet) {
     return new EmptyCompletionHandler<>() {
       @Override
       public void completed(Connection connection) {
--- a/src/main/java/org/wigeonstage/http/PooledHttpClient.java
+++ b/src/main/java/org/wigeonstage/http/PooledHttpClient.java
@@ -9,9 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
-import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
@@ -186,27 +184,10 @@
 
   private void connect(Endpoint server, ClientExchange exchange, HttpPacket packet) {
     connectsStarted.incrementAndGet();
-    CompletionHandler<Connection> whenConnected =
-        new EmptyCompletionHandler<>() {
-          @Override
-          public void completed(Connection connection) {
-            exchange.connected(connection, packet);
-          }
-
-          @Override
-          public void failed(Throwable cause) {
-            exchange.connectFailed(cause);
-          }
-
-          @Override
-          public void cancelled() {
-            exchange.connectFailed(new IOException("connection attempt cancelled"));
-          }
-        };
     TCPNIOConnectorHandler.builder(transport)
         .processor(chain)
         .build()
-        .connect(server.socketAddress(), null, whenConnected);
+        .connect(server.socketAddress(), null, HttpClient.whenConnected(exchange, packet));
   }
 
   private static HttpPacket packetOf(OutboundCall call) {
