--- a/src/main/java/org/wigeonstage/common/ClockReading.java
+++ b/src/main/java/org/wigeonstage/common/ClockReading.java
@@ -26,14 +26,4 @@
     Duration larger = bySteady.compareTo(byWall) >= 0 ? bySteady : byWall;
     return larger.isNegative() ? Duration.ZERO : larger;
   }
-
-  /**
-   * Returns the reading of a moment shortly before.
-   *
-   * @param time how much earlier
-   * @return the earlier reading
-   */
-  public ClockReading minus(Duration time) {
-    return new ClockReading(steady.minus(time), wall.minus(time));
-  }
 }
--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -92,7 +92,7 @@
     }
   }
 
-  void eventArrived(Duration now) {
+  void eventArrived() {
     events++;
   }
 
@@ -157,11 +157,6 @@
     }
   }
 
-  /** Ends the attempt without its connection; what still comes is ignored. */
-  void leave(AttemptResult result) {
-    report(result);
-  }
-
   /** Ends the attempt and closes its connection, so that the server stops its work. */
   void abandon(AttemptResult result) {
     report(result);
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -234,7 +234,7 @@
     if (isEventStream(current)) {
       for (EventSplitter.Event event : splitter.feed(data)) {
         event.id().ifPresent(id -> lastEventId = id);
-        source.eventArrived(core.now());
+        source.eventArrived();
         write(current, event.bytes());
       }
     } else if (begun) {
@@ -262,8 +262,8 @@
   private void write(AnswerHead current, byte[] data) {
     if (!begun) {
       begun = true;
-      boolean isWhole = isEventStream(current) || attempts > 1;
-      begin(current, isWhole ? -1 : current.contentLength());
+      boolean isLengthOpen = isEventStream(current) || attempts > 1;
+      begin(current, isLengthOpen ? -1 : current.contentLength());
     }
     exchange().write(data);
   }
@@ -359,7 +359,7 @@
         .put("verdict", verdict.name())
         .notable();
     if (end == AttemptEnd.DECLINED || end == AttemptEnd.FAILED) {
-      source.leave(result);
+      source.report(result);
     } else {
       source.abandon(result);
     }
--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -93,15 +93,6 @@
     return new Endpoint(listener.getHost(), listener.getPort());
   }
 
-  /**
-   * Sets how long connections are kept open without a request.
-   *
-   * @param timeout the time, in whole seconds
-   */
-  public void idleTimeout(Duration timeout) {
-    listener.getKeepAlive().setIdleTimeoutInSeconds((int) timeout.toSeconds());
-  }
-
   /**
    * Takes no new connections and waits until the open requests are answered.
    *
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -2,13 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.wigeonstage.fleet.BackendServer;
@@ -35,9 +35,6 @@
 
   private static final Duration FADE_INTERVAL = Duration.ofMillis(500);
 
-  /** Engines read about a hundred tokens of a prompt in a millisecond. */
-  private static final double MILLIS_PER_PROMPT_TOKEN = 0.01;
-
   private static final Duration NO_SERVER_RETRY = Duration.ofSeconds(1);
   private static final Duration MIN_RETRY = Duration.ofMillis(200);
   private static final Duration MAX_RETRY = Duration.ofSeconds(3);
@@ -187,7 +184,8 @@
     double perEvent =
         servers.values().stream().mapToDouble(ServerLoad::millisPerEvent).average().orElse(0);
     double millis =
-        (double) outputTokens / tokensPerEvent * perEvent + promptTokens * MILLIS_PER_PROMPT_TOKEN;
+        (double) outputTokens / tokensPerEvent * perEvent
+            + promptTokens * ServerLoad.INITIAL_MILLIS_PER_TOKEN;
     return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
   }
 
@@ -277,7 +275,7 @@
     Map<String, Integer> counts = new HashMap<>();
     servers.forEach(
         (id, load) -> {
-          if (!load.isIdle()) {
+          if (load.running() > 0) {
             counts.put(id, load.running());
           }
         });
@@ -359,14 +357,17 @@
    */
   private Optional<ServerLoad> cheapest(
       List<ServerLoad> loads, PlacedRequest request, Duration now) {
-    OptionalDouble least = loads.stream().mapToDouble(load -> cost(load, request, now)).min();
-    if (least.isEmpty()) {
+    if (loads.isEmpty()) {
       return Optional.empty();
     }
-    List<ServerLoad> alike =
-        loads.stream()
-            .filter(load -> cost(load, request, now) <= least.getAsDouble() + ALIKE_MILLIS)
-            .toList();
+    double[] costs = loads.stream().mapToDouble(load -> cost(load, request, now)).toArray();
+    double highest = Arrays.stream(costs).min().orElseThrow() + ALIKE_MILLIS;
+    List<ServerLoad> alike = new ArrayList<>();
+    for (int i = 0; i < costs.length; i++) {
+      if (costs[i] <= highest) {
+        alike.add(loads.get(i));
+      }
+    }
     return Optional.of(alike.get(random.nextInt(alike.size())));
   }
 
--- a/src/main/java/org/wigeonstage/placement/ServerLoad.java
+++ b/src/main/java/org/wigeonstage/placement/ServerLoad.java
@@ -15,7 +15,7 @@
   private static final double FAILURE_GAIN = 0.2;
 
   /** What a prompt's token costs before anything was learned: engines read about 100 in a ms. */
-  private static final double INITIAL_MILLIS_PER_TOKEN = 0.01;
+  static final double INITIAL_MILLIS_PER_TOKEN = 0.01;
 
   /** How long an event of a stream takes before anything was learned. */
   private static final double INITIAL_MILLIS_PER_EVENT = 25;
@@ -127,10 +127,6 @@
     return running.size();
   }
 
-  boolean isIdle() {
-    return running.isEmpty();
-  }
-
   /** Returns how many more requests of a rank the server takes. */
   int places(int rank) {
     if (server.isLeaving()) {
--- a/src/main/java/org/wigeonstage/platform/PlatformFleetStore.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformFleetStore.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.fleet.Peer;
@@ -21,6 +22,7 @@
   private static final String GATEWAY_KIND = "gateways";
 
   private final PlatformObjects objects;
+  private volatile @Nullable RoutingRevision lastRouting;
 
   PlatformFleetStore(PlatformObjects objects) {
     this.objects = objects;
@@ -28,13 +30,18 @@
 
   @Override
   public Optional<RoutingRevision> readRouting() {
-    return objects
-        .get(CONFIGURATION_KIND, CONFIGURATION_NAME)
-        .map(
-            object ->
-                new RoutingRevision(
-                    object.path("metadata").path("revision").asLong(),
-                    RoutingDecoder.decode(object.path("spec"))));
+    return objects.get(CONFIGURATION_KIND, CONFIGURATION_NAME).map(this::routingOf);
+  }
+
+  /** An object that has not changed since the last read is not decoded again. */
+  private RoutingRevision routingOf(JsonNode object) {
+    long revision = object.path("metadata").path("revision").asLong();
+    RoutingRevision last = lastRouting;
+    if (last == null || last.revision() != revision) {
+      last = new RoutingRevision(revision, RoutingDecoder.decode(object.path("spec")));
+      lastRouting = last;
+    }
+    return last;
   }
 
   @Override
