Tell from logs and metrics where a caller's request and its close waited

Every 'accepted' line said sinceArrivalMillis 0, because the only measure of late reading was a barrier every 40 ms over all connections. Three explanations could not be told apart: late acceptance or reading, a queue between the reading thread and the handlers, and bytes that waited for their connection.

- SelectionRounds notes at each look of the reading thread what had not come by the look before, so that each request knows the earliest moment at which it can have come, and when its connection was accepted.
- accepted: connectionAgeMillis, unreadMillis (at most), sinceReadMillis. caller-gone: endReadMillisAgo, attempts. answered, attempt-ended, caller-gone: connectedMillis, writtenMillis since the placement.
- Timers callers.unread, callers.unhandled, callers.endUnhandled, control.interval, attempts.written.

No decision is changed. An HTTP server has one selector thread now in any case, which the gateway's had before.

--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -90,6 +90,19 @@
     return current == null || current.cancelUnsent();
   }
 
+  /** Notes how long the sending took, since the decision to send. */
+  void describe(RequestTrail.Step step) {
+    ClientExchange current = exchange;
+    if (current != null) {
+      current
+          .connectedAt()
+          .ifPresent(time -> step.put("connectedMillis", time.minus(startedAt).toMillis()));
+      current
+          .writtenAt()
+          .ifPresent(time -> step.put("writtenMillis", time.minus(startedAt).toMillis()));
+    }
+  }
+
   void headArrived(Duration now) {
     lastDataAt = now;
     watchedSince = core.watchedTime();
@@ -183,6 +196,10 @@
       if (first != null && events > 1) {
         core.eventPace(request, server, lastDataAt.minus(first).dividedBy(events - 1));
       }
+      ClientExchange current = exchange;
+      if (current != null) {
+        current.writtenAt().ifPresent(time -> core.attemptWritten(time.minus(startedAt)));
+      }
       core.attemptReported(request, server, result);
     }
   }
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -160,17 +160,7 @@
       fail(ErrorCode.ANSWER_LOST, "the answer was lost, and no other server is free");
       return;
     }
-    ErrorCode code =
-        reason == Refusal.NO_SERVER ? ErrorCode.NO_BACKEND_SERVER : ErrorCode.OVERLOADED;
-    reject(Rejection.retryable(code, detailOf(reason), retryAfter));
-  }
-
-  private static String detailOf(Refusal reason) {
-    return switch (reason) {
-      case NO_SERVER -> "no backend server of the pool is ready";
-      case QUEUE_TOO_LONG -> "too many requests wait";
-      case WAITED_TOO_LONG -> "no backend server had a place in time";
-    };
+    reject(Rejection.of(reason, retryAfter));
   }
 
   /** Takes the beginning of an answer. */
@@ -320,12 +310,14 @@
       exchange().write(body);
       exchange().end();
     }
-    trail
-        .step("answered")
-        .put("status", current.status())
-        .put("server", source.server().id())
-        .put("firstPartMillis", source.firstPartSince(arrivedAt).toMillis())
-        .put("totalMillis", core.now().minus(arrivedAt).toMillis());
+    RequestTrail.Step step =
+        trail
+            .step("answered")
+            .put("status", current.status())
+            .put("server", source.server().id())
+            .put("firstPartMillis", source.firstPartSince(arrivedAt).toMillis())
+            .put("totalMillis", core.now().minus(arrivedAt).toMillis());
+    source.describe(step);
     core.served(this, source.firstPartSince(arrivedAt), core.now().minus(arrivedAt));
     core.finished(this, RequestOutcome.SERVED);
   }
@@ -355,13 +347,15 @@
     }
     Verdict verdict = decide(end);
     mayHaveRun |= !end.isNotRun();
-    trail
-        .step("attempt-ended")
-        .put("server", source.server().id())
-        .put("end", end.name())
-        .put("begun", begun)
-        .put("verdict", verdict.name())
-        .notable();
+    RequestTrail.Step step =
+        trail
+            .step("attempt-ended")
+            .put("server", source.server().id())
+            .put("end", end.name())
+            .put("begun", begun)
+            .put("verdict", verdict.name())
+            .notable();
+    source.describe(step);
     if (end == AttemptEnd.DECLINED || end == AttemptEnd.FAILED) {
       source.report(result);
     } else {
@@ -456,16 +450,27 @@
     }
   }
 
-  /** Ends the request because the caller closed its connection. */
-  void callerGone() {
+  /**
+   * Ends the request because the caller closed its connection.
+   *
+   * @param readAt when the end of the connection was read
+   */
+  void callerGone(Duration readAt) {
     if (finished) {
       return;
     }
     finished = true;
-    trail.step("caller-gone").put("begun", begun).notable();
+    RequestTrail.Step step =
+        trail
+            .step("caller-gone")
+            .put("begun", begun)
+            .put("attempts", attempts)
+            .put("endReadMillisAgo", core.now().minus(readAt).toMillis())
+            .notable();
     Attempt current = attempt;
     attempt = null;
     if (current != null) {
+      current.describe(step);
       mayHaveRun |= !current.cancelUnsent();
       current.abandon(AttemptResult.NEUTRAL);
     }
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -40,7 +40,6 @@
 import org.wigeonstage.quota.RetryLimits;
 import org.wigeonstage.request.HeaderFields;
 import org.wigeonstage.routes.Route;
-import org.wigeonstage.routes.RouteKind;
 import org.wigeonstage.routes.RoutingTable;
 import org.wigeonstage.telemetry.DecisionLog;
 
@@ -50,21 +49,6 @@
  */
 final class GatewayCore {
 
-  /** Callers leave a silent stream after this time, or after the multiples below if longer. */
-  private static final Duration STREAM_PATIENCE = Duration.ofSeconds(2);
-
-  private static final int PATIENCE_OBJECTIVES = 4;
-  private static final int PATIENCE_PAUSES = 8;
-
-  /** Refusals must reach the caller before it leaves. */
-  private static final Duration PATIENCE_MARGIN = Duration.ofMillis(300);
-
-  /** The part of its time that a plain request may wait for a place. */
-  private static final double PLAIN_PATIENCE = 0.6;
-
-  /** The part of the objective in which a first part must be here; the rest is its way. */
-  private static final double ON_TIME_SHARE = 0.95;
-
   /** A tick that comes later, after two intervals, shows that the process had no processor. */
   private static final Duration MAX_WATCHED = Duration.ofMillis(40);
 
@@ -118,6 +102,10 @@
     action.run();
   }
 
+  private long millisSince(Duration moment) {
+    return now().minus(moment).toMillis();
+  }
+
   Duration now() {
     return clock.elapsed();
   }
@@ -147,14 +135,17 @@
             new Urgency(
                 call.account().map(account -> account.priority()).orElse(0), route.priority()),
             arrivedAt,
-            arrivedAt.plus(scale(route.firstPartObjective(), ON_TIME_SHARE)),
-            arrivedAt.plus(patience(route, limit)),
+            arrivedAt.plus(Patience.forTimelyFirstPart(route)),
+            arrivedAt.plus(Patience.forAPlace(route, limit)),
             call.fields().promptTokens(),
             pool(pool).eventsOf(call.fields().expectedOutputTokens()),
             arrivedAt.plus(limit));
     RequestTrail trail = new RequestTrail(call.fields().id(), arrivedAt, clock);
     trail
         .step("accepted")
+        .put("connectionAgeMillis", millisSince(call.exchange().arrival().connectedAt()))
+        .put("unreadMillis", call.exchange().arrival().unreadFor().toMillis())
+        .put("sinceReadMillis", millisSince(call.exchange().arrival().readAt()))
         .put("route", route.name())
         .put("kind", route.kind().name())
         .put("pool", pool)
@@ -169,28 +160,20 @@
     ForwardedRequest request =
         new ForwardedRequest(this, call, pool, placed, arrivedAt.plus(limit), trail);
     open.put(placed, request);
-    call.exchange().onGone(() -> run(request::callerGone));
+    requestMetrics.arrived(call.exchange().arrival(), now());
+    call.exchange().onGone(() -> callerGone(request));
     call.exchange().onConsumed(offset -> run(request::consumed));
     budget(pool).requested(arrivedAt);
     pool(pool).submit(placed, arrivedAt);
   }
 
-  private static Duration patience(Route route, Duration limit) {
-    Duration patience = scale(limit, PLAIN_PATIENCE);
-    if (route.kind() == RouteKind.STREAMING && route.priority() > 0) {
-      patience = route.firstPartObjective();
-    } else if (route.kind() == RouteKind.STREAMING) {
-      Duration byObjective = route.firstPartObjective().multipliedBy(PATIENCE_OBJECTIVES);
-      Duration byPause = route.pauseObjective().multipliedBy(PATIENCE_PAUSES);
-      patience =
-          Comparators.max(STREAM_PATIENCE, Comparators.max(byObjective, byPause))
-              .minus(PATIENCE_MARGIN);
-    }
-    return Comparators.min(patience, limit.minus(PATIENCE_MARGIN));
-  }
-
-  private static Duration scale(Duration duration, double factor) {
-    return Duration.ofNanos((long) (duration.toNanos() * factor));
+  private void callerGone(ForwardedRequest request) {
+    Duration readAt = now();
+    run(
+        () -> {
+          requestMetrics.callerEnded(now().minus(readAt));
+          request.callerGone(readAt);
+        });
   }
 
   /** Places a request again whose attempt ended. */
@@ -216,6 +199,11 @@
     pool(request.pool()).eventPace(server.id(), perEvent);
   }
 
+  /** Notes how long it took from the placement of a request until its bytes had left. */
+  void attemptWritten(Duration sinceStart) {
+    requestMetrics.written(sinceStart);
+  }
+
   void attemptReported(ForwardedRequest request, BackendServer server, AttemptResult result) {
     if (result == AttemptResult.UNREACHABLE) {
       client.forget(Endpoint.of(server.address()));
@@ -445,6 +433,7 @@
     Duration sinceTick = now.minus(tickedAt);
     boolean isOnTime = sinceTick.compareTo(MAX_WATCHED) <= 0;
     watchedTime = watchedTime.plus(isOnTime ? sinceTick : LATE_TICK);
+    requestMetrics.ticked(sinceTick);
     tickedAt = now;
     List.copyOf(open.values()).forEach(request -> request.tick(now));
     pools.values().forEach(pool -> pool.tick(now));
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -95,6 +95,7 @@
                 "callers",
                 Endpoint.of(settings.callers()),
                 new ServerOptions(MAX_HEAD_BYTES, MAX_BODY_BYTES, IDLE_TIMEOUT, HANDLER_THREADS),
+                clock,
                 endpoint));
     this.peers =
         closer.register(
--- a/src/main/java/org/wigeonstage/gateway/Rejection.java
+++ b/src/main/java/org/wigeonstage/gateway/Rejection.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.placement.Refusal;
 
 /**
  * An answer of the gateway's own, in place of a backend server's.
@@ -20,4 +21,19 @@
   static Rejection retryable(ErrorCode code, String detail, Duration retryAfter) {
     return new Rejection(code, detail, Optional.of(retryAfter));
   }
+
+  /** Returns the answer to a request that no backend server can take. */
+  static Rejection of(Refusal reason, Duration retryAfter) {
+    ErrorCode code =
+        reason == Refusal.NO_SERVER ? ErrorCode.NO_BACKEND_SERVER : ErrorCode.OVERLOADED;
+    return retryable(code, detailOf(reason), retryAfter);
+  }
+
+  private static String detailOf(Refusal reason) {
+    return switch (reason) {
+      case NO_SERVER -> "no backend server of the pool is ready";
+      case QUEUE_TOO_LONG -> "too many requests wait";
+      case WAITED_TOO_LONG -> "no backend server had a place in time";
+    };
+  }
 }
--- a/src/main/java/org/wigeonstage/gateway/RequestMetrics.java
+++ b/src/main/java/org/wigeonstage/gateway/RequestMetrics.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.http.Arrival;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.telemetry.MetricName;
 
@@ -23,6 +24,27 @@
     this.registry = registry;
   }
 
+  /** Times how long a request waited to be read, at most, and then to be handled. */
+  void arrived(Arrival arrival, Duration handledAt) {
+    registry.timer("callers.unread").update(arrival.unreadFor());
+    registry.timer("callers.unhandled").update(handledAt.minus(arrival.readAt()));
+  }
+
+  /** Times how long the end of a caller's connection waited to be handled. */
+  void callerEnded(Duration unhandled) {
+    registry.timer("callers.endUnhandled").update(unhandled);
+  }
+
+  /** Times the interval between two runs of the control task. */
+  void ticked(Duration interval) {
+    registry.timer("control.interval").update(interval);
+  }
+
+  /** Times how long a request took from its placement until its bytes had left. */
+  void written(Duration sinceStart) {
+    registry.timer("attempts.written").update(sinceStart);
+  }
+
   /** Counts a request that a backend server answered. */
   void served(ForwardedRequest request, Duration firstPart, Duration whole) {
     count(request.call(), request.pool(), "served");
--- /dev/null
+++ b/src/main/java/org/wigeonstage/http/Arrival.java
@@ -0,0 +1,23 @@
+package org.wigeonstage.http;
+
+import java.time.Duration;
+
+/**
+ * When a request came in, on the clock of its {@link HttpServer}.
+ *
+ * @param connectedAt when its connection was accepted
+ * @param notBefore the earliest moment at which its first bytes can have come: when the thread that
+ *     reads had last seen that nothing of it was there
+ * @param readAt when its head was read
+ */
+public record Arrival(Duration connectedAt, Duration notBefore, Duration readAt) {
+
+  /**
+   * Returns how long the request can have waited to be read, at most.
+   *
+   * @return the time from the earliest arrival to the reading
+   */
+  public Duration unreadFor() {
+    return readAt.minus(notBefore);
+  }
+}
--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
@@ -12,6 +14,7 @@
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpPacket;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.MonotonicClock;
 
 /** One call of an {@link HttpClient}. Safe for use by several threads. */
 public final class ClientExchange {
@@ -29,20 +32,23 @@
 
   private final AnswerListener listener;
   private final Releaser releaser;
+  private final MonotonicClock clock;
   private @Nullable Connection<?> connection;
   private @Nullable FilterChainContext suspended;
   private boolean paused;
   private boolean aborted;
   private boolean ended;
   private boolean began;
-  private volatile boolean written;
+  private volatile @Nullable Duration connectedAt;
+  private volatile @Nullable Duration writtenAt;
 
-  ClientExchange(AnswerListener listener) {
-    this(listener, (connection, reusable) -> connection.closeSilently());
+  ClientExchange(AnswerListener listener, MonotonicClock clock) {
+    this(listener, clock, (connection, reusable) -> connection.closeSilently());
   }
 
-  ClientExchange(AnswerListener listener, Releaser releaser) {
+  ClientExchange(AnswerListener listener, MonotonicClock clock, Releaser releaser) {
     this.listener = listener;
+    this.clock = clock;
     this.releaser = releaser;
   }
 
@@ -50,6 +56,7 @@
   void connected(Connection<?> newConnection, HttpPacket packet) {
     ATTRIBUTE.set(newConnection, this);
     boolean send;
+    connectedAt = clock.elapsed();
     synchronized (this) {
       connection = newConnection;
       send = !aborted;
@@ -92,7 +99,7 @@
   void completed(Connection<?> source, boolean reusable) {
     ATTRIBUTE.remove(source);
     boolean first = end();
-    releaser.release(source, reusable && first && written);
+    releaser.release(source, reusable && first && writtenAt != null);
     if (first) {
       listener.ended();
     }
@@ -100,7 +107,25 @@
 
   /** Notes that the whole request has been handed to the system. */
   void written() {
-    written = true;
+    writtenAt = clock.elapsed();
+  }
+
+  /**
+   * Returns when there was a connection to send the request on.
+   *
+   * @return the time, or empty while there is none
+   */
+  public Optional<Duration> connectedAt() {
+    return Optional.ofNullable(connectedAt);
+  }
+
+  /**
+   * Returns when the whole request had been handed to the system.
+   *
+   * @return the time, or empty before that
+   */
+  public Optional<Duration> writtenAt() {
+    return Optional.ofNullable(writtenAt);
   }
 
   /** Returns whether the connection was established. */
--- a/src/main/java/org/wigeonstage/http/HttpClient.java
+++ b/src/main/java/org/wigeonstage/http/HttpClient.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.glassfish.grizzly.http.HttpPacket;
 import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.request.HttpCall;
 
 /**
@@ -16,6 +17,7 @@
 public final class HttpClient implements Closeable {
 
   private final ClientTransport transport;
+  private final MonotonicClock clock = MonotonicClock.system();
 
   private HttpClient(ClientTransport transport) {
     this.transport = transport;
@@ -43,7 +45,7 @@
    */
   public ClientExchange send(
       Endpoint target, HttpCall call, Map<String, String> headers, AnswerListener listener) {
-    ClientExchange exchange = new ClientExchange(listener);
+    ClientExchange exchange = new ClientExchange(listener, clock);
     transport.connect(target, exchange, packetOf(target, call, headers));
     return exchange;
   }
--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -12,11 +12,15 @@
 import org.glassfish.grizzly.utils.DelayedExecutor;
 import org.glassfish.grizzly.utils.IdleTimeoutFilter;
 import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.common.WigeonstageException;
 
 /** An HTTP server with one handler for all paths. */
 public final class HttpServer implements Closeable {
 
+  /** One thread, so that a connection's acceptance, requests and end are read in order. */
+  private static final int SELECTOR_THREADS = 1;
+
   private final org.glassfish.grizzly.http.server.HttpServer server;
   private final NetworkListener listener;
   private final DelayedExecutor idleConnections;
@@ -55,7 +59,28 @@
    */
   public static HttpServer start(
       String name, Endpoint endpoint, ServerOptions options, RequestHandler handler) {
-    TCPNIOTransport transport = Transports.create(name, Math.min(2, options.handlerThreads()));
+    return start(name, endpoint, options, MonotonicClock.system(), handler);
+  }
+
+  /**
+   * Starts a server that tells when its requests arrived.
+   *
+   * @param name the prefix of the names of its threads
+   * @param endpoint where to listen
+   * @param options its limits
+   * @param clock measures when requests arrive
+   * @param handler answers the requests
+   * @return the server
+   */
+  public static HttpServer start(
+      String name,
+      Endpoint endpoint,
+      ServerOptions options,
+      MonotonicClock clock,
+      RequestHandler handler) {
+    TCPNIOTransport transport = Transports.create(name, SELECTOR_THREADS);
+    SelectionRounds rounds = new SelectionRounds(clock);
+    transport.setSelectorHandler(rounds);
     transport.setWorkerThreadPoolConfig(
         ThreadPoolConfig.defaultConfig()
             .setPoolName(name + "-handler")
@@ -69,7 +94,7 @@
     listener.getKeepAlive().setMaxRequestsCount(-1);
     DelayedExecutor idleConnections = IdleTimeoutFilter.createDefaultIdleDelayedExecutor();
     idleConnections.start();
-    PlainHttpFilter.install(listener, idleConnections, options.maxHeadBytes());
+    PlainHttpFilter.install(listener, idleConnections, options.maxHeadBytes(), rounds);
     org.glassfish.grizzly.http.server.HttpServer server =
         new org.glassfish.grizzly.http.server.HttpServer();
     server.addListener(listener);
--- a/src/main/java/org/wigeonstage/http/PlainHttpFilter.java
+++ b/src/main/java/org/wigeonstage/http/PlainHttpFilter.java
@@ -1,10 +1,12 @@
 package org.wigeonstage.http;
 
 import com.google.common.base.CharMatcher;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.server.NetworkListener;
@@ -31,7 +33,13 @@
           .or(CharMatcher.inRange('0', '9'))
           .or(CharMatcher.anyOf("!#$%&'*+-.^_`|~"));
 
-  private PlainHttpFilter(NetworkListener listener, DelayedExecutor executor, int maxHeadBytes) {
+  private final SelectionRounds rounds;
+
+  private PlainHttpFilter(
+      NetworkListener listener,
+      DelayedExecutor executor,
+      int maxHeadBytes,
+      SelectionRounds rounds) {
     super(
         listener.isChunkingEnabled(),
         maxHeadBytes,
@@ -40,20 +48,32 @@
         executor,
         listener.getMaxRequestHeaders(),
         listener.getMaxResponseHeaders());
+    this.rounds = rounds;
   }
 
   /** Puts a filter of this kind in the place of a listener's usual one. */
-  static void install(NetworkListener listener, DelayedExecutor executor, int maxHeadBytes) {
+  static void install(
+      NetworkListener listener,
+      DelayedExecutor executor,
+      int maxHeadBytes,
+      SelectionRounds rounds) {
     listener.registerAddOn(
         (owner, builder) ->
             builder.set(
                 builder.indexOfType(HttpServerFilter.class),
-                new PlainHttpFilter(owner, executor, maxHeadBytes)));
+                new PlainHttpFilter(owner, executor, maxHeadBytes, rounds)));
+  }
+
+  @Override
+  public NextAction handleAccept(FilterChainContext context) throws IOException {
+    rounds.accepted(context.getConnection());
+    return super.handleAccept(context);
   }
 
   @Override
   protected void onHttpHeadersParsed(
       HttpHeader header, MimeHeaders fields, FilterChainContext context) {
+    rounds.read(context.getConnection(), header);
     checkFraming(header.isChunked(), fields);
     super.onHttpHeadersParsed(header, fields, context);
     header.getUpgradeDC().recycle();
--- a/src/main/java/org/wigeonstage/http/PooledHttpClient.java
+++ b/src/main/java/org/wigeonstage/http/PooledHttpClient.java
@@ -71,6 +71,7 @@
     ClientExchange exchange =
         new ClientExchange(
             idleLimit,
+            clock,
             (connection, reusable) -> release(server, connection, reusable, idleLimit.limit()));
     HttpPacket packet = packetOf(call);
     Connection<?> kept = take(server, maxIdle);
--- /dev/null
+++ b/src/main/java/org/wigeonstage/http/SelectionRounds.java
@@ -0,0 +1,82 @@
+package org.wigeonstage.http;
+
+import java.io.IOException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.time.Duration;
+import java.util.Set;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.attributes.AttributeStorage;
+import org.glassfish.grizzly.nio.DefaultSelectorHandler;
+import org.glassfish.grizzly.nio.SelectorRunner;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.MonotonicClock;
+
+/**
+ * Measures the rounds of a selector thread, to tell how long a request may have waited to be read.
+ *
+ * <p>What a round reads had not come when the round before looked. For one selector thread.
+ */
+final class SelectionRounds extends DefaultSelectorHandler {
+
+  private static final Attribute<Accepted> ACCEPTED =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("wigeonstage.accepted");
+  private static final Attribute<Arrival> ARRIVAL =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("wigeonstage.arrival");
+
+  private final MonotonicClock clock;
+  private Duration lookedAt;
+  private Duration notBefore;
+  private long round;
+
+  /** When a connection was accepted, and what the round that did so could tell. */
+  private record Accepted(Duration at, Duration notBefore, long round) {}
+
+  SelectionRounds(MonotonicClock clock) {
+    this.clock = clock;
+    this.lookedAt = clock.elapsed();
+    this.notBefore = lookedAt;
+  }
+
+  @Override
+  public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
+    round++;
+    notBefore = lookedAt;
+    Selector selector = runner.getSelector();
+    lookedAt = clock.elapsed();
+    if (selector.selectNow() > 0) {
+      return selector.selectedKeys();
+    }
+    // Nothing was there, so what ends the wait comes after this moment.
+    notBefore = lookedAt;
+    Set<SelectionKey> keys = super.select(runner);
+    lookedAt = clock.elapsed();
+    return keys;
+  }
+
+  /** Notes on a connection that it was accepted; on the selector thread. */
+  void accepted(AttributeStorage connection) {
+    ACCEPTED.set(connection, new Accepted(clock.elapsed(), notBefore, round));
+  }
+
+  /** Notes on a request that its head was read from a connection; on the selector thread. */
+  void read(AttributeStorage connection, AttributeStorage request) {
+    Duration now = clock.elapsed();
+    Accepted accepted = ACCEPTED.get(connection);
+    if (accepted == null) {
+      ARRIVAL.set(request, new Arrival(now, notBefore, now));
+      return;
+    }
+    // A connection is looked at for the first time in the round after its acceptance.
+    boolean cameBeforeFirstLook = round <= accepted.round() + 1;
+    ARRIVAL.set(
+        request,
+        new Arrival(accepted.at(), cameBeforeFirstLook ? accepted.notBefore() : notBefore, now));
+  }
+
+  /** Returns what was noted on a request, or null. */
+  static @Nullable Arrival arrivalOf(AttributeStorage request) {
+    return ARRIVAL.get(request);
+  }
+}
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -37,6 +37,7 @@
 
   private final Response response;
   private final byte[] body;
+  private final @Nullable Arrival arrival;
   private final AtomicBoolean closed = new AtomicBoolean();
   private final Deque<byte[]> pending = new ArrayDeque<>();
   private LongConsumer consumedListener = offset -> {};
@@ -51,6 +52,19 @@
     this.connection = request.getRequest().getConnection();
     this.response = response;
     this.body = body;
+    this.arrival = SelectionRounds.arrivalOf(request.getRequest());
+  }
+
+  /**
+   * Returns when the request came in.
+   *
+   * @return its arrival
+   */
+  public Arrival arrival() {
+    if (arrival == null) {
+      throw new IllegalStateException("the request was read without its arrival");
+    }
+    return arrival;
   }
 
   /**
--- a/src/test/java/org/wigeonstage/http/ClientExchangeTest.java
+++ b/src/test/java/org/wigeonstage/http/ClientExchangeTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.lang.reflect.Proxy;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.glassfish.grizzly.Connection;
@@ -29,7 +30,8 @@
             public void broken(Throwable cause) {
               heard.add("broken");
             }
-          });
+          },
+          () -> Duration.ZERO);
 
   private Connection<?> connection() {
     AttributeHolder attributes = Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createUnsafeAttributeHolder();
