--- a/src/test/java/org/wigeonstage/http/ReadBarrierTest.java
+++ b/src/test/java/org/wigeonstage/http/ReadBarrierTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.common.Polling;
@@ -22,6 +23,7 @@
 class ReadBarrierTest {
 
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final int BARRIERS = 20_000;
   private static final String ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
   private static final OutboundCall CALL =
       new OutboundCall("GET", "/", "localhost", HeaderFields.NONE, new byte[0]);
@@ -90,6 +92,30 @@
     }
   }
 
+  /** A look at what has come must not swallow the signal that a task was added meanwhile. */
+  @Test
+  void passesEachBarrierOfAServerThatHearsNothing() throws Exception {
+    CountDownLatch taken = new CountDownLatch(1);
+    AtomicReference<ServerExchange> open = new AtomicReference<>();
+    RequestHandler handler =
+        exchange -> {
+          open.set(exchange);
+          taken.countDown();
+        };
+    try (HttpServer server = HttpServer.start("test", new Endpoint("127.0.0.1", 0), 1000, handler);
+        Socket caller = new Socket("127.0.0.1", server.endpoint().port())) {
+      caller
+          .getOutputStream()
+          .write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      assertThat(taken.await(TIMEOUT.toSeconds(), TimeUnit.SECONDS)).isTrue();
+      for (int i = 0; i < BARRIERS; i++) {
+        CountDownLatch passed = new CountDownLatch(1);
+        open.get().whenReadsCaughtUp(passed::countDown);
+        assertThat(passed.await(TIMEOUT.toSeconds(), TimeUnit.SECONDS)).isTrue();
+      }
+    }
+  }
+
   private static Socket accept(ServerSocket server) throws IOException {
     Socket socket = server.accept();
     InputStream in = socket.getInputStream();
