Read callers' connections while their requests are handled

Cause: Grizzly's HttpHandler layer suspends a request's read, and with it all reading of its connection, until the answer is given. A caller's close was therefore not read at all while its request was open; only a failing write, or a reset, showed it. The class of fault is a belief (the caller is there) that nothing renews. Ruled out by the lines of 23,625 requests: late reading (130 ms at 99 %), a queue behind the reading thread (117 ms), late bytes (228 ms).

RequestFilter now puts requests together above Grizzly's codec, on the reading thread, and never suspends a read. Requests that come before the answer ahead wait in order (CallerConnection). Idle connections are closed by the server itself.

Clients of ours that pause reading are paused by choice and bounded by their own limits.

ExplanationIT waits until the lines of its last request are written, which now may come after the answer; what it demands of them is unchanged.

--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -2,17 +2,19 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
-import org.glassfish.grizzly.utils.DelayedExecutor;
-import org.glassfish.grizzly.utils.IdleTimeoutFilter;
+import org.wigeonstage.common.ControlThreads;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.common.Polling;
 import org.wigeonstage.common.WigeonstageException;
 
 /** An HTTP server with one handler for all paths. */
@@ -21,17 +23,29 @@
   /** One thread, so that a connection's acceptance, requests and end are read in order. */
   private static final int SELECTOR_THREADS = 1;
 
-  private final org.glassfish.grizzly.http.server.HttpServer server;
-  private final NetworkListener listener;
-  private final DelayedExecutor idleConnections;
+  /** Idle connections live this much longer than they may, at most. */
+  private static final Duration IDLE_CHECK_INTERVAL = Duration.ofSeconds(1);
+
+  private final TCPNIOTransport transport;
+  private final RequestFilter requests;
+  private final Endpoint endpoint;
+  private final ScheduledExecutorService idleChecks;
 
   private HttpServer(
-      org.glassfish.grizzly.http.server.HttpServer server,
-      NetworkListener listener,
-      DelayedExecutor idleConnections) {
-    this.server = server;
-    this.listener = listener;
-    this.idleConnections = idleConnections;
+      String name,
+      TCPNIOTransport transport,
+      RequestFilter requests,
+      Endpoint endpoint,
+      ServerOptions options) {
+    this.transport = transport;
+    this.requests = requests;
+    this.endpoint = endpoint;
+    this.idleChecks = ControlThreads.single(name + "-idle");
+    idleChecks.scheduleWithFixedDelay(
+        () -> requests.closeIdle(options.idleTimeout()),
+        IDLE_CHECK_INTERVAL.toMillis(),
+        IDLE_CHECK_INTERVAL.toMillis(),
+        TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -87,26 +101,24 @@
             .setCorePoolSize(options.handlerThreads())
             .setMaxPoolSize(options.handlerThreads())
             .setDaemon(true));
-    NetworkListener listener = new NetworkListener(name, endpoint.host(), endpoint.port());
-    listener.setTransport(transport);
-    listener.getFileCache().setEnabled(false);
-    listener.getKeepAlive().setIdleTimeoutInSeconds((int) options.idleTimeout().toSeconds());
-    listener.getKeepAlive().setMaxRequestsCount(-1);
-    DelayedExecutor idleConnections = IdleTimeoutFilter.createDefaultIdleDelayedExecutor();
-    idleConnections.start();
-    PlainHttpFilter.install(listener, idleConnections, options.maxHeadBytes(), rounds);
-    org.glassfish.grizzly.http.server.HttpServer server =
-        new org.glassfish.grizzly.http.server.HttpServer();
-    server.addListener(listener);
-    server
-        .getServerConfiguration()
-        .addHttpHandler(new BodyReader(options.maxBodyBytes(), handler), "/");
+    SafeHandler safeHandler =
+        new SafeHandler(handler, task -> transport.getWorkerThreadPool().execute(task));
+    RequestFilter requests = new RequestFilter(options.maxBodyBytes(), clock, safeHandler);
+    transport.setProcessor(
+        FilterChainBuilder.stateless()
+            .add(new TransportFilter())
+            .add(new PlainHttpFilter(options.maxHeadBytes(), rounds))
+            .add(requests)
+            .build());
     try {
-      server.start();
+      TCPNIOServerConnection listener = transport.bind(endpoint.host(), endpoint.port());
+      transport.start();
+      InetSocketAddress bound = (InetSocketAddress) listener.getLocalAddress();
+      return new HttpServer(
+          name, transport, requests, new Endpoint(endpoint.host(), bound.getPort()), options);
     } catch (IOException e) {
       throw new WigeonstageException(ErrorCode.IO, "can't listen on " + endpoint, e);
     }
-    return new HttpServer(server, listener, idleConnections);
   }
 
   /**
@@ -115,7 +127,7 @@
    * @return the address, with the port that the system chose
    */
   public Endpoint endpoint() {
-    return new Endpoint(listener.getHost(), listener.getPort());
+    return endpoint;
   }
 
   /**
@@ -125,13 +137,9 @@
    * @return whether all were answered in time
    */
   public boolean drain(Duration grace) {
+    transport.unbindAll();
     try {
-      server
-          .shutdown(grace.toMillis(), TimeUnit.MILLISECONDS)
-          .get(grace.toMillis(), TimeUnit.MILLISECONDS);
-      return true;
-    } catch (TimeoutException | ExecutionException e) {
-      return false;
+      return Polling.await(() -> !requests.hasOpenRequests(), grace);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return false;
@@ -140,7 +148,11 @@
 
   @Override
   public void close() {
-    server.shutdownNow();
-    idleConnections.destroy();
+    idleChecks.shutdownNow();
+    try {
+      transport.shutdownNow();
+    } catch (IOException e) {
+      throw new WigeonstageException(ErrorCode.IO, "can't stop listening on " + endpoint, e);
+    }
   }
 }
--- a/src/main/java/org/wigeonstage/http/PlainHttpFilter.java
+++ b/src/main/java/org/wigeonstage/http/PlainHttpFilter.java
@@ -9,9 +9,8 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpServerFilter;
-import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.KeepAlive;
 import org.glassfish.grizzly.http.util.MimeHeaders;
-import org.glassfish.grizzly.utils.DelayedExecutor;
 
 /**
  * Reads requests as plain HTTP/1.1 also where the client offers an upgrade, and refuses those whose
@@ -35,33 +34,17 @@
 
   private final SelectionRounds rounds;
 
-  private PlainHttpFilter(
-      NetworkListener listener,
-      DelayedExecutor executor,
-      int maxHeadBytes,
-      SelectionRounds rounds) {
-    super(
-        listener.isChunkingEnabled(),
-        maxHeadBytes,
-        null,
-        listener.getKeepAlive(),
-        executor,
-        listener.getMaxRequestHeaders(),
-        listener.getMaxResponseHeaders());
+  PlainHttpFilter(int maxHeadBytes, SelectionRounds rounds) {
+    super(true, maxHeadBytes, unlimited(), null);
     this.rounds = rounds;
   }
 
-  /** Puts a filter of this kind in the place of a listener's usual one. */
-  static void install(
-      NetworkListener listener,
-      DelayedExecutor executor,
-      int maxHeadBytes,
-      SelectionRounds rounds) {
-    listener.registerAddOn(
-        (owner, builder) ->
-            builder.set(
-                builder.indexOfType(HttpServerFilter.class),
-                new PlainHttpFilter(owner, executor, maxHeadBytes, rounds)));
+  /** Connections are closed by the server when they are idle, not by the codec. */
+  private static KeepAlive unlimited() {
+    KeepAlive keepAlive = new KeepAlive();
+    keepAlive.setMaxRequestsCount(-1);
+    keepAlive.setIdleTimeoutInSeconds(-1);
+    return keepAlive;
   }
 
   @Override
--- a/src/main/java/org/wigeonstage/http/SelectionRounds.java
+++ b/src/main/java/org/wigeonstage/http/SelectionRounds.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
-import java.nio.channels.Selector;
 import java.time.Duration;
 import java.util.Set;
 import org.glassfish.grizzly.Grizzly;
@@ -10,7 +9,6 @@
 import org.glassfish.grizzly.attributes.AttributeStorage;
 import org.glassfish.grizzly.nio.DefaultSelectorHandler;
 import org.glassfish.grizzly.nio.SelectorRunner;
-import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.MonotonicClock;
 
 /**
@@ -25,6 +23,11 @@
   private static final Attribute<Arrival> ARRIVAL =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("wigeonstage.arrival");
 
+  /**
+   * A look that takes longer found nothing at first; one that finds something takes microseconds.
+   */
+  private static final Duration BLOCKED = Duration.ofMillis(1);
+
   private final MonotonicClock clock;
   private Duration lookedAt;
   private Duration notBefore;
@@ -39,19 +42,19 @@
     this.notBefore = lookedAt;
   }
 
+  /**
+   * Selects as usual. A separate look before a blocking one would swallow the signal that wakes the
+   * thread for tasks, so whether it blocked is told by the time that it took.
+   */
   @Override
   public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
     round++;
-    notBefore = lookedAt;
-    Selector selector = runner.getSelector();
-    lookedAt = clock.elapsed();
-    if (selector.selectNow() > 0) {
-      return selector.selectedKeys();
-    }
-    // Nothing was there, so what ends the wait comes after this moment.
-    notBefore = lookedAt;
+    Duration before = clock.elapsed();
     Set<SelectionKey> keys = super.select(runner);
-    lookedAt = clock.elapsed();
+    Duration after = clock.elapsed();
+    boolean hasBlocked = after.minus(before).compareTo(BLOCKED) > 0;
+    notBefore = hasBlocked ? before : lookedAt;
+    lookedAt = after;
     return keys;
   }
 
@@ -75,8 +78,12 @@
         new Arrival(accepted.at(), cameBeforeFirstLook ? accepted.notBefore() : notBefore, now));
   }
 
-  /** Returns what was noted on a request, or null. */
-  static @Nullable Arrival arrivalOf(AttributeStorage request) {
-    return ARRIVAL.get(request);
+  /** Returns what was noted on a request when its head was read. */
+  static Arrival arrivalOf(AttributeStorage request) {
+    Arrival arrival = ARRIVAL.get(request);
+    if (arrival == null) {
+      throw new IllegalStateException("the request was read without its arrival");
+    }
+    return arrival;
   }
 }
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -1,23 +1,19 @@
 package org.wigeonstage.http;
 
-import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongConsumer;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.Closeable;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.ICloseType;
-import org.glassfish.grizzly.WriteHandler;
-import org.glassfish.grizzly.http.io.NIOOutputStream;
-import org.glassfish.grizzly.http.server.Request;
-import org.glassfish.grizzly.http.server.Response;
-import org.glassfish.grizzly.http.util.MimeHeaders;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.memory.Buffers;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.request.HeaderFields;
 import org.wigeonstage.request.HttpCall;
@@ -30,29 +26,27 @@
  */
 public final class ServerExchange {
 
-  private final Request request;
+  private static final long LENGTH_OPEN = -1;
 
-  /** Kept here, because the request is recycled after its answer. */
+  private final CallerConnection owner;
   private final Connection<?> connection;
-
-  private final Response response;
+  private final CallerRequest request;
+  private final HttpResponsePacket response;
   private final byte[] body;
-  private final @Nullable Arrival arrival;
   private final AtomicBoolean closed = new AtomicBoolean();
-  private final Deque<byte[]> pending = new ArrayDeque<>();
   private LongConsumer consumedListener = offset -> {};
   private volatile @Nullable CloseListener<Closeable, ICloseType> goneListener;
+  private final AtomicBoolean finished = new AtomicBoolean();
+  private int writes;
+  private long written;
   private long consumed;
-  private boolean waiting;
-  private boolean ending;
-  private boolean aborted;
 
-  ServerExchange(Request request, Response response, byte[] body) {
+  ServerExchange(CallerConnection owner, CallerRequest request) {
+    this.owner = owner;
+    this.connection = owner.connection();
     this.request = request;
-    this.connection = request.getRequest().getConnection();
-    this.response = response;
-    this.body = body;
-    this.arrival = SelectionRounds.arrivalOf(request.getRequest());
+    this.response = request.response();
+    this.body = request.body();
   }
 
   /**
@@ -61,10 +55,7 @@
    * @return its arrival
    */
   public Arrival arrival() {
-    if (arrival == null) {
-      throw new IllegalStateException("the request was read without its arrival");
-    }
-    return arrival;
+    return request.arrival();
   }
 
   /**
@@ -73,7 +64,7 @@
    * @return the method in capitals
    */
   public String method() {
-    return request.getMethod().getMethodString();
+    return request.method();
   }
 
   /**
@@ -82,7 +73,7 @@
    * @return the path
    */
   public String path() {
-    return request.getRequestURI();
+    return request.path();
   }
 
   /**
@@ -91,8 +82,7 @@
    * @return the path, and the query behind a question mark
    */
   public String pathAndQuery() {
-    String query = request.getQueryString();
-    return query == null ? path() : path() + "?" + query;
+    return request.pathAndQuery();
   }
 
   /**
@@ -102,7 +92,7 @@
    * @return its value, or null
    */
   public @Nullable String parameter(String name) {
-    return request.getParameter(name);
+    return request.parameter(name);
   }
 
   /**
@@ -112,7 +102,7 @@
    * @return its value, or null
    */
   public @Nullable String header(String name) {
-    return request.getHeader(name);
+    return request.fields().first(name).orElse(null);
   }
 
   /**
@@ -121,13 +111,7 @@
    * @return the fields, in order
    */
   public HeaderFields fields() {
-    MimeHeaders headers = request.getRequest().getHeaders();
-    List<HeaderFields.Field> fields = new ArrayList<>();
-    for (int i = 0; i < headers.size(); i++) {
-      fields.add(
-          new HeaderFields.Field(headers.getName(i).toString(), headers.getValue(i).toString()));
-    }
-    return new HeaderFields(fields);
+    return request.fields();
   }
 
   /**
@@ -155,7 +139,7 @@
    * @return the call
    */
   public HttpCall toCall(String path) {
-    return new HttpCall(method(), path, request.getContentType(), body);
+    return new HttpCall(method(), path, request.contentType(), body);
   }
 
   /**
@@ -168,12 +152,8 @@
    */
   public void respond(
       int status, @Nullable String contentType, Map<String, String> headers, byte[] data) {
-    synchronized (this) {
-      response.setContentLength(data.length);
-    }
-    begin(status, contentType, headers);
-    write(data);
-    end();
+    begin(status, contentType, headers, data.length);
+    writeLast(data);
   }
 
   /**
@@ -194,14 +174,17 @@
    * @param contentType the media type, or null
    * @param headers further header fields
    */
-  public synchronized void begin(
-      int status, @Nullable String contentType, Map<String, String> headers) {
-    response.setStatus(status);
-    response.setHeader("Date", DateField.now());
+  public void begin(int status, @Nullable String contentType, Map<String, String> headers) {
+    begin(status, contentType, headers, LENGTH_OPEN);
+  }
+
+  private synchronized void begin(
+      int status, @Nullable String contentType, Map<String, String> headers, long contentLength) {
     if (contentType != null) {
       response.setHeader("Content-Type", contentType);
     }
     headers.forEach(response::setHeader);
+    begin(status, HeaderFields.NONE, contentLength);
   }
 
   /**
@@ -217,9 +200,19 @@
     fields.fields().forEach(field -> response.addHeader(field.name(), field.value()));
     if (contentLength >= 0) {
       response.setContentLengthLong(contentLength);
+    } else {
+      response.setChunked(request.isChunkable());
+    }
+    if (!keepsConnection()) {
+      response.setHeader("Connection", "close");
     }
   }
 
+  private boolean keepsConnection() {
+    String field = response.getHeader("Connection");
+    return request.keepsConnection() && !"close".equalsIgnoreCase(field);
+  }
+
   /**
    * Answers the whole request with exactly the given fields.
    *
@@ -229,8 +222,7 @@
    */
   public void respond(int status, HeaderFields fields, byte[] data) {
     begin(status, fields, data.length);
-    write(data);
-    end();
+    writeLast(data);
   }
 
   /**
@@ -239,7 +231,7 @@
    * @return the number of bytes kept here
    */
   public synchronized long backlog() {
-    return pending.stream().mapToLong(data -> data.length).sum();
+    return written - consumed;
   }
 
   /**
@@ -248,36 +240,79 @@
    * @param data the bytes, not to be modified afterwards
    */
   public void write(byte[] data) {
-    synchronized (this) {
-      if (data.length > 0) {
-        pending.addLast(data);
-      }
+    if (data.length > 0) {
+      send(data, false);
     }
-    flush();
   }
 
-  /** Ends the answer once all of it is written. */
+  /** Ends the answer. */
   public void end() {
+    writeLast(new byte[0]);
+  }
+
+  private void writeLast(byte[] data) {
+    send(data, true);
+  }
+
+  private void send(byte[] data, boolean isLast) {
+    boolean isDone;
     synchronized (this) {
-      ending = true;
+      if (closed.get()) {
+        return;
+      }
+      closed.set(isLast);
+      // The codec writes nothing for the end of an answer of known length, and does not report it.
+      if (!isLast || data.length > 0 || !response.isCommitted() || response.isChunked()) {
+        written += data.length;
+        writes++;
+        HttpContent content =
+            HttpContent.builder(response).content(Buffers.wrap(null, data)).last(isLast).build();
+        sink().write(content, new WhenWritten(data.length));
+      }
+      isDone = isLast && writes == 0;
+    }
+    if (isLast) {
+      stopListening();
+    }
+    if (isDone) {
+      answered();
     }
-    flush();
   }
 
-  /**
-   * Closes the connection, so that the peer sees the answer broken off. The response is ended only
-   * after that, because its last chunk would make the answer look whole.
-   */
+  /** Goes on with the connection once the whole answer has been taken. */
+  private void answered() {
+    if (!finished.compareAndSet(false, true)) {
+      return;
+    }
+    if (keepsConnection()) {
+      owner.answered();
+    } else {
+      connection.closeSilently();
+    }
+  }
+
+  @SuppressWarnings("unchecked") // connections of a TCP transport have socket addresses
+  private Connection<SocketAddress> sink() {
+    return (Connection<SocketAddress>) connection;
+  }
+
+  /** Closes the connection, so that the peer sees the answer broken off. */
   public void abort() {
     synchronized (this) {
-      aborted = true;
-      pending.clear();
+      closed.set(true);
+      finished.set(true);
     }
-    CloseListener<Closeable, ICloseType> listener = (closeable, type) -> finish();
-    connection.addCloseListener(listener);
+    stopListening();
     connection.terminateSilently();
   }
 
+  private void stopListening() {
+    CloseListener<Closeable, ICloseType> listener = goneListener;
+    if (listener != null) {
+      connection.removeCloseListener(listener);
+    }
+  }
+
   /**
    * Sets what learns how many bytes of the body the peer has taken.
    *
@@ -313,83 +348,41 @@
         connection, () -> connection.getTransport().getWorkerThreadPool().execute(action));
   }
 
-  private void flush() {
+  private void taken(int bytes) {
     long progress;
-    boolean done;
+    boolean isDone;
     synchronized (this) {
-      long before = consumed;
-      writeWhilePossible();
-      progress = consumed > before ? consumed : -1;
-      done = ending && pending.isEmpty() && !aborted;
+      consumed += bytes;
+      progress = consumed;
+      writes--;
+      isDone = closed.get() && writes == 0;
     }
-    if (progress >= 0) {
+    if (bytes > 0) {
       consumedListener.accept(progress);
     }
-    if (done) {
-      finish();
+    if (isDone) {
+      answered();
     }
   }
 
-  private void writeWhilePossible() {
-    if (waiting || aborted || closed.get()) {
-      return;
-    }
-    NIOOutputStream out = response.getNIOOutputStream();
-    try {
-      boolean wrote = false;
-      while (!pending.isEmpty() && out.canWrite()) {
-        byte[] data = pending.removeFirst();
-        out.write(data);
-        consumed += data.length;
-        wrote = true;
-      }
-      if (wrote) {
-        out.flush();
-      }
-      if (!pending.isEmpty()) {
-        waiting = true;
-        out.notifyCanWrite(new WhenWritable());
-      }
-    } catch (IOException e) {
-      pending.clear();
-      ending = true;
-    }
-  }
+  /** Notes what the peer has taken. */
+  private final class WhenWritten
+      extends EmptyCompletionHandler<WriteResult<Object, SocketAddress>> {
 
-  private void finish() {
-    if (!closed.compareAndSet(false, true)) {
-      return;
-    }
-    CloseListener<Closeable, ICloseType> listener = goneListener;
-    if (listener != null) {
-      connection.removeCloseListener(listener);
-    }
-    if (response.isSuspended()) {
-      response.resume();
-    } else {
-      response.finish();
-    }
-  }
+    private final int bytes;
 
-  /** Goes on writing when the connection takes more. */
-  private final class WhenWritable implements WriteHandler {
+    WhenWritten(int bytes) {
+      this.bytes = bytes;
+    }
 
     @Override
-    public void onWritePossible() {
-      synchronized (ServerExchange.this) {
-        waiting = false;
-      }
-      flush();
+    public void completed(WriteResult<Object, SocketAddress> result) {
+      taken(bytes);
     }
 
     @Override
-    public void onError(Throwable error) {
-      synchronized (ServerExchange.this) {
-        waiting = false;
-        pending.clear();
-        ending = true;
-      }
-      flush();
+    public void failed(Throwable cause) {
+      connection.closeSilently();
     }
   }
 }
--- a/src/test/java/org/wigeonstage/gateway/ExplanationIT.java
+++ b/src/test/java/org/wigeonstage/gateway/ExplanationIT.java
@@ -11,6 +11,7 @@
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import java.util.logging.SimpleFormatter;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -111,16 +112,22 @@
     for (int i = 0; i < 200; i++) {
       fixture.call("plain", "ordinary-" + i + ".");
     }
+    // The last answer may be here before its lines are.
+    Polling.await(() -> IntStream.range(0, 200).allMatch(i -> linesOf(i) % 3 == 0), TIMEOUT);
     int written = 0;
     for (int i = 0; i < 200; i++) {
-      String id = "ordinary-" + i + ".";
-      List<String> own = lines.stream().filter(line -> line.contains(id)).toList();
-      assertThat(own.size()).isIn(0, 3);
-      written += own.isEmpty() ? 0 : 1;
+      long own = linesOf(i);
+      assertThat(own).isIn(0L, 3L);
+      written += own == 0 ? 0 : 1;
     }
     assertThat(written).isBetween(1, 30);
   }
 
+  private long linesOf(int ordinary) {
+    String id = "ordinary-" + ordinary + ".";
+    return lines.stream().filter(line -> line.contains(id)).count();
+  }
+
   @Test
   void countsRequestsByWhatTheyWereAndHowTheyEnded() throws Exception {
     fixture.call("stream", "served-1");
--- a/src/test/java/org/wigeonstage/http/CallerLeavesTest.java
+++ b/src/test/java/org/wigeonstage/http/CallerLeavesTest.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Callers that close their connection while their request is being handled. */
@@ -43,13 +42,11 @@
   }
 
   /** GONE: only the failure to write an answer showed that the caller of such a request left. */
-  @Tag("known-red")
   @Test
   void isToldThatACallerLeftWhileItsRequestWithABodyIsOpen() throws Exception {
     leaveOften("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody");
   }
 
-  @Tag("known-red")
   @Test
   void isToldThatACallerLeftWhileItsRequestWithoutABodyIsOpen() throws Exception {
     leaveOften("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/src/test/java/org/wigeonstage/http/HttpServerTest.java
+++ b/src/test/java/org/wigeonstage/http/HttpServerTest.java
@@ -8,17 +8,21 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.wigeonstage.request.HeaderFields;
 
 /** Handlers that answer where they are called, or later on another thread. */
 class HttpServerTest {
 
   private static final int TIMEOUT_MILLIS = 20_000;
-  private static final int REQUESTS = 200;
+  private static final int REQUESTS = 2000;
 
   private final Closer closer = Closer.create();
   private final ExecutorService other = Executors.newSingleThreadExecutor();
@@ -30,7 +34,10 @@
   }
 
   private Socket connect(RequestHandler handler) throws IOException {
-    ServerOptions options = new ServerOptions(8192, 65_536, Duration.ofSeconds(30), 1);
+    return connect(handler, new ServerOptions(8192, 65_536, Duration.ofSeconds(30), 1));
+  }
+
+  private Socket connect(RequestHandler handler, ServerOptions options) throws IOException {
     HttpServer server =
         closer.register(HttpServer.start("test", new Endpoint("127.0.0.1", 0), options, handler));
     Socket socket = new Socket("127.0.0.1", server.endpoint().port());
@@ -70,19 +77,16 @@
     return text.toString();
   }
 
-  @Tag("known-red")
   @Test
   void answersWhereItIsCalledAndReadsTheNextRequest() throws Exception {
     exchangeMany(connect(HttpServerTest::answer));
   }
 
-  @Tag("known-red")
   @Test
   void answersOnAnotherThreadAndReadsTheNextRequest() throws Exception {
     exchangeMany(connect(exchange -> other.execute(() -> answer(exchange))));
   }
 
-  @Tag("known-red")
   @Test
   void answersOnBothByTurns() throws Exception {
     exchangeMany(
@@ -96,6 +100,64 @@
             }));
   }
 
+  @Test
+  void answersRequestsThatComeBeforeEarlierAnswersInOrder() throws Exception {
+    BlockingQueue<ServerExchange> taken = new LinkedBlockingQueue<>();
+    Socket socket = connect(taken::add);
+    send(socket, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    ServerExchange first = taken.take();
+    send(socket, "GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+    CountDownLatch caughtUp = new CountDownLatch(1);
+    first.whenReadsCaughtUp(caughtUp::countDown);
+    assertThat(caughtUp.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(taken).isEmpty();
+    answer(first);
+    answer(taken.take());
+    assertThat(readTo(socket.getInputStream(), "/second .")).contains("/first .");
+  }
+
+  @Test
+  void tellsACallerToSendTheBodyThatItHoldsBack() throws Exception {
+    Socket socket = connect(HttpServerTest::answer);
+    send(socket, "POST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n");
+    send(socket, "Content-Length: 4\r\n\r\n");
+    assertThat(readTo(socket.getInputStream(), "\r\n\r\n")).startsWith("HTTP/1.1 100 ");
+    send(socket, "body");
+    assertThat(readTo(socket.getInputStream(), "/b body.")).contains(" 200 ");
+  }
+
+  @Test
+  void closesAConnectionThatIsIdleForTooLong() throws Exception {
+    ServerOptions options = new ServerOptions(8192, 65_536, Duration.ofMillis(100), 1);
+    Socket socket = connect(HttpServerTest::answer, options);
+    send(socket, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    assertThat(readTo(socket.getInputStream(), "/a .")).contains(" 200 ");
+    assertThat(socket.getInputStream().read()).isEqualTo(-1);
+  }
+
+  @Test
+  void closesTheConnectionOfACallerThatAsksForIt() throws Exception {
+    Socket socket = connect(HttpServerTest::answer);
+    send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    assertThat(readTo(socket.getInputStream(), "/a .")).containsIgnoringCase("connection: close");
+    assertThat(socket.getInputStream().read()).isEqualTo(-1);
+  }
+
+  @Test
+  void goesOnAfterAnAnswerWhoseEndHasNoBytesOfItsOwn() throws Exception {
+    Socket socket =
+        connect(
+            exchange -> {
+              exchange.begin(200, HeaderFields.NONE, exchange.path().length());
+              exchange.write(exchange.path().getBytes(StandardCharsets.US_ASCII));
+              exchange.end();
+            });
+    for (int i = 0; i < 10; i++) {
+      send(socket, "GET /" + i + "- HTTP/1.1\r\nHost: h\r\n\r\n");
+      assertThat(readTo(socket.getInputStream(), "/" + i + "-")).contains(" 200 ");
+    }
+  }
+
   @Test
   void readsRequestsThatComeTogether() throws Exception {
     Socket socket = connect(exchange -> other.execute(() -> answer(exchange)));
