Cut off an event of a stream that never ends

The users: bytes that are no answer may come without end, in a head or a body. Cause: EventSplitter kept all bytes up to the next empty line; a process of 160 MB ended after 64 MB, with all of its requests.

An event of over 256 KB is no event: the attempt ended with an invalid answer, its connection is closed, the server's failures count, and AttemptPolicy decides as after any invalid answer. A head, a chunk's size line and trailers without end were bounded by the codec before; EndlessAnswerTest shows it.

GatewayIT.cutsOffAStreamThatSendsWithoutEnd failed before: 124 MB were taken until the deadline.

--- a/src/main/java/org/wigeonstage/forward/EventSplitter.java
+++ b/src/main/java/org/wigeonstage/forward/EventSplitter.java
@@ -15,6 +15,9 @@
  */
 public final class EventSplitter {
 
+  /** The longest event in bytes: thousands of times one of a few tokens. */
+  public static final int MAX_EVENT_BYTES = 256 * 1024;
+
   private static final int INITIAL_BYTES = 512;
   private static final String ID_FIELD = "id:";
 
@@ -63,6 +66,16 @@
     return previous >= start && buffer[previous] == '\n';
   }
 
+  /**
+   * Returns whether more bytes came without the end of an event than any event has, as from a
+   * server that sends no events. No more should be fed then.
+   *
+   * @return whether the event is too long
+   */
+  public boolean isTooLong() {
+    return length > MAX_EVENT_BYTES;
+  }
+
   /**
    * Returns the bytes that belong to no whole event yet, and forgets them.
    *
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -234,6 +234,10 @@
         source.eventArrived();
         write(current, event.bytes());
       }
+      if (splitter.isTooLong()) {
+        attemptEnded(source, AttemptEnd.INVALID, resultOf(AttemptEnd.INVALID));
+        return;
+      }
     } else if (begun) {
       exchange().write(data);
     } else {
@@ -301,15 +305,12 @@
         begin(current, -1);
       }
       exchange().write(rest);
-      exchange().end();
-    } else if (begun) {
-      exchange().end();
-    } else {
+    } else if (!begun) {
       byte[] body = held.toByteArray();
       begin(current, body.length);
       exchange().write(body);
-      exchange().end();
     }
+    exchange().end();
     RequestTrail.Step step =
         trail
             .step("answered")
--- a/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
+++ b/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.wigeonstage.common.ControlThreads;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpServer;
@@ -37,6 +39,8 @@
     ANSWERS_ANOTHER,
     /** Run, and a stream is answered with a plain body. */
     ANSWERS_PLAINLY,
+    /** Run, and a stream never gets to the end of its first event, but goes on without end. */
+    SENDS_WITHOUT_END,
     /** Run, and the answer has no signature. */
     UNSIGNED,
     /** Run, and never answered. */
@@ -48,6 +52,7 @@
   private static final int MAX_BODY_BYTES = 1024 * 1024;
   private static final int EVENTS = 8;
   private static final long EVENT_MILLIS = 5;
+  private static final int ENDLESS_PART_BYTES = 64 * 1024;
   private static final int OK = 200;
   private static final int MISDIRECTED = 421;
   private static final int FAILURE = 500;
@@ -58,6 +63,7 @@
   private final HttpServer server;
   private final ScheduledExecutorService timer = ControlThreads.single("runner-timer");
   private final List<RunRecord> runs = new CopyOnWriteArrayList<>();
+  private final AtomicLong sentWithoutEnd = new AtomicLong();
   private volatile Behaviour behaviour = Behaviour.SOUND;
 
   /**
@@ -198,7 +204,31 @@
     String resumed = exchange.header("Last-Event-Id");
     int first = resumed == null ? 1 : Integer.parseInt(resumed) + 1;
     exchange.begin(OK, fields.with("Content-Type", "text/event-stream"), -1);
-    sendEvent(exchange, first, cut);
+    if (behaviour == Behaviour.SENDS_WITHOUT_END) {
+      AtomicBoolean cutOff = new AtomicBoolean();
+      exchange.onGone(() -> cutOff.set(true));
+      sendWithoutEnd(exchange, cutOff);
+    } else {
+      sendEvent(exchange, first, cut);
+    }
+  }
+
+  private void sendWithoutEnd(ServerExchange exchange, AtomicBoolean cutOff) {
+    if (cutOff.get()) {
+      return;
+    }
+    exchange.write(new byte[ENDLESS_PART_BYTES]);
+    sentWithoutEnd.addAndGet(ENDLESS_PART_BYTES);
+    timer.schedule(() -> sendWithoutEnd(exchange, cutOff), 1, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Returns how many bytes were sent in answers without end.
+   *
+   * @return the number
+   */
+  public long sentWithoutEnd() {
+    return sentWithoutEnd.get();
   }
 
   private void sendEvent(ServerExchange exchange, int number, boolean cut) {
--- a/src/test/java/org/wigeonstage/forward/EventSplitterTest.java
+++ b/src/test/java/org/wigeonstage/forward/EventSplitterTest.java
@@ -41,6 +41,29 @@
     assertThat(events.get(1).id()).isEmpty();
   }
 
+  /** A server that sends bytes without end must not fill the memory of the process. */
+  @Test
+  void saysWhenAnEventIsTooLong() {
+    EventSplitter splitter = new EventSplitter();
+    byte[] part = new byte[8192];
+    int parts = 0;
+    while (!splitter.isTooLong() && parts < 10_000) {
+      splitter.feed(part);
+      parts++;
+    }
+    assertThat(parts * part.length).isBetween(EventSplitter.MAX_EVENT_BYTES, 1024 * 1024);
+    splitter.takeRest();
+    assertThat(splitter.isTooLong()).isFalse();
+  }
+
+  @Test
+  void takesManyEventsThatAreLongTogether() {
+    EventSplitter splitter = new EventSplitter();
+    byte[] events = bytes("data: x\n\n".repeat(EventSplitter.MAX_EVENT_BYTES));
+    assertThat(splitter.feed(events)).hasSize(EventSplitter.MAX_EVENT_BYTES);
+    assertThat(splitter.isTooLong()).isFalse();
+  }
+
   @Test
   void takesAMalformedNumberForNone() {
     assertThat(new EventSplitter().feed(bytes("id: x1\n\n")).get(0).id()).isEmpty();
--- a/src/test/java/org/wigeonstage/gateway/GatewayIT.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayIT.java
@@ -101,6 +101,17 @@
     assertThat(used).isTrue();
   }
 
+  /** An answer of bytes without end must be cut off long before the request's deadline. */
+  @Test
+  void cutsOffAStreamThatSendsWithoutEnd() throws Exception {
+    runner().behave(Behaviour.SENDS_WITHOUT_END);
+    String answer = fixture.call("stream", "endless-1");
+    assertThat(statusOf(answer)).isNotEqualTo(200);
+    assertThat(runner().sentWithoutEnd()).isBetween(1L, 16L * 1024 * 1024);
+    runner().behave(Behaviour.SOUND);
+    assertThat(statusOf(fixture.call("plain", "after-endless"))).isEqualTo(200);
+  }
+
   @Test
   void showsABrokenStreamAsIncompleteWhereNoOtherRunnerIsThere() throws IOException {
     runner().behave(Behaviour.CUTS_ANSWER);
