--- a/src/main/java/org/wigeonstage/http/CallerConnection.java
+++ b/src/main/java/org/wigeonstage/http/CallerConnection.java
@@ -20,9 +20,12 @@
   private static final Attribute<CallerConnection> ATTRIBUTE =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("wigeonstage.callerConnection");
 
-  /** Callers that send more requests ahead of their answers are cut off. */
+  /** Callers that send more requests ahead of their answers are cut off; few send any. */
   private static final int MAX_WAITING = 32;
 
+  /** The bodies of requests that wait, in bytes; callers that send more are cut off. */
+  private static final int MAX_WAITING_BYTES = 1024 * 1024;
+
   private final Connection<?> connection;
   private final MonotonicClock clock;
   private final RequestHandler handler;
@@ -30,6 +33,7 @@
   private @Nullable CallerRequest incoming;
   private @Nullable ServerExchange open;
   private Duration idleSince;
+  private int waitingBytes;
 
   CallerConnection(Connection<?> connection, MonotonicClock clock, RequestHandler handler) {
     this.connection = connection;
@@ -61,10 +65,7 @@
   void add(ServerExchange exchange) {
     synchronized (this) {
       if (open != null) {
-        waiting.addLast(exchange);
-        if (waiting.size() > MAX_WAITING) {
-          connection.closeSilently();
-        }
+        hold(exchange);
         return;
       }
       open = exchange;
@@ -72,11 +73,21 @@
     handler.handle(exchange);
   }
 
+  private void hold(ServerExchange exchange) {
+    waiting.addLast(exchange);
+    waitingBytes += exchange.body().length;
+    if (waiting.size() > MAX_WAITING || waitingBytes > MAX_WAITING_BYTES) {
+      waiting.clear();
+      connection.closeSilently();
+    }
+  }
+
   /** Has the next request handled after the answer to the open one. */
   void answered() {
     ServerExchange next;
     synchronized (this) {
       next = waiting.pollFirst();
+      waitingBytes -= next == null ? waitingBytes : next.body().length;
       open = next;
       idleSince = clock.elapsed();
     }
--- a/src/test/java/org/wigeonstage/http/HttpServerTest.java
+++ b/src/test/java/org/wigeonstage/http/HttpServerTest.java
@@ -1,11 +1,13 @@
 package org.wigeonstage.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.google.common.io.Closer;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
@@ -16,6 +18,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonstage.request.HeaderFields;
 
 /** Handlers that answer where they are called, or later on another thread. */
@@ -116,6 +120,22 @@
     assertThat(readTo(socket.getInputStream(), "/second .")).contains("/first .");
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {0, 60_000})
+  void cutsOffACallerThatSendsRequestsWithoutEndAheadOfTheirAnswers(int bodyBytes)
+      throws Exception {
+    Socket socket = connect(exchange -> {});
+    String request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
+    byte[] bytes = (request + "x".repeat(bodyBytes)).getBytes(StandardCharsets.US_ASCII);
+    assertThatThrownBy(
+            () -> {
+              for (int i = 0; i < 1_000_000; i++) {
+                socket.getOutputStream().write(bytes);
+              }
+            })
+        .isInstanceOf(SocketException.class);
+  }
+
   @Test
   void tellsACallerToSendTheBodyThatItHoldsBack() throws Exception {
     Socket socket = connect(HttpServerTest::answer);
