Keep one listener a request for the caller's leaving

Each request set two actions for its caller's leaving, and only the listener of the last was taken off its connection. An exchange listens once now, and the last action replaces the one before. The new test was not run against the code before.

--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongConsumer;
 import org.glassfish.grizzly.CloseListener;
 import org.glassfish.grizzly.Closeable;
@@ -34,9 +35,12 @@
   private final HttpResponsePacket response;
   private final byte[] body;
   private final AtomicBoolean closed = new AtomicBoolean();
-  private LongConsumer consumedListener = offset -> {};
-  private volatile @Nullable CloseListener<Closeable, ICloseType> goneListener;
   private final AtomicBoolean finished = new AtomicBoolean();
+  private LongConsumer consumedListener = offset -> {};
+  private final AtomicReference<@Nullable Runnable> goneAction = new AtomicReference<>();
+  private final CloseListener<Closeable, ICloseType> closeListener =
+      (closeable, type) -> peerClosed();
+  private boolean isListening;
   private int writes;
   private long written;
   private long consumed;
@@ -307,9 +311,14 @@
   }
 
   private void stopListening() {
-    CloseListener<Closeable, ICloseType> listener = goneListener;
-    if (listener != null) {
-      connection.removeCloseListener(listener);
+    goneAction.set(null);
+    connection.removeCloseListener(closeListener);
+  }
+
+  private void peerClosed() {
+    Runnable action = goneAction.getAndSet(null);
+    if (action != null && !closed.get()) {
+      action.run();
     }
   }
 
@@ -323,19 +332,24 @@
   }
 
   /**
-   * Sets what is run where the peer closes the connection before the answer's end.
+   * Sets what is run where the peer closes the connection before the answer's end, in place of what
+   * was set before. If it has closed already, the action is run at once.
    *
    * @param action the action
    */
   public void onGone(Runnable action) {
-    CloseListener<Closeable, ICloseType> listener =
-        (closeable, type) -> {
-          if (!closed.get()) {
-            action.run();
-          }
-        };
-    goneListener = listener;
-    connection.addCloseListener(listener);
+    boolean isFirst;
+    synchronized (this) {
+      isFirst = !isListening;
+      isListening = true;
+    }
+    goneAction.set(action);
+    if (isFirst) {
+      connection.addCloseListener(closeListener);
+    }
+    if (!connection.isOpen()) {
+      peerClosed();
+    }
   }
 
   /**
--- a/src/test/java/org/wigeonstage/http/CallerLeavesTest.java
+++ b/src/test/java/org/wigeonstage/http/CallerLeavesTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -22,6 +23,7 @@
 
   private final Closer closer = Closer.create();
   private final BlockingQueue<CountDownLatch> taken = new LinkedBlockingQueue<>();
+  private final AtomicReference<ServerExchange> lastTaken = new AtomicReference<>();
   private final HttpServer server =
       closer.register(
           HttpServer.start(
@@ -33,6 +35,7 @@
   private void take(ServerExchange exchange) {
     CountDownLatch gone = new CountDownLatch(1);
     exchange.onGone(gone::countDown);
+    lastTaken.set(exchange);
     taken.add(gone);
   }
 
@@ -52,6 +55,21 @@
     leaveOften("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
   }
 
+  /** The listener of each action that is replaced would stay with a connection for its life. */
+  @Test
+  void isToldOnceWhereAnActionReplacedAnother() throws Exception {
+    Socket socket = new Socket("127.0.0.1", server.endpoint().port());
+    socket
+        .getOutputStream()
+        .write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+    CountDownLatch replaced = taken.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    CountDownLatch gone = new CountDownLatch(1);
+    lastTaken.get().onGone(gone::countDown);
+    socket.close();
+    assertThat(gone.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+    assertThat(replaced.getCount()).isEqualTo(1);
+  }
+
   private void leaveOften(String request) throws Exception {
     for (int i = 0; i < CALLERS; i++) {
       Socket socket = new Socket("127.0.0.1", server.endpoint().port());
