Send a request that came with its connection only once all is read that its caller sent

Cause: a gateway that has just started accepts late, one connection in each round of Grizzly's selector. A request and its caller's close are then there together, and are read in two rounds; the request was sent in between.

A request that is there when its connection is looked at for the first time may be of any age. It goes on after one whole round of the reading thread, which reads the close if there is one. No threshold is needed, and later requests of a connection cost nothing.

GatewayIT.sendsNothingForCallersThatLeftBeforeTheirConnectionsWereAccepted failed before (100 callers that leave while the reading thread is held).

--- a/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
+++ b/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
@@ -13,8 +13,10 @@
  * Takes callers' requests through the filters to their placement.
  *
  * <p>Requests that come before the configuration is known wait a moment for it, because it takes a
- * few hundred milliseconds after a start. While reading is behind, requests wait until it is known
- * whether their callers have left, which is read from their connections after the requests.
+ * few hundred milliseconds after a start. A request that came with its connection may have waited
+ * long for acceptance; it goes on once all is read that its caller sent, the end of the connection
+ * included. While reading is behind, requests wait until it is known whether their callers have
+ * left, which is read from their connections after the requests.
  */
 final class CallersEndpoint implements RequestHandler {
 
@@ -59,6 +61,14 @@
             core.now());
     exchange.onGone(call::markGone);
     lag.read(exchange::whenReadsCaughtUp);
+    if (exchange.arrival().isFirstLook()) {
+      exchange.whenReadsCaughtUp(() -> core.run(() -> admit(call)));
+    } else {
+      admit(call);
+    }
+  }
+
+  private void admit(InboundCall call) {
     if ((isStarting() || lag.isBehind()) && early.size() < MAX_EARLY_CALLS) {
       early.addLast(call);
     } else {
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -190,6 +190,11 @@
     return readiness.endpoint();
   }
 
+  /** Returns the state of requests, for tests that keep others from it. */
+  GatewayCore core() {
+    return core;
+  }
+
   /**
    * Returns the number of other gateways that it hears.
    *
--- a/src/main/java/org/wigeonstage/http/Arrival.java
+++ b/src/main/java/org/wigeonstage/http/Arrival.java
@@ -9,8 +9,11 @@
  * @param notBefore the earliest moment at which its first bytes can have come: when the thread that
  *     reads had last seen that nothing of it was there
  * @param readAt when its head was read
+ * @param isFirstLook whether it was there when its connection was looked at for the first time; it
+ *     may then have waited with the connection for acceptance, for longer than can be told
  */
-public record Arrival(Duration connectedAt, Duration notBefore, Duration readAt) {
+public record Arrival(
+    Duration connectedAt, Duration notBefore, Duration readAt, boolean isFirstLook) {
 
   /**
    * Returns how long the request can have waited to be read, at most.
--- a/src/main/java/org/wigeonstage/http/SelectionRounds.java
+++ b/src/main/java/org/wigeonstage/http/SelectionRounds.java
@@ -68,14 +68,13 @@
     Duration now = clock.elapsed();
     Accepted accepted = ACCEPTED.get(connection);
     if (accepted == null) {
-      ARRIVAL.set(request, new Arrival(now, notBefore, now));
+      ARRIVAL.set(request, new Arrival(now, notBefore, now, false));
       return;
     }
     // A connection is looked at for the first time in the round after its acceptance.
-    boolean cameBeforeFirstLook = round <= accepted.round() + 1;
-    ARRIVAL.set(
-        request,
-        new Arrival(accepted.at(), cameBeforeFirstLook ? accepted.notBefore() : notBefore, now));
+    boolean isFirstLook = round <= accepted.round() + 1;
+    Duration earliest = isFirstLook ? accepted.notBefore() : notBefore;
+    ARRIVAL.set(request, new Arrival(accepted.at(), earliest, now, isFirstLook));
   }
 
   /** Returns what was noted on a request when its head was read. */
--- a/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -101,19 +101,25 @@
 
   /** Sends a plain request whose answer is never read, and closes the connection. */
   void sendAndLeave(String id) throws IOException, InterruptedException {
-    String request =
-        "POST /plain/x HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: "
-            + id
-            + "\r\nDeadline-Ms: 2500\r\nCredential: key\r\nContent-Length: 0\r\n\r\n";
-    try (Socket socket = new Socket("127.0.0.1", gateway.callersEndpoint().port())) {
-      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
-      socket.getOutputStream().flush();
+    try (Socket socket = send(id)) {
       if (!Polling.await(() -> !runsOf(id).isEmpty(), TIMEOUT)) {
         throw new AssertionError(id + " was never run");
       }
     }
   }
 
+  /** Sends a plain request on a connection of its own, and leaves the connection open. */
+  Socket send(String id) throws IOException {
+    String request =
+        "POST /plain/x HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: "
+            + id
+            + "\r\nDeadline-Ms: 2500\r\nCredential: key\r\nContent-Length: 0\r\n\r\n";
+    Socket socket = new Socket("127.0.0.1", gateway.callersEndpoint().port());
+    socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().flush();
+    return socket;
+  }
+
   List<RunnerStandin.RunRecord> runsOf(String id) {
     return runners.stream()
         .flatMap(runner -> runner.runs().stream())
--- a/src/test/java/org/wigeonstage/gateway/GatewayIT.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayIT.java
@@ -4,12 +4,15 @@
 import static org.wigeonstage.gateway.GatewayFixture.statusOf;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,6 +28,9 @@
 /** A gateway on sockets against stand-ins for the platform. */
 class GatewayIT {
 
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final int LEAVING_CALLERS = 100;
+
   private GatewayFixture fixture;
 
   @BeforeEach
@@ -101,6 +107,43 @@
     assertThat(used).isTrue();
   }
 
+  /** GONE: callers come and leave while the thread that accepts and reads is late. */
+  @Test
+  void sendsNothingForCallersThatLeftBeforeTheirConnectionsWereAccepted() throws Exception {
+    runner().behave(Behaviour.RUNS_FOREVER);
+    Socket open = fixture.send("keeps-open");
+    assertThat(Polling.await(() -> !fixture.runsOf("keeps-open").isEmpty(), TIMEOUT)).isTrue();
+    runner().behave(Behaviour.SOUND);
+    CountDownLatch release = new CountDownLatch(1);
+    CountDownLatch isHeld = new CountDownLatch(1);
+    Thread holder = new Thread(() -> fixture.gateway.core().run(() -> hold(isHeld, release)));
+    holder.start();
+    isHeld.await();
+    // The thread that reads waits for the held state in order to end this caller's request.
+    open.close();
+    assertThat(Polling.await(GatewayIT::isReadingThreadBlocked, TIMEOUT)).isTrue();
+    for (int i = 0; i < LEAVING_CALLERS; i++) {
+      fixture.send("left-" + i).close();
+    }
+    release.countDown();
+    holder.join();
+    fixture.awaitStatus("plain", 200);
+    for (int i = 0; i < LEAVING_CALLERS; i++) {
+      assertThat(fixture.runsOf("left-" + i)).isEmpty();
+    }
+  }
+
+  private static void hold(CountDownLatch isHeld, CountDownLatch release) {
+    isHeld.countDown();
+    Uninterruptibles.awaitUninterruptibly(release);
+  }
+
+  private static boolean isReadingThreadBlocked() {
+    return Thread.getAllStackTraces().keySet().stream()
+        .filter(thread -> thread.getName().startsWith("callers(1)"))
+        .anyMatch(thread -> thread.getState() == Thread.State.BLOCKED);
+  }
+
   /** An answer of bytes without end must be cut off long before the request's deadline. */
   @Test
   void cutsOffAStreamThatSendsWithoutEnd() throws Exception {
