Tell arrivals where requests are put together, and copy what the codec read in one place

- SelectionRounds hands its answers out; the hooks in PlainHttpFilter and two attributes, which carried them to the filter behind it on the same thread, go.
- The loop that copies header fields stood in AnswerFilter and CallerRequest, the copy of a part's bytes in AnswerFilter and RequestFilter.
CodecParts serves both.
- An exchange listens for its connection's end from the beginning; the flag for the first listener goes.
- GatewayCore reads the clock and the arrival once for the accepted line and its timers, and the delay of a close once for its line and its timer.

--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -454,9 +454,9 @@
   /**
    * Ends the request because the caller closed its connection.
    *
-   * @param readAt when the end of the connection was read
+   * @param unhandled how long ago the end of the connection was read
    */
-  void callerGone(Duration readAt) {
+  void callerGone(Duration unhandled) {
     if (finished) {
       return;
     }
@@ -466,7 +466,7 @@
             .step("caller-gone")
             .put("begun", begun)
             .put("attempts", attempts)
-            .put("endReadMillisAgo", core.now().minus(readAt).toMillis())
+            .put("endReadMillisAgo", unhandled.toMillis())
             .notable();
     Attempt current = attempt;
     attempt = null;
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -23,6 +23,7 @@
 import org.wigeonstage.forward.HeaderDialect;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.handover.WaitingCount;
+import org.wigeonstage.http.Arrival;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.PooledHttpClient;
 import org.wigeonstage.http.Problem;
@@ -102,10 +103,6 @@
     action.run();
   }
 
-  private long millisSince(Duration moment) {
-    return now().minus(moment).toMillis();
-  }
-
   Duration now() {
     return clock.elapsed();
   }
@@ -140,12 +137,14 @@
             call.fields().promptTokens(),
             pool(pool).eventsOf(call.fields().expectedOutputTokens()),
             arrivedAt.plus(limit));
+    Arrival arrival = call.exchange().arrival();
+    Duration now = now();
     RequestTrail trail = new RequestTrail(call.fields().id(), arrivedAt, clock);
     trail
         .step("accepted")
-        .put("connectionAgeMillis", millisSince(call.exchange().arrival().connectedAt()))
-        .put("unreadMillis", call.exchange().arrival().unreadFor().toMillis())
-        .put("sinceReadMillis", millisSince(call.exchange().arrival().readAt()))
+        .put("connectionAgeMillis", now.minus(arrival.connectedAt()).toMillis())
+        .put("unreadMillis", arrival.unreadFor().toMillis())
+        .put("sinceReadMillis", now.minus(arrival.readAt()).toMillis())
         .put("route", route.name())
         .put("kind", route.kind().name())
         .put("pool", pool)
@@ -160,7 +159,7 @@
     ForwardedRequest request =
         new ForwardedRequest(this, call, pool, placed, arrivedAt.plus(limit), trail);
     open.put(placed, request);
-    requestMetrics.arrived(call.exchange().arrival(), now());
+    requestMetrics.arrived(arrival, now);
     call.exchange().onGone(() -> callerGone(request));
     call.exchange().onConsumed(offset -> run(request::consumed));
     budget(pool).requested(arrivedAt);
@@ -171,8 +170,9 @@
     Duration readAt = now();
     run(
         () -> {
-          requestMetrics.callerEnded(now().minus(readAt));
-          request.callerGone(readAt);
+          Duration unhandled = now().minus(readAt);
+          requestMetrics.callerEnded(unhandled);
+          request.callerGone(unhandled);
         });
   }
 
--- a/src/main/java/org/wigeonstage/http/AnswerFilter.java
+++ b/src/main/java/org/wigeonstage/http/AnswerFilter.java
@@ -1,18 +1,13 @@
 package org.wigeonstage.http;
 
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
-import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
-import org.glassfish.grizzly.http.util.MimeHeaders;
-import org.wigeonstage.request.HeaderFields;
 
 /** Passes the parts of an answer to its {@link ClientExchange}. */
 final class AnswerFilter extends BaseFilter {
@@ -30,11 +25,8 @@
     }
     HttpResponsePacket response = (HttpResponsePacket) content.getHttpHeader();
     exchange.answered(() -> headOf(response));
-    Buffer buffer = content.getContent();
-    if (buffer.hasRemaining()) {
-      byte[] data = new byte[buffer.remaining()];
-      buffer.get(data);
-      exchange.continued(data);
+    if (content.getContent().hasRemaining()) {
+      exchange.continued(CodecParts.bytesOf(content));
     }
     boolean last = content.isLast();
     content.recycle();
@@ -46,15 +38,9 @@
   }
 
   private static AnswerHead headOf(HttpResponsePacket response) {
-    List<HeaderFields.Field> fields = new ArrayList<>();
-    MimeHeaders headers = response.getHeaders();
-    for (int i = 0; i < headers.size(); i++) {
-      fields.add(
-          new HeaderFields.Field(headers.getName(i).toString(), headers.getValue(i).toString()));
-    }
     return new AnswerHead(
         response.getStatus(),
-        new HeaderFields(fields),
+        CodecParts.fieldsOf(response),
         response.getContentLength(),
         isFramed(response));
   }
--- a/src/main/java/org/wigeonstage/http/CallerConnection.java
+++ b/src/main/java/org/wigeonstage/http/CallerConnection.java
@@ -27,6 +27,7 @@
   private static final int MAX_WAITING_BYTES = 1024 * 1024;
 
   private final Connection<?> connection;
+  private final SelectionRounds.Acceptance acceptance;
   private final MonotonicClock clock;
   private final RequestHandler handler;
   private final Deque<ServerExchange> waiting = new ArrayDeque<>();
@@ -35,8 +36,13 @@
   private Duration idleSince;
   private int waitingBytes;
 
-  CallerConnection(Connection<?> connection, MonotonicClock clock, RequestHandler handler) {
+  CallerConnection(
+      Connection<?> connection,
+      SelectionRounds.Acceptance acceptance,
+      MonotonicClock clock,
+      RequestHandler handler) {
     this.connection = connection;
+    this.acceptance = acceptance;
     this.clock = clock;
     this.handler = handler;
     this.idleSince = clock.elapsed();
@@ -52,6 +58,10 @@
     return connection;
   }
 
+  SelectionRounds.Acceptance acceptance() {
+    return acceptance;
+  }
+
   /** Returns the request that is being read, or null between requests; on the reading thread. */
   @Nullable CallerRequest incoming() {
     return incoming;
--- a/src/main/java/org/wigeonstage/http/CallerRequest.java
+++ b/src/main/java/org/wigeonstage/http/CallerRequest.java
@@ -3,12 +3,9 @@
 import java.io.ByteArrayOutputStream;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
-import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.request.HeaderFields;
 
@@ -36,7 +33,7 @@
     this.method = head.getMethod().getMethodString();
     this.path = head.getRequestURI();
     this.query = head.getQueryString();
-    this.fields = copyOf(head.getHeaders());
+    this.fields = CodecParts.fieldsOf(head);
     this.contentType = head.getContentType();
     this.isChunkable = head.getProtocol() == Protocol.HTTP_1_1;
     this.keepsConnection =
@@ -45,15 +42,6 @@
     this.response = head.getResponse();
   }
 
-  private static HeaderFields copyOf(MimeHeaders headers) {
-    List<HeaderFields.Field> fields = new ArrayList<>();
-    for (int i = 0; i < headers.size(); i++) {
-      fields.add(
-          new HeaderFields.Field(headers.getName(i).toString(), headers.getValue(i).toString()));
-    }
-    return new HeaderFields(fields);
-  }
-
   void addToBody(byte[] data) {
     body.writeBytes(data);
   }
--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -103,11 +103,11 @@
             .setDaemon(true));
     SafeHandler safeHandler =
         new SafeHandler(handler, task -> transport.getWorkerThreadPool().execute(task));
-    RequestFilter requests = new RequestFilter(options.maxBodyBytes(), clock, safeHandler);
+    RequestFilter requests = new RequestFilter(options.maxBodyBytes(), clock, rounds, safeHandler);
     transport.setProcessor(
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
-            .add(new PlainHttpFilter(options.maxHeadBytes(), rounds))
+            .add(new PlainHttpFilter(options.maxHeadBytes()))
             .add(requests)
             .build());
     try {
--- a/src/main/java/org/wigeonstage/http/PlainHttpFilter.java
+++ b/src/main/java/org/wigeonstage/http/PlainHttpFilter.java
@@ -1,12 +1,10 @@
 package org.wigeonstage.http;
 
 import com.google.common.base.CharMatcher;
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
-import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.KeepAlive;
@@ -32,11 +30,8 @@
           .or(CharMatcher.inRange('0', '9'))
           .or(CharMatcher.anyOf("!#$%&'*+-.^_`|~"));
 
-  private final SelectionRounds rounds;
-
-  PlainHttpFilter(int maxHeadBytes, SelectionRounds rounds) {
+  PlainHttpFilter(int maxHeadBytes) {
     super(true, maxHeadBytes, unlimited(), null);
-    this.rounds = rounds;
   }
 
   /** Connections are closed by the server when they are idle, not by the codec. */
@@ -47,16 +42,9 @@
     return keepAlive;
   }
 
-  @Override
-  public NextAction handleAccept(FilterChainContext context) throws IOException {
-    rounds.accepted(context.getConnection());
-    return super.handleAccept(context);
-  }
-
   @Override
   protected void onHttpHeadersParsed(
       HttpHeader header, MimeHeaders fields, FilterChainContext context) {
-    rounds.read(context.getConnection(), header);
     checkFraming(header.isChunked(), fields);
     super.onHttpHeadersParsed(header, fields, context);
     header.getUpgradeDC().recycle();
--- a/src/main/java/org/wigeonstage/http/RequestFilter.java
+++ b/src/main/java/org/wigeonstage/http/RequestFilter.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -29,18 +28,22 @@
 
   private final int maxBodyBytes;
   private final MonotonicClock clock;
+  private final SelectionRounds rounds;
   private final RequestHandler handler;
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
 
-  RequestFilter(int maxBodyBytes, MonotonicClock clock, RequestHandler handler) {
+  RequestFilter(
+      int maxBodyBytes, MonotonicClock clock, SelectionRounds rounds, RequestHandler handler) {
     this.maxBodyBytes = maxBodyBytes;
     this.clock = clock;
+    this.rounds = rounds;
     this.handler = handler;
   }
 
   @Override
   public NextAction handleAccept(FilterChainContext context) {
-    connections.add(new CallerConnection(context.getConnection(), clock, handler));
+    connections.add(
+        new CallerConnection(context.getConnection(), rounds.accepted(), clock, handler));
     return context.getInvokeAction();
   }
 
@@ -61,12 +64,10 @@
     if (request == null) {
       request = begin(context, connection, (HttpRequestPacket) content.getHttpHeader());
     }
-    Buffer buffer = content.getContent();
-    boolean isTooLarge = request.bodyLength() + (long) buffer.remaining() > maxBodyBytes;
-    if (!isTooLarge && buffer.hasRemaining()) {
-      byte[] data = new byte[buffer.remaining()];
-      buffer.get(data);
-      request.addToBody(data);
+    long length = (long) request.bodyLength() + content.getContent().remaining();
+    boolean isTooLarge = length > maxBodyBytes;
+    if (!isTooLarge) {
+      request.addToBody(CodecParts.bytesOf(content));
     }
     boolean isLast = content.isLast();
     content.recycle();
@@ -79,9 +80,9 @@
     return context.getStopAction();
   }
 
-  private static CallerRequest begin(
+  private CallerRequest begin(
       FilterChainContext context, CallerConnection connection, HttpRequestPacket head) {
-    CallerRequest request = new CallerRequest(head, SelectionRounds.arrivalOf(head));
+    CallerRequest request = new CallerRequest(head, rounds.arrival(connection.acceptance()));
     connection.incoming(request);
     if (head.requiresAcknowledgement()) {
       context.write(Buffers.wrap(context.getMemoryManager(), CONTINUE));
--- a/src/main/java/org/wigeonstage/http/SelectionRounds.java
+++ b/src/main/java/org/wigeonstage/http/SelectionRounds.java
@@ -4,9 +4,6 @@
 import java.nio.channels.SelectionKey;
 import java.time.Duration;
 import java.util.Set;
-import org.glassfish.grizzly.Grizzly;
-import org.glassfish.grizzly.attributes.Attribute;
-import org.glassfish.grizzly.attributes.AttributeStorage;
 import org.glassfish.grizzly.nio.DefaultSelectorHandler;
 import org.glassfish.grizzly.nio.SelectorRunner;
 import org.wigeonstage.common.MonotonicClock;
@@ -18,11 +15,6 @@
  */
 final class SelectionRounds extends DefaultSelectorHandler {
 
-  private static final Attribute<Accepted> ACCEPTED =
-      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("wigeonstage.accepted");
-  private static final Attribute<Arrival> ARRIVAL =
-      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("wigeonstage.arrival");
-
   /**
    * A look that takes longer found nothing at first; one that finds something takes microseconds.
    */
@@ -34,7 +26,7 @@
   private long round;
 
   /** When a connection was accepted, and what the round that did so could tell. */
-  private record Accepted(Duration at, Duration notBefore, long round) {}
+  record Acceptance(Duration at, Duration notBefore, long round) {}
 
   SelectionRounds(MonotonicClock clock) {
     this.clock = clock;
@@ -58,31 +50,16 @@
     return keys;
   }
 
-  /** Notes on a connection that it was accepted; on the selector thread. */
-  void accepted(AttributeStorage connection) {
-    ACCEPTED.set(connection, new Accepted(clock.elapsed(), notBefore, round));
+  /** Returns what can be told of a connection that this round accepted; on the selector thread. */
+  Acceptance accepted() {
+    return new Acceptance(clock.elapsed(), notBefore, round);
   }
 
-  /** Notes on a request that its head was read from a connection; on the selector thread. */
-  void read(AttributeStorage connection, AttributeStorage request) {
-    Duration now = clock.elapsed();
-    Accepted accepted = ACCEPTED.get(connection);
-    if (accepted == null) {
-      ARRIVAL.set(request, new Arrival(now, notBefore, now, false));
-      return;
-    }
+  /** Returns when a request came in whose head this round read; on the selector thread. */
+  Arrival arrival(Acceptance connection) {
     // A connection is looked at for the first time in the round after its acceptance.
-    boolean isFirstLook = round <= accepted.round() + 1;
-    Duration earliest = isFirstLook ? accepted.notBefore() : notBefore;
-    ARRIVAL.set(request, new Arrival(accepted.at(), earliest, now, isFirstLook));
-  }
-
-  /** Returns what was noted on a request when its head was read. */
-  static Arrival arrivalOf(AttributeStorage request) {
-    Arrival arrival = ARRIVAL.get(request);
-    if (arrival == null) {
-      throw new IllegalStateException("the request was read without its arrival");
-    }
-    return arrival;
+    boolean isFirstLook = round <= connection.round() + 1;
+    Duration earliest = isFirstLook ? connection.notBefore() : notBefore;
+    return new Arrival(connection.at(), earliest, clock.elapsed(), isFirstLook);
   }
 }
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -22,8 +22,8 @@
 /**
  * One request at an {@link HttpServer}, and its answer. Safe for use by several threads.
  *
- * <p>Answers are written as fast as the peer takes them; what it has not taken yet is kept here,
- * and the consumer given to {@link #onConsumed} learns what it has taken.
+ * <p>Answers are written as fast as the peer takes them; what it has not taken yet waits at its
+ * connection, and the consumer given to {@link #onConsumed} learns what it has taken.
  */
 public final class ServerExchange {
 
@@ -40,7 +40,6 @@
   private final AtomicReference<@Nullable Runnable> goneAction = new AtomicReference<>();
   private final CloseListener<Closeable, ICloseType> closeListener =
       (closeable, type) -> peerClosed();
-  private boolean isListening;
   private int writes;
   private long written;
   private long consumed;
@@ -51,6 +50,7 @@
     this.request = request;
     this.response = request.response();
     this.body = request.body();
+    connection.addCloseListener(closeListener);
   }
 
   /**
@@ -232,7 +232,7 @@
   /**
    * Returns how many bytes of the answer the peer has not taken yet.
    *
-   * @return the number of bytes kept here
+   * @return the number of bytes that wait
    */
   public synchronized long backlog() {
     return written - consumed;
@@ -338,15 +338,7 @@
    * @param action the action
    */
   public void onGone(Runnable action) {
-    boolean isFirst;
-    synchronized (this) {
-      isFirst = !isListening;
-      isListening = true;
-    }
     goneAction.set(action);
-    if (isFirst) {
-      connection.addCloseListener(closeListener);
-    }
     if (!connection.isOpen()) {
       peerClosed();
     }
