LOST: let one owner close a caller's connection, after what is open on it

What callers saw: 413, 400 or '100 Continue' in place of the answer to the request ahead on the same connection; an open request that ended without an answer because 33 others had been sent behind it; a request cut for idleness while its body was coming; 2.9 of 20 MB of an answer at a stop; an answer that was reset because bytes of the next request were unread.

Cause: five places closed a caller's connection or wrote to it, none of them knowing what was open on it. That is a class of fault: an effect on something shared by one who does not own it.

RequestSequence decides which request is answered, which wait, and when the connection may close (no I/O, its own test). CallerConnection is the one that writes and closes: every reason asks it to close after what is open, and what comes later is read and discarded, so that the close does not reset. Its end is reported once, with the reason and what it cut; a gateway counts ends by reason and writes a line for each that cut an answer. HttpServer.drain waits for answers, not only for requests.

HttpServerTest.cutsOffACallerThatSendsRequestsWithoutEnd expected the open request to be lost; it now expects the answers that are due (at most 33), all whole, then the cut, and that at most the bound was taken from 64 MB.

--- /dev/null
+++ b/src/main/java/org/wigeonstage/gateway/ConnectionLog.java
@@ -0,0 +1,37 @@
+package org.wigeonstage.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.Locale;
+import org.wigeonstage.http.ConnectionEnd;
+import org.wigeonstage.http.ConnectionObserver;
+import org.wigeonstage.telemetry.DecisionLog;
+import org.wigeonstage.telemetry.MetricName;
+
+/** Counts the ends of callers' connections, and writes a line for each that cut an answer off. */
+final class ConnectionLog implements ConnectionObserver {
+
+  private final MetricRegistry metrics;
+
+  ConnectionLog(MetricRegistry metrics) {
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void ended(ConnectionEnd end) {
+    String reason = end.reason().name().toLowerCase(Locale.ROOT);
+    metrics
+        .counter(
+            MetricName.of("connections", "reason", reason, "cut", Boolean.toString(end.hasCut())))
+        .inc();
+    if (end.hasCut()) {
+      DecisionLog.write(
+          "connection-cut",
+          "reason",
+          reason,
+          "unansweredRequests",
+          end.unansweredRequests(),
+          "untakenBytes",
+          end.untakenBytes());
+    }
+  }
+}
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -96,6 +96,7 @@
                 Endpoint.of(settings.callers()),
                 new ServerOptions(MAX_HEAD_BYTES, MAX_BODY_BYTES, IDLE_TIMEOUT, HANDLER_THREADS),
                 clock,
+                new ConnectionLog(metrics),
                 endpoint));
     this.peers =
         closer.register(
--- a/src/main/java/org/wigeonstage/http/CallerRequest.java
+++ b/src/main/java/org/wigeonstage/http/CallerRequest.java
@@ -3,10 +3,12 @@
 import java.io.ByteArrayOutputStream;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.request.HeaderFields;
 
 /**
@@ -15,6 +17,9 @@
  */
 final class CallerRequest {
 
+  /** Why a request is not handled. */
+  record Refusal(ErrorCode code, String detail) {}
+
   private static final String FORM = "application/x-www-form-urlencoded";
 
   private final String method;
@@ -26,7 +31,7 @@
   private final boolean keepsConnection;
   private final Arrival arrival;
   private final HttpResponsePacket response;
-  private boolean refused;
+  private @Nullable Refusal refusal;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
   CallerRequest(HttpRequestPacket head, Arrival arrival) {
@@ -42,17 +47,37 @@
     this.response = head.getResponse();
   }
 
+  private CallerRequest(HttpResponsePacket response, Arrival arrival) {
+    this.method = "";
+    this.path = "";
+    this.query = null;
+    this.fields = HeaderFields.NONE;
+    this.contentType = null;
+    this.isChunkable = false;
+    this.keepsConnection = false;
+    this.arrival = arrival;
+    this.response = response;
+  }
+
+  /** Returns a request whose head could not be read; it can only be refused. */
+  static CallerRequest unreadable(HttpRequestPacket head, Arrival arrival, String detail) {
+    CallerRequest request = new CallerRequest(head.getResponse(), arrival);
+    request.refuse(ErrorCode.BAD_REQUEST, detail);
+    return request;
+  }
+
   void addToBody(byte[] data) {
     body.writeBytes(data);
   }
 
-  /** Notes that the request is answered before it is read whole. */
-  void refuse() {
-    refused = true;
+  /** Notes that the request is refused without being handled. */
+  void refuse(ErrorCode code, String detail) {
+    refusal = new Refusal(code, detail);
   }
 
-  boolean isRefused() {
-    return refused;
+  /** Returns why the request is not handled, or empty where it is. */
+  Optional<Refusal> refusal() {
+    return Optional.ofNullable(refusal);
   }
 
   int bodyLength() {
--- /dev/null
+++ b/src/main/java/org/wigeonstage/http/ConnectionObserver.java
@@ -0,0 +1,16 @@
+package org.wigeonstage.http;
+
+/** Learns of the ends of callers' connections. */
+@FunctionalInterface
+public interface ConnectionObserver {
+
+  /** Ignores what it learns. */
+  ConnectionObserver NONE = end -> {};
+
+  /**
+   * Notes that a connection ended; called on the thread that reads, must not block.
+   *
+   * @param end why, and what was left undone
+   */
+  void ended(ConnectionEnd end);
+}
--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -1,11 +1,15 @@
 package org.wigeonstage.http;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
@@ -20,29 +24,37 @@
 /** An HTTP server with one handler for all paths. */
 public final class HttpServer implements Closeable {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** One thread, so that a connection's acceptance, requests and end are read in order. */
   private static final int SELECTOR_THREADS = 1;
 
   /** Idle connections live this much longer than they may, at most. */
   private static final Duration IDLE_CHECK_INTERVAL = Duration.ofSeconds(1);
 
+  /** Callers that read the end of their connection close it within a few round trips. */
+  private static final Duration LAST_CLOSES = Duration.ofMillis(100);
+
   private final TCPNIOTransport transport;
   private final RequestFilter requests;
   private final Endpoint endpoint;
-  private final ScheduledExecutorService idleChecks;
+  private final MonotonicClock clock;
+  private final ScheduledExecutorService timer;
 
   private HttpServer(
-      String name,
       TCPNIOTransport transport,
       RequestFilter requests,
       Endpoint endpoint,
+      ScheduledExecutorService timer,
+      MonotonicClock clock,
       ServerOptions options) {
     this.transport = transport;
     this.requests = requests;
     this.endpoint = endpoint;
-    this.idleChecks = ControlThreads.single(name + "-idle");
-    idleChecks.scheduleWithFixedDelay(
-        () -> requests.closeIdle(options.idleTimeout()),
+    this.timer = timer;
+    this.clock = clock;
+    timer.scheduleWithFixedDelay(
+        () -> requests.finishIdle(options.idleTimeout()),
         IDLE_CHECK_INTERVAL.toMillis(),
         IDLE_CHECK_INTERVAL.toMillis(),
         TimeUnit.MILLISECONDS);
@@ -73,7 +85,8 @@
    */
   public static HttpServer start(
       String name, Endpoint endpoint, ServerOptions options, RequestHandler handler) {
-    return start(name, endpoint, options, MonotonicClock.system(), handler);
+    return start(
+        name, endpoint, options, MonotonicClock.system(), ConnectionObserver.NONE, handler);
   }
 
   /**
@@ -83,6 +96,7 @@
    * @param endpoint where to listen
    * @param options its limits
    * @param clock measures when requests arrive
+   * @param observer learns of the ends of connections
    * @param handler answers the requests
    * @return the server
    */
@@ -91,6 +105,7 @@
       Endpoint endpoint,
       ServerOptions options,
       MonotonicClock clock,
+      ConnectionObserver observer,
       RequestHandler handler) {
     TCPNIOTransport transport = Transports.create(name, SELECTOR_THREADS);
     SelectionRounds rounds = new SelectionRounds(clock);
@@ -103,11 +118,13 @@
             .setDaemon(true));
     SafeHandler safeHandler =
         new SafeHandler(handler, task -> transport.getWorkerThreadPool().execute(task));
-    RequestFilter requests = new RequestFilter(options.maxBodyBytes(), clock, rounds, safeHandler);
+    ScheduledExecutorService timer = ControlThreads.single(name + "-connections");
+    RequestFilter requests =
+        new RequestFilter(options.maxBodyBytes(), clock, rounds, timer, observer, safeHandler);
     transport.setProcessor(
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
-            .add(new PlainHttpFilter(options.maxHeadBytes()))
+            .add(new PlainHttpFilter(options.maxHeadBytes(), requests::refuseUnreadable))
             .add(requests)
             .build());
     try {
@@ -115,7 +132,12 @@
       transport.start();
       InetSocketAddress bound = (InetSocketAddress) listener.getLocalAddress();
       return new HttpServer(
-          name, transport, requests, new Endpoint(endpoint.host(), bound.getPort()), options);
+          transport,
+          requests,
+          new Endpoint(endpoint.host(), bound.getPort()),
+          timer,
+          clock,
+          options);
     } catch (IOException e) {
       throw new WigeonstageException(ErrorCode.IO, "can't listen on " + endpoint, e);
     }
@@ -131,24 +153,51 @@
   }
 
   /**
-   * Takes no new connections and waits until the open requests are answered.
+   * Returns what is open now.
+   *
+   * @return the connections, requests and answers
+   */
+  public OpenWork openWork() {
+    return requests.openWork();
+  }
+
+  /**
+   * Takes no new connections, closes the others after what has come on them is answered, and waits
+   * for that.
    *
-   * @param grace how long to wait
-   * @return whether all were answered in time
+   * @param grace how long to wait for answers
+   * @return whether all answers were handed to the operating system in that time
    */
   public boolean drain(Duration grace) {
     transport.unbindAll();
+    Duration end = clock.elapsed().plus(grace);
     try {
-      return Polling.await(() -> !requests.hasOpenRequests(), grace);
+      awaitReads(grace);
+      requests.finishAll();
+      boolean isDelivered = Polling.await(requests::isAllDelivered, end.minus(clock.elapsed()));
+      Polling.await(requests::hasNoConnections, LAST_CLOSES);
+      return isDelivered;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return false;
     }
   }
 
+  /** Waits until what has arrived by now is read, so that no request is taken for a later one. */
+  private void awaitReads(Duration limit) throws InterruptedException {
+    Optional<Connection<?>> connection = requests.anyConnection();
+    if (connection.isPresent()) {
+      CountDownLatch caughtUp = new CountDownLatch(1);
+      ReadBarrier.pass(connection.get(), caughtUp::countDown);
+      if (!caughtUp.await(limit.toMillis(), TimeUnit.MILLISECONDS)) {
+        logger.atWarning().log("requests could not be read within %s of the stop", limit);
+      }
+    }
+  }
+
   @Override
   public void close() {
-    idleChecks.shutdownNow();
+    timer.shutdownNow();
     try {
       transport.shutdownNow();
     } catch (IOException e) {
--- a/src/main/java/org/wigeonstage/http/PlainHttpFilter.java
+++ b/src/main/java/org/wigeonstage/http/PlainHttpFilter.java
@@ -1,11 +1,14 @@
 package org.wigeonstage.http;
 
 import com.google.common.base.CharMatcher;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.KeepAlive;
 import org.glassfish.grizzly.http.util.MimeHeaders;
@@ -30,8 +33,51 @@
           .or(CharMatcher.inRange('0', '9'))
           .or(CharMatcher.anyOf("!#$%&'*+-.^_`|~"));
 
-  PlainHttpFilter(int maxHeadBytes) {
+  /** Takes requests that are not in the protocol. */
+  @FunctionalInterface
+  interface UnreadableRequests {
+
+    /** Refuses a request, after those ahead of it. */
+    void refuse(CallerConnection connection, HttpRequestPacket head, String detail);
+  }
+
+  private final UnreadableRequests unreadable;
+
+  PlainHttpFilter(int maxHeadBytes, UnreadableRequests unreadable) {
     super(true, maxHeadBytes, unlimited(), null);
+    this.unreadable = unreadable;
+  }
+
+  /** Discards what comes on connections that take no further request. */
+  @Override
+  public NextAction handleRead(FilterChainContext context) throws IOException {
+    CallerConnection connection = CallerConnection.of(context.getConnection());
+    if (!connection.isTaking()) {
+      Buffer discarded = context.getMessage();
+      discarded.tryDispose();
+      return context.getStopAction();
+    }
+    connection.bytesRead();
+    return super.handleRead(context);
+  }
+
+  /** The codec itself would answer at once, which may be ahead of other answers. */
+  @Override
+  protected void onHttpHeaderError(HttpHeader header, FilterChainContext context, Throwable cause) {
+    refuse(header, context, cause);
+  }
+
+  @Override
+  protected void onHttpContentError(
+      HttpHeader header, FilterChainContext context, Throwable cause) {
+    header.setContentBroken(true);
+    refuse(header, context, cause);
+  }
+
+  private void refuse(HttpHeader header, FilterChainContext context, Throwable cause) {
+    String detail = cause.getMessage() == null ? "the request is malformed" : cause.getMessage();
+    unreadable.refuse(
+        CallerConnection.of(context.getConnection()), (HttpRequestPacket) header, detail);
   }
 
   /** Connections are closed by the server when they are idle, not by the codec. */
--- a/src/main/java/org/wigeonstage/http/RequestFilter.java
+++ b/src/main/java/org/wigeonstage/http/RequestFilter.java
@@ -1,19 +1,19 @@
 package org.wigeonstage.http;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.memory.Buffers;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.http.ConnectionEnd.Reason;
 
 /**
  * Puts requests together on the thread that reads, and has them handled on another one.
@@ -23,35 +23,46 @@
  */
 final class RequestFilter extends BaseFilter {
 
-  private static final byte[] CONTINUE =
-      "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
-
   private final int maxBodyBytes;
   private final MonotonicClock clock;
   private final SelectionRounds rounds;
+  private final ScheduledExecutorService timer;
+  private final ConnectionObserver observer;
   private final RequestHandler handler;
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
+  private volatile boolean stopping;
 
   RequestFilter(
-      int maxBodyBytes, MonotonicClock clock, SelectionRounds rounds, RequestHandler handler) {
+      int maxBodyBytes,
+      MonotonicClock clock,
+      SelectionRounds rounds,
+      ScheduledExecutorService timer,
+      ConnectionObserver observer,
+      RequestHandler handler) {
     this.maxBodyBytes = maxBodyBytes;
     this.clock = clock;
     this.rounds = rounds;
+    this.timer = timer;
+    this.observer = observer;
     this.handler = handler;
   }
 
   @Override
   public NextAction handleAccept(FilterChainContext context) {
-    connections.add(
-        new CallerConnection(context.getConnection(), rounds.accepted(), clock, handler));
+    CallerConnection connection =
+        new CallerConnection(context.getConnection(), rounds.accepted(), clock, timer, handler);
+    connections.add(connection);
+    if (stopping) {
+      connection.finish(Reason.STOPPING);
+    }
     return context.getInvokeAction();
   }
 
   @Override
   public NextAction handleClose(FilterChainContext context) {
     CallerConnection connection = CallerConnection.of(context.getConnection());
-    if (connection != null) {
-      connections.remove(connection);
+    if (connection != null && connections.remove(connection)) {
+      observer.ended(connection.end());
     }
     return context.getInvokeAction();
   }
@@ -62,57 +73,78 @@
     CallerConnection connection = CallerConnection.of(context.getConnection());
     CallerRequest request = connection.incoming();
     if (request == null) {
-      request = begin(context, connection, (HttpRequestPacket) content.getHttpHeader());
+      request = begin(connection, (HttpRequestPacket) content.getHttpHeader());
     }
     long length = (long) request.bodyLength() + content.getContent().remaining();
-    boolean isTooLarge = length > maxBodyBytes;
-    if (!isTooLarge) {
+    if (length > maxBodyBytes) {
+      refuseBody(connection, request);
+    } else {
       request.addToBody(CodecParts.bytesOf(content));
+      if (content.isLast()) {
+        connection.incoming(null);
+        connection.add(request);
+      }
     }
-    boolean isLast = content.isLast();
     content.recycle();
-    if (isTooLarge) {
-      refuseBody(connection, request);
-    } else if (isLast) {
-      connection.incoming(null);
-      connection.add(new ServerExchange(connection, request));
-    }
     return context.getStopAction();
   }
 
-  private CallerRequest begin(
-      FilterChainContext context, CallerConnection connection, HttpRequestPacket head) {
+  private CallerRequest begin(CallerConnection connection, HttpRequestPacket head) {
     CallerRequest request = new CallerRequest(head, rounds.arrival(connection.acceptance()));
     connection.incoming(request);
     if (head.requiresAcknowledgement()) {
-      context.write(Buffers.wrap(context.getMemoryManager(), CONTINUE));
+      connection.continueIncoming();
     }
     return request;
   }
 
-  /** Answers without reading the rest, which ends the connection. */
+  /** Has a request refused without reading the rest, which ends the connection. */
   private void refuseBody(CallerConnection connection, CallerRequest request) {
-    if (request.isRefused()) {
-      return;
+    request.refuse(ErrorCode.BODY_TOO_LARGE, "the body must not exceed " + maxBodyBytes + " bytes");
+    connection.addLast(request, Reason.BODY_TOO_LARGE);
+  }
+
+  /** Has a request refused that could not be read, which ends the connection. */
+  void refuseUnreadable(CallerConnection connection, HttpRequestPacket head, String detail) {
+    Arrival arrival = rounds.arrival(connection.acceptance());
+    connection.addLast(CallerRequest.unreadable(head, arrival, detail), Reason.MALFORMED);
+  }
+
+  /** Returns whether no connection is left. */
+  boolean hasNoConnections() {
+    return connections.isEmpty();
+  }
+
+  /** Returns whether each connection that is left only waits for its caller to close it, too. */
+  boolean isAllDelivered() {
+    return connections.stream().allMatch(CallerConnection::isDelivered);
+  }
+
+  /** Returns one of the connections. */
+  Optional<Connection<?>> anyConnection() {
+    return connections.stream().<Connection<?>>map(CallerConnection::connection).findAny();
+  }
+
+  /** Returns what the connections would leave undone if they ended now. */
+  OpenWork openWork() {
+    int unanswered = 0;
+    int untaken = 0;
+    for (CallerConnection connection : connections) {
+      ConnectionEnd end = connection.end();
+      unanswered += end.unansweredRequests();
+      untaken += end.untakenBytes() > 0 ? 1 : 0;
     }
-    request.refuse();
-    Problem.respond(
-        new ServerExchange(connection, request),
-        ErrorCode.BODY_TOO_LARGE,
-        "the body must not exceed " + maxBodyBytes + " bytes",
-        Map.of("Connection", "close", "Wigeonstage-Outcome", "not-run"));
+    return new OpenWork(connections.size(), unanswered, untaken);
   }
 
-  /** Returns whether a request waits for its answer. */
-  boolean hasOpenRequests() {
-    return connections.stream().anyMatch(CallerConnection::hasOpenRequest);
+  /** Has each connection closed after what is open on it, and each further one at once. */
+  void finishAll() {
+    stopping = true;
+    connections.forEach(connection -> connection.finish(Reason.STOPPING));
   }
 
-  /** Closes connections on which nothing was asked for so long. */
-  void closeIdle(Duration limit) {
-    connections.stream()
-        .filter(connection -> connection.isIdleFor(limit))
-        .map(CallerConnection::connection)
-        .forEach(Connection::closeSilently);
+  /** Closes connections on which nothing came for so long. */
+  void finishIdle(Duration limit) {
+    connections.forEach(connection -> connection.finishIfIdle(limit));
   }
 }
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -3,6 +3,7 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongConsumer;
@@ -16,6 +17,7 @@
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.memory.Buffers;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.http.ConnectionEnd.Reason;
 import org.wigeonstage.request.HeaderFields;
 import org.wigeonstage.request.HttpCall;
 
@@ -207,7 +209,7 @@
     } else {
       response.setChunked(request.isChunkable());
     }
-    if (!keepsConnection()) {
+    if (!keepsConnection() || owner.endsAfterThis()) {
       response.setHeader("Connection", "close");
     }
   }
@@ -285,13 +287,8 @@
 
   /** Goes on with the connection once the whole answer has been taken. */
   private void answered() {
-    if (!finished.compareAndSet(false, true)) {
-      return;
-    }
-    if (keepsConnection()) {
-      owner.answered();
-    } else {
-      connection.closeSilently();
+    if (finished.compareAndSet(false, true)) {
+      owner.answered(keepsConnection(), !request.keepsConnection());
     }
   }
 
@@ -307,7 +304,18 @@
       finished.set(true);
     }
     stopListening();
-    connection.terminateSilently();
+    owner.cutOff(Reason.BROKEN_OFF);
+  }
+
+  /** Forgets a request that the connection does not take. */
+  void discard() {
+    closed.set(true);
+    stopListening();
+  }
+
+  /** Returns why the request is not handled, or empty where it is. */
+  Optional<CallerRequest.Refusal> refusal() {
+    return request.refusal();
   }
 
   private void stopListening() {
@@ -388,7 +396,7 @@
 
     @Override
     public void failed(Throwable cause) {
-      connection.closeSilently();
+      owner.cutOff(Reason.WRITE_FAILED);
     }
   }
 }
