Write what is open in each phase of a gateway's stop, and what an open request waited for

Requests that were open when a gateway ended left no line at all: lines are written when a request ends. `stopped` told their number only, and nothing told of requests that were read and not admitted.

Each phase (`leaving`, `no-longer-taking`, `stopped`) now tells the open requests, those read and not admitted, and the time since the signal was handled. Each request that is still open at the end has its lines written, with `left-open` and what it waited for.

--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.forward.AttemptEnd;
 import org.wigeonstage.http.AnswerHead;
 import org.wigeonstage.http.AnswerListener;
 import org.wigeonstage.http.ClientExchange;
@@ -70,6 +71,17 @@
     this.watchedSince = watchedFrom;
   }
 
+  /** Returns what the end of an attempt says about its server. */
+  static AttemptResult resultOf(AttemptEnd end) {
+    return switch (end) {
+      case NOT_SENT, LOST -> AttemptResult.UNREACHABLE;
+      case TIMED_OUT -> AttemptResult.NEUTRAL;
+      case MISDIRECTED -> AttemptResult.REPLACED;
+      case DECLINED -> AttemptResult.DECLINED;
+      case INVALID, FAILED, CUT -> AttemptResult.FAILED;
+    };
+  }
+
   BackendServer server() {
     return server;
   }
@@ -84,6 +96,14 @@
     return current != null && current.isConnected();
   }
 
+  /** Returns what the attempt waits for next. */
+  String waitsFor() {
+    if (!wasSent()) {
+      return "connection";
+    }
+    return firstPartAt == null ? "first-part" : "rest-of-answer";
+  }
+
   /** Gives the attempt up if nothing was sent; returns whether nothing was, nor ever will be. */
   boolean cancelUnsent() {
     ClientExchange current = exchange;
--- a/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
+++ b/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.wigeonstage.http.RequestHandler;
 import org.wigeonstage.http.ServerExchange;
 import org.wigeonstage.telemetry.DecisionLog;
@@ -33,6 +35,7 @@
   private final ReadLag lag;
   private final List<InboundFilter> filters;
   private final Deque<InboundCall> early = new ArrayDeque<>();
+  private final Set<InboundCall> unadmitted = new HashSet<>();
 
   CallersEndpoint(GatewayCore core, Beliefs beliefs, ReadLag lag, Duration grace) {
     this.core = core;
@@ -61,6 +64,7 @@
             core.now());
     exchange.onGone(call::markGone);
     lag.read(exchange::whenReadsCaughtUp);
+    unadmitted.add(call);
     if (exchange.arrival().isFirstLook()) {
       exchange.whenReadsCaughtUp(() -> core.run(() -> admit(call)));
     } else {
@@ -80,7 +84,13 @@
     return beliefs.routing().isEmpty() || !core.knowsServers();
   }
 
+  /** Returns how many requests were read and have neither passed the filters nor been answered. */
+  int unadmitted() {
+    return (int) unadmitted.stream().filter(call -> !call.isGone()).count();
+  }
+
   private void filter(InboundCall call) {
+    unadmitted.remove(call);
     if (call.isGone()) {
       DecisionLog.write("caller-gone-early", "request", call.fields().id());
       return;
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -152,15 +152,9 @@
         .step("refused")
         .put("reason", reason.name())
         .put("retryAfterMillis", retryAfter.toMillis());
-    if (begun) {
-      breakOff();
-      return;
-    }
-    if (mayHaveRun) {
-      fail(ErrorCode.ANSWER_LOST, "the answer was lost, and no other server is free");
-      return;
-    }
-    reject(Rejection.of(reason, retryAfter));
+    endUnfinished(
+        Rejection.of(ErrorCode.ANSWER_LOST, "the answer was lost, and no other server is free"),
+        Rejection.of(reason, retryAfter));
   }
 
   /** Takes the beginning of an answer. */
@@ -178,7 +172,7 @@
     }
     Optional<AttemptEnd> end = endOf(newHead, fields);
     if (end.isPresent()) {
-      attemptEnded(source, end.get(), resultOf(end.get()));
+      attemptEnded(source, end.get(), Attempt.resultOf(end.get()));
     }
   }
 
@@ -211,16 +205,6 @@
     return route.mayRepeat() && hasAttemptsLeft() && core.tryRepeat(pool);
   }
 
-  private static AttemptResult resultOf(AttemptEnd end) {
-    return switch (end) {
-      case NOT_SENT, LOST -> AttemptResult.UNREACHABLE;
-      case TIMED_OUT -> AttemptResult.NEUTRAL;
-      case MISDIRECTED -> AttemptResult.REPLACED;
-      case DECLINED -> AttemptResult.DECLINED;
-      case INVALID, FAILED, CUT -> AttemptResult.FAILED;
-    };
-  }
-
   /** Takes part of an answer's body. */
   void continued(Attempt source, byte[] data) {
     AnswerHead current = head;
@@ -235,7 +219,7 @@
         write(current, event.bytes());
       }
       if (splitter.isTooLong()) {
-        attemptEnded(source, AttemptEnd.INVALID, resultOf(AttemptEnd.INVALID));
+        attemptEnded(source, AttemptEnd.INVALID, Attempt.resultOf(AttemptEnd.INVALID));
         return;
       }
     } else if (begun) {
@@ -336,7 +320,7 @@
     if (wasSent) {
       end = head == null ? AttemptEnd.LOST : AttemptEnd.CUT;
     }
-    attemptEnded(source, end, resultOf(end));
+    attemptEnded(source, end, Attempt.resultOf(end));
   }
 
   /** Ends an attempt and decides what follows. */
@@ -440,14 +424,18 @@
       return;
     }
     core.withdraw(this);
+    endUnfinished(
+        Rejection.of(ErrorCode.DEADLINE, "the time of the request is used up"),
+        Rejection.retryable(
+            ErrorCode.OVERLOADED, "no place became free in time", Duration.ofMillis(200)));
+  }
+
+  /** Ends the request, which no attempt will finish, with what is true of it. */
+  private void endUnfinished(Rejection ifUnknown, Rejection ifNotRun) {
     if (begun) {
       breakOff();
-    } else if (mayHaveRun) {
-      fail(ErrorCode.DEADLINE, "the time of the request is used up");
     } else {
-      reject(
-          Rejection.retryable(
-              ErrorCode.OVERLOADED, "no place became free in time", Duration.ofMillis(200)));
+      reject(mayHaveRun ? ifUnknown : ifNotRun);
     }
   }
 
@@ -479,6 +467,20 @@
     core.finished(this, RequestOutcome.CALLER_GONE);
   }
 
+  /** Notes that the process ends before the request does. */
+  void leftOpen() {
+    Attempt current = attempt;
+    RequestTrail.Step step =
+        trail
+            .step("left-open")
+            .put("waitedFor", current == null ? "place" : current.waitsFor())
+            .put("begun", begun)
+            .notable();
+    if (current != null) {
+      current.describe(step);
+    }
+  }
+
   private void breakOff() {
     finished = true;
     trail.step("broken-off").put("lastEvent", lastEventId).notable();
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -325,6 +325,16 @@
     return open.size();
   }
 
+  /** Writes the lines of all requests that are still open when the process ends. */
+  void recordOpen() {
+    open.values()
+        .forEach(
+            request -> {
+              request.leftOpen();
+              sampler.write(request.trail(), now());
+            });
+  }
+
   /** Takes over changed limits. */
   void limits(RetryLimits retries, QuotaTolerance tolerance) {
     if (!retries.equals(retryLimits)) {
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -227,21 +227,44 @@
    * @throws InterruptedException where the thread is interrupted
    */
   public boolean drain() throws InterruptedException {
-    DecisionLog.write("leaving", "openRequests", core.openRequests());
-    core.run(core::leave);
+    core.run(
+        () -> {
+          core.leave();
+          writePhase("leaving");
+        });
     Thread.sleep(BALANCER_NOTICES.toMillis());
     Duration rest =
         Duration.ofMillis((long) (settings.grace().toMillis() * GRACE_SHARE))
             .minus(BALANCER_NOTICES)
             .minus(LAST_ANSWERS);
     Polling.await(() -> core.openRequests() == 0, rest);
-    core.run(core::stopTaking);
+    core.run(
+        () -> {
+          core.stopTaking();
+          writePhase("no-longer-taking");
+        });
     boolean finished = Polling.await(() -> core.openRequests() == 0, LAST_ANSWERS);
     Thread.sleep(FLUSH.toMillis());
-    DecisionLog.write("stopped", "openRequests", core.openRequests());
+    core.run(
+        () -> {
+          core.recordOpen();
+          writePhase("stopped");
+        });
     return finished;
   }
 
+  /** Writes what is open at the beginning of a phase of the stop. */
+  private void writePhase(String event) {
+    DecisionLog.write(
+        event,
+        "openRequests",
+        core.openRequests(),
+        "notAdmitted",
+        endpoint.unadmitted(),
+        "leavingMillis",
+        core.leavingFor().toMillis());
+  }
+
   @Override
   public void close() throws IOException {
     control.shutdownNow();
--- /dev/null
+++ b/src/test/java/org/wigeonstage/gateway/CapturedDecisions.java
@@ -0,0 +1,40 @@
+package org.wigeonstage.gateway;
+
+import java.io.Closeable;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
+import org.wigeonstage.telemetry.DecisionLog;
+
+/** The lines of decisions since its creation. */
+final class CapturedDecisions extends Handler implements Closeable {
+
+  private final Logger logger = Logger.getLogger(DecisionLog.class.getName());
+  private final SimpleFormatter formatter = new SimpleFormatter();
+  private final List<String> lines = new CopyOnWriteArrayList<>();
+
+  CapturedDecisions() {
+    logger.addHandler(this);
+  }
+
+  /** Returns the lines of an event. */
+  List<String> of(String event) {
+    return lines.stream().filter(line -> line.contains("\"event\":\"" + event + "\"")).toList();
+  }
+
+  @Override
+  public void publish(LogRecord record) {
+    lines.add(formatter.formatMessage(record));
+  }
+
+  @Override
+  public void flush() {}
+
+  @Override
+  public void close() {
+    logger.removeHandler(this);
+  }
+}
--- a/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -25,13 +25,21 @@
 
   private static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final int DEFAULT_GRACE_SECONDS = 8;
 
   private final Closer closer = Closer.create();
   final StoreStandin store = closer.register(StoreStandin.start(ANY_PORT));
   final List<RunnerStandin> runners = new ArrayList<>();
   final GatewayProcess gateway;
 
+  private final int graceSeconds;
+
   GatewayFixture(int runnerCount, ObjectNode configuration) {
+    this(runnerCount, configuration, DEFAULT_GRACE_SECONDS);
+  }
+
+  GatewayFixture(int runnerCount, ObjectNode configuration, int graceSeconds) {
+    this.graceSeconds = graceSeconds;
     for (int i = 1; i <= runnerCount; i++) {
       addRunner("runner-" + i);
     }
@@ -58,6 +66,7 @@
             .put("failureDomain", "zone-a")
             .put("revocationMillis", 2000)
             .put("isFirstStart", true)
+            .put("graceSeconds", graceSeconds)
             .put("store", store.endpoint().toString());
     for (String address : List.of("callers", "readiness", "peers", "metrics")) {
       settings.put(address, ANY_PORT.toString());
@@ -110,10 +119,15 @@
 
   /** Sends a plain request on a connection of its own, and leaves the connection open. */
   Socket send(String id) throws IOException {
+    return send("plain", id, "Deadline-Ms: 2500\r\n");
+  }
+
+  /** Sends a request on a connection of its own, and leaves the connection open. */
+  Socket send(String route, String id, String fields) throws IOException {
     String request =
-        "POST /plain/x HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: "
-            + id
-            + "\r\nDeadline-Ms: 2500\r\nCredential: key\r\nContent-Length: 0\r\n\r\n";
+        "POST /%s/x HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: %s\r\n".formatted(route, id)
+            + fields
+            + "Credential: key\r\nContent-Length: 0\r\n\r\n";
     Socket socket = new Socket("127.0.0.1", gateway.callersEndpoint().port());
     socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
     socket.getOutputStream().flush();
--- /dev/null
+++ b/src/test/java/org/wigeonstage/gateway/GatewayStopIT.java
@@ -0,0 +1,83 @@
+package org.wigeonstage.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.Socket;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wigeonstage.common.Polling;
+import org.wigeonstage.platform.standin.Rehearsal;
+import org.wigeonstage.platform.standin.RunnerStandin;
+import org.wigeonstage.platform.standin.RunnerStandin.Behaviour;
+
+/** LOST: what callers get, and what is written, where requests are open when a gateway stops. */
+class GatewayStopIT {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final int GRACE_SECONDS = 3;
+
+  /** Longer than the grace, so that only the stop ends requests. */
+  private static final String DEADLINE = "Deadline-Ms: 60000\r\n";
+
+  private final CapturedDecisions decisions = new CapturedDecisions();
+  private GatewayFixture fixture;
+
+  @BeforeEach
+  void start() throws InterruptedException {
+    ObjectNode configuration = Rehearsal.configuration();
+    for (JsonNode route : configuration.path("routes")) {
+      ((ObjectNode) route).put("timeout_ms", 60_000);
+    }
+    fixture = new GatewayFixture(1, configuration, GRACE_SECONDS);
+    fixture.awaitStatus("plain", 200);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    fixture.close();
+    decisions.close();
+  }
+
+  private RunnerStandin runner() {
+    return fixture.runners.get(0);
+  }
+
+  private void awaitRun(String id) throws InterruptedException {
+    assertThat(Polling.await(() -> !fixture.runsOf(id).isEmpty(), TIMEOUT)).isTrue();
+  }
+
+  @Test
+  void writesWhatARequestWaitedForThatIsOpenAtTheEnd() throws Exception {
+    runner().behave(Behaviour.RUNS_FOREVER);
+    try (Socket socket = fixture.send("plain", "open-1", DEADLINE)) {
+      awaitRun("open-1");
+      assertThat(fixture.gateway.drain()).isFalse();
+      assertThat(decisions.of("left-open"))
+          .singleElement()
+          .asString()
+          .contains("\"request\":\"open-1\"", "\"waitedFor\":\"first-part\"", "\"begun\":false");
+      assertThat(decisions.of("placed")).anyMatch(line -> line.contains("open-1"));
+    }
+  }
+
+  @Test
+  void writesEachPhaseOfAStopWithWhatIsOpen() throws Exception {
+    runner().behave(Behaviour.RUNS_FOREVER);
+    try (Socket socket = fixture.send("plain", "open-1", DEADLINE)) {
+      awaitRun("open-1");
+      fixture.gateway.drain();
+    }
+    for (String event : new String[] {"leaving", "no-longer-taking", "stopped"}) {
+      assertThat(decisions.of(event))
+          .as(event)
+          .singleElement()
+          .asString()
+          .contains("\"openRequests\":1", "\"notAdmitted\":0", "\"leavingMillis\":");
+    }
+  }
+}
