LOST: wait for requests that were read and not admitted, and refuse them when a gateway stops

What callers saw: a connection that ends without an answer, though its request was read. Cause: the stop counted admitted requests only. Those that wait for the first configuration, or for the news whether their callers have left (up to 1 s), were not counted, so the process ended while they waited.

CallersEndpoint keeps the requests that were read and not admitted; the stop waits for these too. Once nothing more is taken, waiting has no purpose: they are refused at once, as is what is read later. The counts are read under the lock of the state that they belong to.

GatewayStopIT.refusesWhatItReadAndDidNotAdmitBeforeItEnds failed before (`notAdmitted` above 0 in `stopped`), passes now.

--- a/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
+++ b/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
@@ -65,7 +65,7 @@
     exchange.onGone(call::markGone);
     lag.read(exchange::whenReadsCaughtUp);
     unadmitted.add(call);
-    if (exchange.arrival().isFirstLook()) {
+    if (exchange.arrival().isFirstLook() && !core.hasStopped()) {
       exchange.whenReadsCaughtUp(() -> core.run(() -> admit(call)));
     } else {
       admit(call);
@@ -73,13 +73,17 @@
   }
 
   private void admit(InboundCall call) {
-    if ((isStarting() || lag.isBehind()) && early.size() < MAX_EARLY_CALLS) {
+    if (isToWait() && early.size() < MAX_EARLY_CALLS) {
       early.addLast(call);
     } else {
       filter(call);
     }
   }
 
+  private boolean isToWait() {
+    return !core.hasStopped() && (isStarting() || lag.isBehind());
+  }
+
   private boolean isStarting() {
     return beliefs.routing().isEmpty() || !core.knowsServers();
   }
@@ -89,8 +93,17 @@
     return (int) unadmitted.stream().filter(call -> !call.isGone()).count();
   }
 
+  /** Refuses all requests from now on, and those at once that were read and not admitted. */
+  void stopTaking() {
+    core.stopTaking();
+    early.clear();
+    List.copyOf(unadmitted).forEach(this::filter);
+  }
+
   private void filter(InboundCall call) {
-    unadmitted.remove(call);
+    if (!unadmitted.remove(call)) {
+      return; // refused when the process stopped taking requests
+    }
     if (call.isGone()) {
       DecisionLog.write("caller-gone-early", "request", call.fields().id());
       return;
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.Json;
@@ -103,6 +104,11 @@
     action.run();
   }
 
+  /** Reads the state, with it to itself. */
+  synchronized int read(IntSupplier reading) {
+    return reading.getAsInt();
+  }
+
   Duration now() {
     return clock.elapsed();
   }
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -237,13 +237,13 @@
         Duration.ofMillis((long) (settings.grace().toMillis() * GRACE_SHARE))
             .minus(BALANCER_NOTICES)
             .minus(LAST_ANSWERS);
-    Polling.await(() -> core.openRequests() == 0, rest);
+    Polling.await(() -> unanswered() == 0, rest);
     core.run(
         () -> {
-          core.stopTaking();
+          endpoint.stopTaking();
           writePhase("no-longer-taking");
         });
-    boolean finished = Polling.await(() -> core.openRequests() == 0, LAST_ANSWERS);
+    boolean finished = Polling.await(() -> unanswered() == 0, LAST_ANSWERS);
     Thread.sleep(FLUSH.toMillis());
     core.run(
         () -> {
@@ -253,6 +253,11 @@
     return finished;
   }
 
+  /** Returns how many requests were read and not answered, whether they were admitted or not. */
+  private int unanswered() {
+    return core.read(() -> core.openRequests() + endpoint.unadmitted());
+  }
+
   /** Writes what is open at the beginning of a phase of the stop. */
   private void writePhase(String event) {
     DecisionLog.write(
--- a/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -94,6 +94,12 @@
     return in.readAllBytes();
   }
 
+  /** Returns the bytes that are read until a connection ends. */
+  static String answerOn(Socket socket) throws IOException {
+    socket.setSoTimeout((int) TIMEOUT.toMillis());
+    return new String(readAll(socket.getInputStream()), StandardCharsets.ISO_8859_1);
+  }
+
   /** Sends one request on a connection of its own. */
   String call(String route, String id, String... fields) throws IOException {
     StringBuilder request = new StringBuilder("POST /" + route + "/x?q=1 HTTP/1.1\r\n");
@@ -124,11 +130,17 @@
 
   /** Sends a request on a connection of its own, and leaves the connection open. */
   Socket send(String route, String id, String fields) throws IOException {
+    return send(gateway, route, id, fields);
+  }
+
+  /** Sends a request to a gateway on a connection of its own, and leaves the connection open. */
+  static Socket send(GatewayProcess target, String route, String id, String fields)
+      throws IOException {
     String request =
         "POST /%s/x HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: %s\r\n".formatted(route, id)
             + fields
             + "Credential: key\r\nContent-Length: 0\r\n\r\n";
-    Socket socket = new Socket("127.0.0.1", gateway.callersEndpoint().port());
+    Socket socket = new Socket("127.0.0.1", target.callersEndpoint().port());
     socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
     socket.getOutputStream().flush();
     return socket;
--- a/src/test/java/org/wigeonstage/gateway/GatewayStopIT.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayStopIT.java
@@ -4,9 +4,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,6 +28,8 @@
   /** Longer than the grace, so that only the stop ends requests. */
   private static final String DEADLINE = "Deadline-Ms: 60000\r\n";
 
+  private static final String CLOSES = "Connection: close\r\n";
+
   private final CapturedDecisions decisions = new CapturedDecisions();
   private GatewayFixture fixture;
 
@@ -80,4 +86,40 @@
           .contains("\"openRequests\":1", "\"notAdmitted\":0", "\"leavingMillis\":");
     }
   }
+
+  /** Requests are read until the end by a process that waits for its first configuration. */
+  @Test
+  void refusesWhatItReadAndDidNotAdmitBeforeItEnds() throws Exception {
+    fixture.store.down(true);
+    GatewayProcess gateway = fixture.startGateway("gateway-2");
+    AtomicBoolean stopped = new AtomicBoolean();
+    Map<String, Socket> calls = new ConcurrentHashMap<>();
+    Thread callers =
+        new Thread(
+            () -> {
+              for (int i = 0; !stopped.get(); i++) {
+                try {
+                  String id = "early-%d.".formatted(i);
+                  calls.put(id, GatewayFixture.send(gateway, "plain", id, CLOSES + DEADLINE));
+                } catch (IOException e) {
+                  return; // no longer listened to
+                }
+                Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(20));
+              }
+            });
+    callers.start();
+    gateway.drain();
+    assertThat(decisions.of("leaving")).hasSize(1);
+    assertThat(decisions.of("stopped")).singleElement().asString().contains("\"notAdmitted\":0");
+    stopped.set(true);
+    callers.join();
+    for (Map.Entry<String, Socket> call : calls.entrySet()) {
+      try (Socket socket = call.getValue()) {
+        if (decisions.of("rejected").stream().anyMatch(line -> line.contains(call.getKey()))) {
+          assertThat(GatewayFixture.answerOn(socket)).startsWith("HTTP/1.1 503");
+        }
+      }
+    }
+    assertThat(decisions.of("rejected")).hasSizeGreaterThan(1);
+  }
 }
