--- a/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
+++ b/src/main/java/org/wigeonstage/gateway/CallersEndpoint.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.wigeonstage.http.RequestHandler;
 import org.wigeonstage.http.ServerExchange;
 import org.wigeonstage.telemetry.DecisionLog;
@@ -33,6 +35,7 @@
   private final ReadLag lag;
   private final List<InboundFilter> filters;
   private final Deque<InboundCall> early = new ArrayDeque<>();
+  private final Set<InboundCall> unadmitted = new HashSet<>();
 
   CallersEndpoint(GatewayCore core, Beliefs beliefs, ReadLag lag, Duration grace) {
     this.core = core;
@@ -61,7 +64,8 @@
             core.now());
     exchange.onGone(call::markGone);
     lag.read(exchange::whenReadsCaughtUp);
-    if (exchange.arrival().isFirstLook()) {
+    unadmitted.add(call);
+    if (exchange.arrival().isFirstLook() && !core.hasStopped()) {
       exchange.whenReadsCaughtUp(() -> core.run(() -> admit(call)));
     } else {
       admit(call);
@@ -69,18 +73,37 @@
   }
 
   private void admit(InboundCall call) {
-    if ((isStarting() || lag.isBehind()) && early.size() < MAX_EARLY_CALLS) {
+    if (isToWait() && early.size() < MAX_EARLY_CALLS) {
       early.addLast(call);
     } else {
       filter(call);
     }
   }
 
+  private boolean isToWait() {
+    return !core.hasStopped() && (isStarting() || lag.isBehind());
+  }
+
   private boolean isStarting() {
     return beliefs.routing().isEmpty() || !core.knowsServers();
   }
 
+  /** Returns how many requests were read and have neither passed the filters nor been answered. */
+  int unadmitted() {
+    return (int) unadmitted.stream().filter(call -> !call.isGone()).count();
+  }
+
+  /** Refuses all requests from now on, and those at once that were read and not admitted. */
+  void stopTaking() {
+    core.stopTaking();
+    early.clear();
+    List.copyOf(unadmitted).forEach(this::filter);
+  }
+
   private void filter(InboundCall call) {
+    if (!unadmitted.remove(call)) {
+      return; // refused when the process stopped taking requests
+    }
     if (call.isGone()) {
       DecisionLog.write("caller-gone-early", "request", call.fields().id());
       return;
