Tell how far a stream had come that broke, timed out or was left

Lines of a stream that timed out, was broken off or was left by its caller did not tell a silent server from a caller that did not read, or from a server that this process had stopped reading. They now say how many events came, when the last one did, whether reading was paused, and how many bytes the caller had not taken. What a stream has come to is kept in a class of its own, StreamProgress, over all attempts.

ExplanationIT reads the fields from the lines of a broken stream.

--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.forward.AttemptEnd;
 import org.wigeonstage.http.AnswerHead;
 import org.wigeonstage.http.AnswerListener;
 import org.wigeonstage.http.ClientExchange;
@@ -70,6 +71,17 @@
     this.watchedSince = watchedFrom;
   }
 
+  /** Returns what the end of an attempt says about its server. */
+  static AttemptResult resultOf(AttemptEnd end) {
+    return switch (end) {
+      case NOT_SENT, LOST -> AttemptResult.UNREACHABLE;
+      case TIMED_OUT -> AttemptResult.NEUTRAL;
+      case MISDIRECTED -> AttemptResult.REPLACED;
+      case DECLINED -> AttemptResult.DECLINED;
+      case INVALID, FAILED, CUT -> AttemptResult.FAILED;
+    };
+  }
+
   BackendServer server() {
     return server;
   }
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.fleet.BackendServer;
@@ -57,6 +56,7 @@
   private PlacedRequest placed;
   private final Duration deadline;
   private final RequestTrail trail;
+  private final StreamProgress progress;
   private final EventSplitter splitter = new EventSplitter();
   private final ByteArrayOutputStream held = new ByteArrayOutputStream();
   private @Nullable Attempt attempt;
@@ -68,7 +68,6 @@
   private boolean begun;
   private boolean finished;
   private boolean paused;
-  private long lastEventId = -1;
 
   ForwardedRequest(
       GatewayCore core,
@@ -85,7 +84,7 @@
     this.arrivedAt = placed.arrivedAt();
     this.deadline = deadline;
     this.trail = trail;
-    call.fields().resumeAfter().ifPresent(id -> lastEventId = id);
+    this.progress = new StreamProgress(call.fields().resumeAfter());
   }
 
   PlacedRequest placed() {
@@ -132,7 +131,7 @@
             server.id(),
             remaining,
             call.account().map(account -> account.name()),
-            lastEventId >= 0 ? OptionalLong.of(lastEventId) : OptionalLong.empty());
+            progress.lastEventId());
     OutboundCall outbound =
         new OutboundCall(
             exchange().method(),
@@ -178,7 +177,7 @@
     }
     Optional<AttemptEnd> end = endOf(newHead, fields);
     if (end.isPresent()) {
-      attemptEnded(source, end.get(), resultOf(end.get()));
+      attemptEnded(source, end.get(), Attempt.resultOf(end.get()));
     }
   }
 
@@ -211,16 +210,6 @@
     return route.mayRepeat() && hasAttemptsLeft() && core.tryRepeat(pool);
   }
 
-  private static AttemptResult resultOf(AttemptEnd end) {
-    return switch (end) {
-      case NOT_SENT, LOST -> AttemptResult.UNREACHABLE;
-      case TIMED_OUT -> AttemptResult.NEUTRAL;
-      case MISDIRECTED -> AttemptResult.REPLACED;
-      case DECLINED -> AttemptResult.DECLINED;
-      case INVALID, FAILED, CUT -> AttemptResult.FAILED;
-    };
-  }
-
   /** Takes part of an answer's body. */
   void continued(Attempt source, byte[] data) {
     AnswerHead current = head;
@@ -230,12 +219,12 @@
     source.dataArrived(core.now());
     if (isStream) {
       for (EventSplitter.Event event : splitter.feed(data)) {
-        event.id().ifPresent(id -> lastEventId = id);
+        progress.passedOn(event, core.now());
         source.eventArrived();
         write(current, event.bytes());
       }
       if (splitter.isTooLong()) {
-        attemptEnded(source, AttemptEnd.INVALID, resultOf(AttemptEnd.INVALID));
+        attemptEnded(source, AttemptEnd.INVALID, Attempt.resultOf(AttemptEnd.INVALID));
         return;
       }
     } else if (begun) {
@@ -336,7 +325,7 @@
     if (wasSent) {
       end = head == null ? AttemptEnd.LOST : AttemptEnd.CUT;
     }
-    attemptEnded(source, end, resultOf(end));
+    attemptEnded(source, end, Attempt.resultOf(end));
   }
 
   /** Ends an attempt and decides what follows. */
@@ -357,6 +346,7 @@
             .put("verdict", verdict.name())
             .notable();
     source.describe(step);
+    describeStream(step);
     if (end == AttemptEnd.DECLINED || end == AttemptEnd.FAILED) {
       source.report(result);
     } else {
@@ -468,6 +458,7 @@
             .put("attempts", attempts)
             .put("endReadMillisAgo", unhandled.toMillis())
             .notable();
+    describeStream(step);
     Attempt current = attempt;
     attempt = null;
     if (current != null) {
@@ -481,11 +472,20 @@
 
   private void breakOff() {
     finished = true;
-    trail.step("broken-off").put("lastEvent", lastEventId).notable();
+    describeStream(
+        trail.step("broken-off").put("lastEvent", progress.lastEventId().orElse(-1)).notable());
     exchange().abort();
     core.finished(this, RequestOutcome.BROKEN_OFF);
   }
 
+  /** Notes how far a stream had come, here and at its caller. */
+  private void describeStream(RequestTrail.Step step) {
+    if (isStream) {
+      progress.describe(step, core.now());
+      step.put("readingPaused", paused).put("untakenBytes", exchange().backlog());
+    }
+  }
+
   private void fail(ErrorCode code, String detail) {
     reject(Rejection.of(code, detail));
   }
--- a/src/test/java/org/wigeonstage/gateway/ExplanationIT.java
+++ b/src/test/java/org/wigeonstage/gateway/ExplanationIT.java
@@ -107,6 +107,25 @@
             "placed", "connection-lost", "end=CUT", "verdict=RESUME", "broken-off", "lastEvent=3");
   }
 
+  @Test
+  void tellsHowFarABrokenStreamHadComeAndWhetherItsCallerTookIt() throws Exception {
+    fixture.runners.get(0).behave(Behaviour.CUTS_ANSWER);
+    fixture.call("stream", "broken-2");
+    assertThat(String.join("\n", story("broken-2")))
+        .containsSubsequence(
+            "attempt-ended",
+            "end=CUT",
+            "events=3",
+            "lastEventMillisAgo=",
+            "readingPaused=false",
+            "untakenBytes=",
+            "broken-off",
+            "events=3",
+            "lastEventMillisAgo=",
+            "readingPaused=false",
+            "untakenBytes=");
+  }
+
   /** Requests are refused now and then, because confirmations come less often than they must. */
   @Test
   void writesAllLinesOfARequestOrNone() throws Exception {
