Go on listening to a silent server where no other attempt can follow

Callers saw answers end that their server would still have given: a stream broke off, or a request that may repeat was answered 502, because its server had been silent for longer than silence is waited for.

Cause: a silent attempt was ended first, and what could follow was asked afterwards. Where the retry budget was used up, the verdict was then to break off or to report an unknown outcome; where no other server was there, the request went to the same silent server once more; and where the time to wait for a place was over and no place was free, it was given up on the next tick.

Now an attempt is given up for silence only where the policy, the retry budget and the scheduler let another one follow: at once, or within the time that the request can still wait. Otherwise the server is avoided, once for each attempt, and its answer is waited for to the end. A connection that is established just as it is given up is no longer counted as a lost answer.

PoolSchedulerTest and RetryBudgetTest cover the two new questions. What a server costs a request is now reckoned in ServerLoad, and what an answer's head means in AnswerCheck.

--- /dev/null
+++ b/src/main/java/org/wigeonstage/gateway/AnswerCheck.java
@@ -0,0 +1,52 @@
+package org.wigeonstage.gateway;
+
+import java.util.Optional;
+import org.wigeonstage.forward.AnswerFields;
+import org.wigeonstage.forward.AttemptEnd;
+import org.wigeonstage.http.AnswerHead;
+import org.wigeonstage.routes.Route;
+import org.wigeonstage.routes.RouteKind;
+
+/** Tells from the beginning of a backend server's answer what it is. */
+final class AnswerCheck {
+
+  private static final int OK = 200;
+  private static final int MULTIPLE_CHOICES = 300;
+  private static final int SERVER_ERROR = 500;
+  private static final int MISDIRECTED = 421;
+
+  private AnswerCheck() {}
+
+  /** Returns how the attempt ended if its answer is none to the request with an identifier. */
+  static Optional<AttemptEnd> endOf(AnswerHead head, AnswerFields fields, String requestId) {
+    if (fields.requestId().isPresent() && !fields.requestId().get().equals(requestId)) {
+      return Optional.of(AttemptEnd.INVALID);
+    }
+    if (head.status() == MISDIRECTED) {
+      return Optional.of(AttemptEnd.MISDIRECTED);
+    }
+    if (fields.isNotRun()) {
+      return Optional.of(AttemptEnd.DECLINED);
+    }
+    boolean isUnusable = !fields.isSigned() || fields.isEncoded();
+    return isSuccess(head) && isUnusable ? Optional.of(AttemptEnd.INVALID) : Optional.empty();
+  }
+
+  static boolean isSuccess(AnswerHead head) {
+    return head.status() >= OK && head.status() < MULTIPLE_CHOICES;
+  }
+
+  static boolean isFailure(AnswerHead head) {
+    return head.status() >= SERVER_ERROR;
+  }
+
+  /** Returns whether the answer to a request of a route is a stream of events. */
+  static boolean isEventStream(Route route, AnswerHead head) {
+    return route.kind() == RouteKind.STREAMING
+        && head.status() == OK
+        && head.fields()
+            .first("Content-Type")
+            .map(type -> type.startsWith("text/event-stream"))
+            .orElse(false);
+  }
+}
--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -53,6 +53,7 @@
   private Duration watchedSince;
   private int events;
   private boolean reported;
+  private boolean suspected;
   private boolean isConfirming;
 
   Attempt(
@@ -139,19 +140,17 @@
     return first == null ? Duration.ZERO : first.minus(moment);
   }
 
+  /** Returns whether there is no connection after the time in which one is established. */
+  boolean isUnconnected() {
+    return core.watchedTime().minus(watchedFrom).compareTo(CONNECT_TIMEOUT) > 0;
+  }
+
   /**
    * Returns whether the server was silent for so long that it is taken as lost. Only time counts in
    * which this process was awake to hear it.
    */
-  boolean isSilent(Route route, boolean canRepeat) {
-    Duration watched = core.watchedTime();
-    if (!wasSent()) {
-      return watched.minus(watchedFrom).compareTo(CONNECT_TIMEOUT) > 0;
-    }
-    if (!route.mayRepeat() || !canRepeat) {
-      return false;
-    }
-    Duration silence = watched.minus(watchedSince);
+  boolean isSilent(Route route) {
+    Duration silence = core.watchedTime().minus(watchedSince);
     if (core.isSuspect(request, server)) {
       return silence.compareTo(SUSPECT_PATIENCE) > 0;
     }
@@ -216,6 +215,18 @@
     }
   }
 
+  /** Has the server avoided for its silence, once, while its answer is still waited for. */
+  void suspect() {
+    if (!suspected) {
+      suspected = true;
+      core.suspect(request, server);
+    }
+  }
+
+  boolean isSuspected() {
+    return suspected;
+  }
+
   /** Ends the attempt and closes its connection, so that the server stops its work. */
   void abandon(AttemptResult result) {
     report(result);
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -43,11 +43,6 @@
   /** Callers leave a stream after a pause of two seconds or more. */
   private static final Duration RESUME_PATIENCE = Duration.ofMillis(1700);
 
-  private static final int OK = 200;
-  private static final int MULTIPLE_CHOICES = 300;
-  private static final int SERVER_ERROR = 500;
-  private static final int MISDIRECTED = 421;
-
   private final GatewayCore core;
   private final InboundCall call;
   private final Route route;
@@ -170,7 +165,7 @@
     AnswerFields fields = core.dialect().decodeAnswer(newHead.fields());
     head = newHead;
     passedBack = fields.passedBack();
-    isStream = isEventStream(newHead);
+    isStream = AnswerCheck.isEventStream(route, newHead);
     source.headArrived(core.now());
     if (fields.isLeaving()) {
       core.serverClosesConnections(source.server());
@@ -183,26 +178,14 @@
 
   /** Returns how the attempt ended if this head can't begin the caller's answer. */
   private Optional<AttemptEnd> endOf(AnswerHead newHead, AnswerFields fields) {
-    boolean isForeign =
-        fields.requestId().isPresent() && !fields.requestId().get().equals(call.fields().id());
-    int status = newHead.status();
-    if (isForeign) {
-      return Optional.of(AttemptEnd.INVALID);
-    }
-    if (status == MISDIRECTED) {
-      return Optional.of(AttemptEnd.MISDIRECTED);
-    }
-    if (fields.isNotRun()) {
-      return Optional.of(AttemptEnd.DECLINED);
-    }
-    boolean isSuccess = status >= OK && status < MULTIPLE_CHOICES;
-    if (isSuccess && (!fields.isSigned() || fields.isEncoded())) {
-      return Optional.of(AttemptEnd.INVALID);
+    Optional<AttemptEnd> end = AnswerCheck.endOf(newHead, fields, call.fields().id());
+    if (end.isPresent()) {
+      return end;
     }
-    if (status >= SERVER_ERROR && (begun || canRepeatFailure())) {
+    if (AnswerCheck.isFailure(newHead) && (begun || canRepeatFailure())) {
       return Optional.of(AttemptEnd.FAILED);
     }
-    boolean canGoOn = isSuccess && isStream;
+    boolean canGoOn = AnswerCheck.isSuccess(newHead) && isStream;
     return begun && !canGoOn ? Optional.of(AttemptEnd.INVALID) : Optional.empty();
   }
 
@@ -239,16 +222,6 @@
     pauseIfBehind(source);
   }
 
-  private boolean isEventStream(AnswerHead current) {
-    return route.kind() == RouteKind.STREAMING
-        && current.status() == OK
-        && current
-            .fields()
-            .first("Content-Type")
-            .map(type -> type.startsWith("text/event-stream"))
-            .orElse(false);
-  }
-
   private void write(AnswerHead current, byte[] data) {
     if (!begun) {
       begun = true;
@@ -284,7 +257,7 @@
     if (source != attempt || finished || current == null) {
       return;
     }
-    boolean hasFailed = current.status() >= SERVER_ERROR;
+    boolean hasFailed = AnswerCheck.isFailure(current);
     source.report(hasFailed ? AttemptResult.FAILED : AttemptResult.SERVED);
     attempt = null;
     finished = true;
@@ -330,12 +303,15 @@
 
   /** Ends an attempt and decides what follows. */
   private void attemptEnded(Attempt source, AttemptEnd end, AttemptResult result) {
-    attempt = null;
-    splitter.takeRest();
     if (end == AttemptEnd.NOT_SENT) {
       attempts--;
     }
-    Verdict verdict = decide(end);
+    attemptEnded(source, end, result, decide(end));
+  }
+
+  private void attemptEnded(Attempt source, AttemptEnd end, AttemptResult result, Verdict verdict) {
+    attempt = null;
+    splitter.takeRest();
     mayHaveRun |= !end.isNotRun();
     RequestTrail.Step step =
         trail
@@ -359,13 +335,16 @@
     boolean isFree = end == AttemptEnd.NOT_SENT || end == AttemptEnd.FAILED;
     boolean canTry = hasAttemptsLeft() && deadline.minus(core.now()).compareTo(MIN_REMAINING) > 0;
     Verdict wish = AttemptPolicy.decide(end, context(canTry));
-    boolean isRepeat = wish == Verdict.RETRY || wish == Verdict.RESUME;
-    if (!isRepeat || isFree || core.tryRepeat(pool)) {
+    if (!isRepeat(wish) || isFree || core.tryRepeat(pool)) {
       return wish;
     }
     return AttemptPolicy.decide(end, context(false));
   }
 
+  private static boolean isRepeat(Verdict verdict) {
+    return verdict == Verdict.RETRY || verdict == Verdict.RESUME;
+  }
+
   private boolean hasAttemptsLeft() {
     return attempts < route.maxAttempts();
   }
@@ -407,19 +386,54 @@
       return;
     }
     Attempt current = attempt;
-    if (current != null && current.isSilent(route, hasAttemptsLeft())) {
+    if (current != null && isGivenUp(current)) {
       current.whenSilenceIsCertain(() -> endSilent(current));
     }
   }
 
+  private boolean isGivenUp(Attempt current) {
+    if (!current.wasSent()) {
+      return current.isUnconnected();
+    }
+    return current.isSilent(route)
+        && isRepeat(AttemptPolicy.decide(endOfSilent(), context(hasAttemptsLeft())))
+        && (!current.isSuspected() || canRepeatElsewhere());
+  }
+
+  private AttemptEnd endOfSilent() {
+    return head == null ? AttemptEnd.LOST : AttemptEnd.CUT;
+  }
+
+  private boolean canRepeatElsewhere() {
+    Duration startBy = begun ? core.now().plus(RESUME_PATIENCE) : placed.startBy();
+    return core.canRepeatElsewhere(this, startBy);
+  }
+
+  /**
+   * Gives a silent attempt up for another one. Where none can follow now, its answer is the only
+   * one that may come, and the server is just avoided.
+   */
   private void endSilent(Attempt current) {
-    if (current == attempt && !finished && current.isSilent(route, hasAttemptsLeft())) {
-      AttemptEnd end = AttemptEnd.NOT_SENT;
-      if (!current.cancelUnsent()) {
-        end = head == null ? AttemptEnd.LOST : AttemptEnd.CUT;
+    if (current != attempt || finished || !isGivenUp(current)) {
+      return;
+    }
+    if (current.cancelUnsent()) {
+      attemptEnded(current, AttemptEnd.NOT_SENT, AttemptResult.UNREACHABLE);
+      return;
+    }
+    boolean isKnown = current.isSuspected();
+    if (canRepeatElsewhere()) {
+      Verdict verdict = decide(endOfSilent());
+      if (isRepeat(verdict)) {
+        attemptEnded(
+            current,
+            endOfSilent(),
+            isKnown ? AttemptResult.NEUTRAL : AttemptResult.UNREACHABLE,
+            verdict);
+        return;
       }
-      attemptEnded(current, end, AttemptResult.UNREACHABLE);
     }
+    current.suspect();
   }
 
   private void timeOut() {
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -423,6 +423,19 @@
     return watchedTime;
   }
 
+  /** Has a server avoided that has fallen silent. */
+  void suspect(ForwardedRequest request, BackendServer server) {
+    client.forget(Endpoint.of(server.address()));
+    pool(request.pool()).suspect(server.id(), now());
+  }
+
+  /** Returns whether the budget allows a repeat, and another server is expected to take it. */
+  boolean canRepeatElsewhere(ForwardedRequest request, Duration startBy) {
+    Duration now = now();
+    return budget(request.pool()).allowsRepeat(gateways, now)
+        && pool(request.pool()).canStartElsewhere(request.placed(), startBy, now);
+  }
+
   boolean isSuspect(ForwardedRequest request, BackendServer server) {
     return pool(request.pool()).isSuspect(server.id(), now());
   }
--- a/src/main/java/org/wigeonstage/placement/PlacedRequest.java
+++ b/src/main/java/org/wigeonstage/placement/PlacedRequest.java
@@ -99,7 +99,12 @@
     return arrivedAt;
   }
 
-  Duration startBy() {
+  /**
+   * Returns the latest start that is of use.
+   *
+   * @return the time
+   */
+  public Duration startBy() {
     return startBy;
   }
 
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -27,9 +28,6 @@
  */
 public final class PoolScheduler {
 
-  /** The time that a failed request costs its caller, for weighing servers that fail some. */
-  private static final double FAILURE_COST_MILLIS = 1500;
-
   private static final double NANOS_PER_MILLI = 1e6;
 
   /** Servers whose costs differ by less are taken as alike. */
@@ -261,6 +259,32 @@
     dispatch(now);
   }
 
+  /**
+   * Notes that a server has fallen silent.
+   *
+   * @param serverId the server
+   * @param now the time
+   */
+  public void suspect(String serverId, Duration now) {
+    load(serverId).ifPresent(load -> load.unreachable(now));
+  }
+
+  /**
+   * Returns whether a sound server that has not had a request can be expected to take it in time.
+   *
+   * @param request the request
+   * @param startBy the latest start that is of use; a place that is free is taken later, too
+   * @param now the time
+   * @return whether it would be started there
+   */
+  public boolean canStartElsewhere(PlacedRequest request, Duration startBy, Duration now) {
+    boolean isInTime = now.plus(expectedWait(request.urgency(), now)).compareTo(startBy) < 0;
+    Collection<ServerLoad> candidates = isInTime ? servers.values() : openServers(request, now);
+    return candidates.stream()
+        .filter(ServerLoad::takesNewWork)
+        .anyMatch(load -> !load.isSuspect(now) && !request.hasTried(load.server().id()));
+  }
+
   /**
    * Returns whether a server could not be reached lately.
    *
@@ -386,25 +410,30 @@
   }
 
   private Optional<ServerLoad> choose(PlacedRequest request, Duration now) {
+    List<ServerLoad> open = openServers(request, now);
+    List<ServerLoad> untried = new ArrayList<>();
+    for (ServerLoad load : open) {
+      if (!request.hasTried(load.server().id())) {
+        untried.add(load);
+      }
+    }
+    return cheapest(untried.isEmpty() ? open : untried, request, now);
+  }
+
+  /** Returns the servers with a place that is not left to more urgent requests elsewhere. */
+  private List<ServerLoad> openServers(PlacedRequest request, Duration now) {
     int rank = request.urgency().routeRank();
     boolean allSuspect = areAllSuspect(now);
     List<ServerLoad> open = new ArrayList<>();
-    List<ServerLoad> untried = new ArrayList<>();
     int places = 0;
     for (ServerLoad load : servers.values()) {
       int free = load.places(rank);
       if (free > 0 && !load.isDeclining(now) && (allSuspect || !load.isSuspect(now))) {
         places += free;
         open.add(load);
-        if (!request.hasTried(load.server().id())) {
-          untried.add(load);
-        }
       }
     }
-    if (places <= moreUrgentElsewhere(request.urgency())) {
-      return Optional.empty();
-    }
-    return cheapest(untried.isEmpty() ? open : untried, request, now);
+    return places > moreUrgentElsewhere(request.urgency()) ? open : List.of();
   }
 
   private boolean areAllSuspect(Duration now) {
@@ -428,7 +457,7 @@
     double[] costs = new double[loads.size()];
     double least = Double.MAX_VALUE;
     for (int i = 0; i < costs.length; i++) {
-      costs[i] = cost(loads.get(i), request, now);
+      costs[i] = loads.get(i).cost(request, now);
       least = Math.min(least, costs[i]);
     }
     double highest = least + ALIKE_MILLIS;
@@ -450,13 +479,6 @@
     return count;
   }
 
-  private static double cost(ServerLoad load, PlacedRequest request, Duration now) {
-    Duration firstPart = load.expectedFirstPart(request);
-    return firstPart.toNanos() / NANOS_PER_MILLI
-        + load.failureRate() * FAILURE_COST_MILLIS
-        + load.expectedOverrun(request, now.plus(firstPart)).toMillis();
-  }
-
   /** Returns how long the requests of an urgency that wait already will take to start. */
   private Duration expectedWait(Urgency urgency, Duration now) {
     List<PlacedRequest> queue = waiting.get(urgency);
--- a/src/main/java/org/wigeonstage/placement/ServerLoad.java
+++ b/src/main/java/org/wigeonstage/placement/ServerLoad.java
@@ -30,6 +30,9 @@
   /** Further doublings of a pause exceed the longest one, and would overflow in the end. */
   private static final int MAX_DOUBLINGS = 6;
 
+  /** The time that a failed request costs its caller, for weighing servers that fail some. */
+  private static final double FAILURE_COST_MILLIS = 1500;
+
   private static final double NANOS_PER_MILLI = 1e6;
   private static final double NANOS_PER_SECOND = 1e9;
 
@@ -177,10 +180,6 @@
     return Math.max(0, limit - occupied());
   }
 
-  double failureRate() {
-    return failureRate;
-  }
-
   /** Returns the expected time to the first part of the request's answer. */
   Duration expectedFirstPart(PlacedRequest request) {
     long unread = request.promptTokens();
@@ -203,13 +202,21 @@
    * Returns by how much the whole answer is expected to miss the request's deadline where its first
    * part comes at a time.
    */
-  Duration expectedOverrun(PlacedRequest request, Duration firstPartAt) {
+  private Duration expectedOverrun(PlacedRequest request, Duration firstPartAt) {
     Duration events =
         Duration.ofNanos((long) (request.expectedEvents() * millisPerEvent() * NANOS_PER_MILLI));
     Duration overrun = firstPartAt.plus(events).minus(request.deadline());
     return overrun.isNegative() ? Duration.ZERO : overrun;
   }
 
+  /** Returns what the request is expected to cost its caller here, in milliseconds. */
+  double cost(PlacedRequest request, Duration now) {
+    Duration firstPart = expectedFirstPart(request);
+    return firstPart.toNanos() / NANOS_PER_MILLI
+        + failureRate * FAILURE_COST_MILLIS
+        + expectedOverrun(request, now.plus(firstPart)).toMillis();
+  }
+
   ServerEstimate estimate(PlacedRequest request) {
     return new ServerEstimate(
         running.size(), runningElsewhere, server.slots(), expectedFirstPart(request));
--- a/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
+++ b/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
@@ -35,6 +35,10 @@
     LOSES_ANSWER,
     /** Run, and the answer breaks off in its middle. */
     CUTS_ANSWER,
+    /**
+     * Run, and the answer stands still for seconds, a stream's in its middle, and is whole then.
+     */
+    PAUSES,
     /** Run, and the answer names another request. */
     ANSWERS_ANOTHER,
     /** Run, and a stream is answered with a plain body. */
@@ -52,6 +56,7 @@
   private static final int MAX_BODY_BYTES = 1024 * 1024;
   private static final int EVENTS = 8;
   private static final long EVENT_MILLIS = 5;
+  private static final long PAUSE_MILLIS = 2500;
   private static final int ENDLESS_PART_BYTES = 64 * 1024;
   private static final int OK = 200;
   private static final int MISDIRECTED = 421;
@@ -183,7 +188,10 @@
     if (current == Behaviour.FAILS) {
       exchange.respond(FAILURE, fields, "failed".getBytes(StandardCharsets.UTF_8));
     } else if (exchange.header("Token-Count") != null && current != Behaviour.ANSWERS_PLAINLY) {
-      stream(exchange, fields, current == Behaviour.CUTS_ANSWER);
+      stream(exchange, fields, current);
+    } else if (current == Behaviour.PAUSES) {
+      HeaderFields whole = fields;
+      timer.schedule(() -> plain(exchange, whole, false), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
     } else {
       plain(exchange, fields, current == Behaviour.CUTS_ANSWER);
     }
@@ -200,16 +208,16 @@
     }
   }
 
-  private void stream(ServerExchange exchange, HeaderFields fields, boolean cut) {
+  private void stream(ServerExchange exchange, HeaderFields fields, Behaviour current) {
     String resumed = exchange.header("Last-Event-Id");
     int first = resumed == null ? 1 : Integer.parseInt(resumed) + 1;
     exchange.begin(OK, fields.with("Content-Type", "text/event-stream"), -1);
-    if (behaviour == Behaviour.SENDS_WITHOUT_END) {
+    if (current == Behaviour.SENDS_WITHOUT_END) {
       AtomicBoolean cutOff = new AtomicBoolean();
       exchange.onGone(() -> cutOff.set(true));
       sendWithoutEnd(exchange, cutOff);
     } else {
-      sendEvent(exchange, first, cut);
+      sendEvent(exchange, first, current);
     }
   }
 
@@ -231,20 +239,24 @@
     return sentWithoutEnd.get();
   }
 
-  private void sendEvent(ServerExchange exchange, int number, boolean cut) {
+  private void sendEvent(ServerExchange exchange, int number, Behaviour current) {
     if (number > EVENTS) {
       exchange.end();
       return;
     }
     String event = "id: " + number + "\ndata: event " + number + "\n\n";
-    if (cut && number == EVENTS / 2) {
+    if (current == Behaviour.CUTS_ANSWER && number == EVENTS / 2) {
       String half = event.substring(0, event.length() / 2);
       exchange.write(half.getBytes(StandardCharsets.UTF_8));
       timer.schedule(exchange::abort, EVENT_MILLIS, TimeUnit.MILLISECONDS);
       return;
     }
     exchange.write(event.getBytes(StandardCharsets.UTF_8));
-    timer.schedule(() -> sendEvent(exchange, number + 1, cut), EVENT_MILLIS, TimeUnit.MILLISECONDS);
+    boolean pauses = current == Behaviour.PAUSES && number == EVENTS / 2;
+    timer.schedule(
+        () -> sendEvent(exchange, number + 1, current),
+        pauses ? PAUSE_MILLIS : EVENT_MILLIS,
+        TimeUnit.MILLISECONDS);
   }
 
   @Override
--- a/src/main/java/org/wigeonstage/quota/RetryBudget.java
+++ b/src/main/java/org/wigeonstage/quota/RetryBudget.java
@@ -47,16 +47,27 @@
    * @return whether the attempt may be made
    */
   public boolean tryRepeat(int gateways, Duration now) {
-    int bucket = bucket(now);
-    double allowed =
-        limits.safety() * (limits.ratio() * sum(requests) + (double) limits.fixed() / gateways);
-    if (sum(repeats) + 1 > allowed) {
+    if (!allowsRepeat(gateways, now)) {
       return false;
     }
-    repeats[bucket]++;
+    repeats[bucket(now)]++;
     return true;
   }
 
+  /**
+   * Returns whether an attempt may be made that follows a first one, without taking it.
+   *
+   * @param gateways the number of gateways that share the budget
+   * @param now the time
+   * @return whether it may be made
+   */
+  public boolean allowsRepeat(int gateways, Duration now) {
+    bucket(now);
+    double allowed =
+        limits.safety() * (limits.ratio() * sum(requests) + (double) limits.fixed() / gateways);
+    return sum(repeats) + 1 <= allowed;
+  }
+
   private int bucket(Duration now) {
     long index = now.toNanos() / bucketNanos;
     long cleared = Math.min(index - current, BUCKETS);
--- a/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -24,14 +24,21 @@
 final class GatewayFixture implements Closeable {
 
   private static final Endpoint ANY_PORT = new Endpoint("127.0.0.1", 0);
+  private static final Duration DEADLINE = Duration.ofMillis(2500);
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
   private final Closer closer = Closer.create();
   final StoreStandin store = closer.register(StoreStandin.start(ANY_PORT));
   final List<RunnerStandin> runners = new ArrayList<>();
+  private final ObjectNode furtherSettings;
   final GatewayProcess gateway;
 
   GatewayFixture(int runnerCount, ObjectNode configuration) {
+    this(runnerCount, configuration, JsonNodeFactory.instance.objectNode());
+  }
+
+  GatewayFixture(int runnerCount, ObjectNode configuration, ObjectNode furtherSettings) {
+    this.furtherSettings = furtherSettings;
     for (int i = 1; i <= runnerCount; i++) {
       addRunner("runner-" + i);
     }
@@ -62,6 +69,7 @@
     for (String address : List.of("callers", "readiness", "peers", "metrics")) {
       settings.put(address, ANY_PORT.toString());
     }
+    settings.setAll(furtherSettings);
     HttpClient client = closer.register(HttpClient.start("store", 1));
     PlatformAdapter adapter = new PlatformAdapter(client, store.endpoint());
     return closer.register(
@@ -87,9 +95,15 @@
 
   /** Sends one request on a connection of its own. */
   String call(String route, String id, String... fields) throws IOException {
+    return call(route, id, DEADLINE, fields);
+  }
+
+  /** Sends one request with a deadline on a connection of its own. */
+  String call(String route, String id, Duration deadline, String... fields) throws IOException {
     StringBuilder request = new StringBuilder("POST /" + route + "/x?q=1 HTTP/1.1\r\n");
     request.append("Host: 127.0.0.1\r\nConnection: close\r\nAttempt-Id: ").append(id);
-    request.append("\r\nDeadline-Ms: 2500\r\nCredential: key\r\nContent-Length: 4\r\n");
+    request.append("\r\nDeadline-Ms: ").append(deadline.toMillis());
+    request.append("\r\nCredential: key\r\nContent-Length: 4\r\n");
     if (route.equals("stream")) {
       request.append("Token-Count: 10,20\r\n");
     }
--- a/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
+++ b/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
@@ -419,4 +419,30 @@
         .anyMatch(entry -> entry.getValue().equals(declining));
     assertThat(scheduler.isSuspect(declining, millis(20))).isFalse();
   }
+
+  /** A server falls silent; its answer is given up only for a start that can be expected. */
+  @Test
+  void expectsAStartOnlyAtASoundServerThatHasNotHadTheRequest() {
+    servers(server("a", 1, false));
+    PlacedRequest silent = submit("silent", 1, 0);
+    assertThat(scheduler.canStartElsewhere(silent, millis(2000), millis(500))).isFalse();
+    servers(server("a", 1, false), server("b", 1, true));
+    assertThat(scheduler.canStartElsewhere(silent, millis(2000), millis(500))).isFalse();
+    servers(server("a", 1, false), server("b", 1, false));
+    assertThat(scheduler.canStartElsewhere(silent, millis(2000), millis(500))).isTrue();
+    scheduler.suspect("b", millis(500));
+    assertThat(scheduler.canStartElsewhere(silent, millis(2000), millis(600))).isFalse();
+  }
+
+  /** The time to wait for a place is over, so only a free one is of use. */
+  @Test
+  void expectsALateStartOnlyAtAFreePlace() {
+    servers(server("a", 1, false), server("b", 1, false));
+    PlacedRequest silent = submit("silent", 1, 0);
+    assertThat(scheduler.canStartElsewhere(silent, millis(2000), millis(2100))).isTrue();
+    submit("other", 1, 0);
+    assertThat(started).containsKey("other");
+    assertThat(scheduler.canStartElsewhere(silent, millis(2000), millis(2100))).isFalse();
+    assertThat(scheduler.canStartElsewhere(silent, millis(3000), millis(2100))).isTrue();
+  }
 }
--- a/src/test/java/org/wigeonstage/quota/RetryBudgetTest.java
+++ b/src/test/java/org/wigeonstage/quota/RetryBudgetTest.java
@@ -50,4 +50,13 @@
       assertThat(inWindow).isLessThanOrEqualTo(200 + 10 + 11);
     }
   }
+
+  @Test
+  void tellsWhetherARepeatIsAllowedWithoutTakingIt() {
+    RetryBudget budget = new RetryBudget(new RetryLimits(0, 1, Duration.ofSeconds(10), 1));
+    assertThat(budget.allowsRepeat(1, Duration.ofSeconds(1))).isTrue();
+    assertThat(budget.tryRepeat(1, Duration.ofSeconds(1))).isTrue();
+    assertThat(budget.allowsRepeat(1, Duration.ofSeconds(1))).isFalse();
+    assertThat(budget.allowsRepeat(1, Duration.ofSeconds(30))).isTrue();
+  }
 }
