Keep the answer to the caller in a class of its own

CallerAnswer takes over what the caller gets: held bodies, events, the pause of a caller that is behind. No change of behaviour, but that a begun stream whose next server declined still tells how far it had come. SilentServerIT, ExplanationIT and GatewayIT pass.

--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -1,6 +1,5 @@
 package org.wigeonstage.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
@@ -11,7 +10,6 @@
 import org.wigeonstage.forward.AttemptEnd;
 import org.wigeonstage.forward.AttemptFields;
 import org.wigeonstage.forward.AttemptPolicy;
-import org.wigeonstage.forward.EventSplitter;
 import org.wigeonstage.forward.Verdict;
 import org.wigeonstage.http.AnswerHead;
 import org.wigeonstage.http.Endpoint;
@@ -21,7 +19,6 @@
 import org.wigeonstage.placement.PlacedRequest;
 import org.wigeonstage.placement.Refusal;
 import org.wigeonstage.placement.ServerEstimate;
-import org.wigeonstage.request.HeaderFields;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.routes.RouteKind;
 
@@ -31,12 +28,6 @@
  */
 final class ForwardedRequest {
 
-  /** Bodies up to this size are held until they are whole, so that a broken one can be replaced. */
-  private static final int MAX_HELD_BYTES = 64 * 1024;
-
-  /** Reading from the backend server pauses while the caller is this far behind. */
-  private static final long MAX_BACKLOG_BYTES = 256 * 1024;
-
   /** The least time with which another attempt is worth making. */
   private static final Duration MIN_REMAINING = Duration.ofMillis(60);
 
@@ -51,18 +42,12 @@
   private PlacedRequest placed;
   private final Duration deadline;
   private final RequestTrail trail;
-  private final StreamProgress progress;
-  private final EventSplitter splitter = new EventSplitter();
-  private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+  private final CallerAnswer answer;
   private @Nullable Attempt attempt;
   private @Nullable AnswerHead head;
-  private HeaderFields passedBack = HeaderFields.NONE;
-  private boolean isStream;
   private int attempts;
   private boolean mayHaveRun;
-  private boolean begun;
   private boolean finished;
-  private boolean paused;
 
   ForwardedRequest(
       GatewayCore core,
@@ -79,7 +64,7 @@
     this.arrivedAt = placed.arrivedAt();
     this.deadline = deadline;
     this.trail = trail;
-    this.progress = new StreamProgress(call.fields().resumeAfter());
+    this.answer = new CallerAnswer(core, call);
   }
 
   PlacedRequest placed() {
@@ -120,13 +105,12 @@
         .put("waitedMillis", now.minus(placed.arrivedAt()).toMillis())
         .put("attempt", attempts + 1);
     head = null;
-    held.reset();
     AttemptFields fields =
         new AttemptFields(
             server.id(),
             remaining,
             call.account().map(account -> account.name()),
-            progress.lastEventId());
+            answer.lastEventId());
     OutboundCall outbound =
         new OutboundCall(
             exchange().method(),
@@ -146,7 +130,7 @@
         .step("refused")
         .put("reason", reason.name())
         .put("retryAfterMillis", retryAfter.toMillis());
-    if (begun) {
+    if (answer.hasBegun()) {
       breakOff();
       return;
     }
@@ -164,8 +148,7 @@
     }
     AnswerFields fields = core.dialect().decodeAnswer(newHead.fields());
     head = newHead;
-    passedBack = fields.passedBack();
-    isStream = AnswerCheck.isEventStream(route, newHead);
+    answer.take(newHead, fields.passedBack());
     source.headArrived(core.now());
     if (fields.isLeaving()) {
       core.serverClosesConnections(source.server());
@@ -182,11 +165,11 @@
     if (end.isPresent()) {
       return end;
     }
-    if (AnswerCheck.isFailure(newHead) && (begun || canRepeatFailure())) {
+    if (AnswerCheck.isFailure(newHead) && (answer.hasBegun() || canRepeatFailure())) {
       return Optional.of(AttemptEnd.FAILED);
     }
-    boolean canGoOn = AnswerCheck.isSuccess(newHead) && isStream;
-    return begun && !canGoOn ? Optional.of(AttemptEnd.INVALID) : Optional.empty();
+    boolean canGoOn = AnswerCheck.isSuccess(newHead) && answer.isStream();
+    return answer.hasBegun() && !canGoOn ? Optional.of(AttemptEnd.INVALID) : Optional.empty();
   }
 
   private boolean canRepeatFailure() {
@@ -200,53 +183,15 @@
       return;
     }
     source.dataArrived(core.now());
-    if (isStream) {
-      for (EventSplitter.Event event : splitter.feed(data)) {
-        progress.passedOn(event, core.now());
-        source.eventArrived();
-        write(current, event.bytes());
-      }
-      if (splitter.isTooLong()) {
-        attemptEnded(source, AttemptEnd.INVALID, Attempt.resultOf(AttemptEnd.INVALID));
-        return;
-      }
-    } else if (begun) {
-      exchange().write(data);
-    } else {
-      held.writeBytes(data);
-      if (held.size() > MAX_HELD_BYTES) {
-        write(current, held.toByteArray());
-        held.reset();
-      }
-    }
-    pauseIfBehind(source);
-  }
-
-  private void write(AnswerHead current, byte[] data) {
-    if (!begun) {
-      begun = true;
-      boolean isLengthOpen = isStream || attempts > 1;
-      begin(current, isLengthOpen ? -1 : current.contentLength());
-    }
-    exchange().write(data);
-  }
-
-  private void begin(AnswerHead current, long contentLength) {
-    exchange().begin(current.status(), core.closing(passedBack), contentLength);
-  }
-
-  private void pauseIfBehind(Attempt source) {
-    if (exchange().backlog() > MAX_BACKLOG_BYTES) {
-      paused = true;
-      source.pause();
+    if (!answer.take(current, data, source, attempts == 1)) {
+      attemptEnded(source, AttemptEnd.INVALID, Attempt.resultOf(AttemptEnd.INVALID));
     }
   }
 
   /** Goes on reading once the caller has caught up. */
   void consumed() {
     Attempt current = attempt;
-    if (paused && current != null && exchange().backlog() == 0) {
-      paused = false;
+    if (current != null && answer.catchesUp()) {
       current.resume();
     }
   }
@@ -261,18 +206,7 @@
     source.report(hasFailed ? AttemptResult.FAILED : AttemptResult.SERVED);
     attempt = null;
     finished = true;
-    if (isStream) {
-      byte[] rest = splitter.takeRest();
-      if (!begun) {
-        begin(current, -1);
-      }
-      exchange().write(rest);
-    } else if (!begun) {
-      byte[] body = held.toByteArray();
-      begin(current, body.length);
-      exchange().write(body);
-    }
-    exchange().end();
+    answer.end(current);
     RequestTrail.Step step =
         trail
             .step("answered")
@@ -311,18 +245,18 @@
 
   private void attemptEnded(Attempt source, AttemptEnd end, AttemptResult result, Verdict verdict) {
     attempt = null;
-    splitter.takeRest();
+    answer.attemptEnded();
     mayHaveRun |= !end.isNotRun();
     RequestTrail.Step step =
         trail
             .step("attempt-ended")
             .put("server", source.server().id())
             .put("end", end.name())
-            .put("begun", begun)
+            .put("begun", answer.hasBegun())
             .put("verdict", verdict.name())
             .notable();
     source.describe(step);
-    describeStream(step);
+    answer.describe(step, core.now());
     if (end == AttemptEnd.DECLINED || end == AttemptEnd.FAILED) {
       source.report(result);
     } else {
@@ -351,7 +285,11 @@
 
   private AttemptContext context(boolean canRetry) {
     return new AttemptContext(
-        route.mayRepeat(), route.kind() == RouteKind.STREAMING, begun, mayHaveRun, canRetry);
+        route.mayRepeat(),
+        route.kind() == RouteKind.STREAMING,
+        answer.hasBegun(),
+        mayHaveRun,
+        canRetry);
   }
 
   private void follow(Verdict verdict, AttemptEnd end) {
@@ -405,7 +343,7 @@
   }
 
   private boolean canRepeatElsewhere() {
-    Duration startBy = begun ? core.now().plus(RESUME_PATIENCE) : placed.startBy();
+    Duration startBy = answer.hasBegun() ? core.now().plus(RESUME_PATIENCE) : placed.startBy();
     return core.canRepeatElsewhere(this, startBy);
   }
 
@@ -444,7 +382,7 @@
       return;
     }
     core.withdraw(this);
-    if (begun) {
+    if (answer.hasBegun()) {
       breakOff();
     } else if (mayHaveRun) {
       fail(ErrorCode.DEADLINE, "the time of the request is used up");
@@ -468,11 +406,11 @@
     RequestTrail.Step step =
         trail
             .step("caller-gone")
-            .put("begun", begun)
+            .put("begun", answer.hasBegun())
             .put("attempts", attempts)
             .put("endReadMillisAgo", unhandled.toMillis())
             .notable();
-    describeStream(step);
+    answer.describe(step, core.now());
     Attempt current = attempt;
     attempt = null;
     if (current != null) {
@@ -486,20 +424,13 @@
 
   private void breakOff() {
     finished = true;
-    describeStream(
-        trail.step("broken-off").put("lastEvent", progress.lastEventId().orElse(-1)).notable());
+    answer.describe(
+        trail.step("broken-off").put("lastEvent", answer.lastEventId().orElse(-1)).notable(),
+        core.now());
     exchange().abort();
     core.finished(this, RequestOutcome.BROKEN_OFF);
   }
 
-  /** Notes how far a stream had come, here and at its caller. */
-  private void describeStream(RequestTrail.Step step) {
-    if (isStream) {
-      progress.describe(step, core.now());
-      step.put("readingPaused", paused).put("untakenBytes", exchange().backlog());
-    }
-  }
-
   private void fail(ErrorCode code, String detail) {
     reject(Rejection.of(code, detail));
   }
