--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -1,9 +1,7 @@
 package org.wigeonstage.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.fleet.BackendServer;
@@ -12,7 +10,6 @@
 import org.wigeonstage.forward.AttemptEnd;
 import org.wigeonstage.forward.AttemptFields;
 import org.wigeonstage.forward.AttemptPolicy;
-import org.wigeonstage.forward.EventSplitter;
 import org.wigeonstage.forward.Verdict;
 import org.wigeonstage.http.AnswerHead;
 import org.wigeonstage.http.Endpoint;
@@ -22,7 +19,6 @@
 import org.wigeonstage.placement.PlacedRequest;
 import org.wigeonstage.placement.Refusal;
 import org.wigeonstage.placement.ServerEstimate;
-import org.wigeonstage.request.HeaderFields;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.routes.RouteKind;
 
@@ -32,23 +28,12 @@
  */
 final class ForwardedRequest {
 
-  /** Bodies up to this size are held until they are whole, so that a broken one can be replaced. */
-  private static final int MAX_HELD_BYTES = 64 * 1024;
-
-  /** Reading from the backend server pauses while the caller is this far behind. */
-  private static final long MAX_BACKLOG_BYTES = 256 * 1024;
-
   /** The least time with which another attempt is worth making. */
   private static final Duration MIN_REMAINING = Duration.ofMillis(60);
 
   /** Callers leave a stream after a pause of two seconds or more. */
   private static final Duration RESUME_PATIENCE = Duration.ofMillis(1700);
 
-  private static final int OK = 200;
-  private static final int MULTIPLE_CHOICES = 300;
-  private static final int SERVER_ERROR = 500;
-  private static final int MISDIRECTED = 421;
-
   private final GatewayCore core;
   private final InboundCall call;
   private final Route route;
@@ -57,18 +42,12 @@
   private PlacedRequest placed;
   private final Duration deadline;
   private final RequestTrail trail;
-  private final EventSplitter splitter = new EventSplitter();
-  private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+  private final CallerAnswer answer;
   private @Nullable Attempt attempt;
   private @Nullable AnswerHead head;
-  private HeaderFields passedBack = HeaderFields.NONE;
-  private boolean isStream;
   private int attempts;
   private boolean mayHaveRun;
-  private boolean begun;
   private boolean finished;
-  private boolean paused;
-  private long lastEventId = -1;
 
   ForwardedRequest(
       GatewayCore core,
@@ -85,7 +64,7 @@
     this.arrivedAt = placed.arrivedAt();
     this.deadline = deadline;
     this.trail = trail;
-    call.fields().resumeAfter().ifPresent(id -> lastEventId = id);
+    this.answer = new CallerAnswer(core, call);
   }
 
   PlacedRequest placed() {
@@ -126,13 +105,12 @@
         .put("waitedMillis", now.minus(placed.arrivedAt()).toMillis())
         .put("attempt", attempts + 1);
     head = null;
-    held.reset();
     AttemptFields fields =
         new AttemptFields(
             server.id(),
             remaining,
             call.account().map(account -> account.name()),
-            lastEventId >= 0 ? OptionalLong.of(lastEventId) : OptionalLong.empty());
+            answer.lastEventId());
     OutboundCall outbound =
         new OutboundCall(
             exchange().method(),
@@ -164,8 +142,7 @@
     }
     AnswerFields fields = core.dialect().decodeAnswer(newHead.fields());
     head = newHead;
-    passedBack = fields.passedBack();
-    isStream = isEventStream(newHead);
+    answer.take(newHead, fields.passedBack());
     source.headArrived(core.now());
     if (fields.isLeaving()) {
       core.serverClosesConnections(source.server());
@@ -178,27 +155,15 @@
 
   /** Returns how the attempt ended if this head can't begin the caller's answer. */
   private Optional<AttemptEnd> endOf(AnswerHead newHead, AnswerFields fields) {
-    boolean isForeign =
-        fields.requestId().isPresent() && !fields.requestId().get().equals(call.fields().id());
-    int status = newHead.status();
-    if (isForeign) {
-      return Optional.of(AttemptEnd.INVALID);
-    }
-    if (status == MISDIRECTED) {
-      return Optional.of(AttemptEnd.MISDIRECTED);
-    }
-    if (fields.isNotRun()) {
-      return Optional.of(AttemptEnd.DECLINED);
-    }
-    boolean isSuccess = status >= OK && status < MULTIPLE_CHOICES;
-    if (isSuccess && (!fields.isSigned() || fields.isEncoded())) {
-      return Optional.of(AttemptEnd.INVALID);
+    Optional<AttemptEnd> end = AnswerCheck.endOf(newHead, fields, call.fields().id());
+    if (end.isPresent()) {
+      return end;
     }
-    if (status >= SERVER_ERROR && (begun || canRepeatFailure())) {
+    if (AnswerCheck.isFailure(newHead) && (answer.hasBegun() || canRepeatFailure())) {
       return Optional.of(AttemptEnd.FAILED);
     }
-    boolean canGoOn = isSuccess && isStream;
-    return begun && !canGoOn ? Optional.of(AttemptEnd.INVALID) : Optional.empty();
+    boolean canGoOn = AnswerCheck.isSuccess(newHead) && answer.isStream();
+    return answer.hasBegun() && !canGoOn ? Optional.of(AttemptEnd.INVALID) : Optional.empty();
   }
 
   private boolean canRepeatFailure() {
@@ -212,63 +177,15 @@
       return;
     }
     source.dataArrived(core.now());
-    if (isStream) {
-      for (EventSplitter.Event event : splitter.feed(data)) {
-        event.id().ifPresent(id -> lastEventId = id);
-        source.eventArrived();
-        write(current, event.bytes());
-      }
-      if (splitter.isTooLong()) {
-        attemptEnded(source, AttemptEnd.INVALID, Attempt.resultOf(AttemptEnd.INVALID));
-        return;
-      }
-    } else if (begun) {
-      exchange().write(data);
-    } else {
-      held.writeBytes(data);
-      if (held.size() > MAX_HELD_BYTES) {
-        write(current, held.toByteArray());
-        held.reset();
-      }
-    }
-    pauseIfBehind(source);
-  }
-
-  private boolean isEventStream(AnswerHead current) {
-    return route.kind() == RouteKind.STREAMING
-        && current.status() == OK
-        && current
-            .fields()
-            .first("Content-Type")
-            .map(type -> type.startsWith("text/event-stream"))
-            .orElse(false);
-  }
-
-  private void write(AnswerHead current, byte[] data) {
-    if (!begun) {
-      begun = true;
-      boolean isLengthOpen = isStream || attempts > 1;
-      begin(current, isLengthOpen ? -1 : current.contentLength());
-    }
-    exchange().write(data);
-  }
-
-  private void begin(AnswerHead current, long contentLength) {
-    exchange().begin(current.status(), core.closing(passedBack), contentLength);
-  }
-
-  private void pauseIfBehind(Attempt source) {
-    if (exchange().backlog() > MAX_BACKLOG_BYTES) {
-      paused = true;
-      source.pause();
+    if (!answer.take(current, data, source, attempts == 1)) {
+      attemptEnded(source, AttemptEnd.INVALID, Attempt.resultOf(AttemptEnd.INVALID));
     }
   }
 
   /** Goes on reading once the caller has caught up. */
   void consumed() {
     Attempt current = attempt;
-    if (paused && current != null && exchange().backlog() == 0) {
-      paused = false;
+    if (current != null && answer.catchesUp()) {
       current.resume();
     }
   }
@@ -279,22 +196,11 @@
     if (source != attempt || finished || current == null) {
       return;
     }
-    boolean hasFailed = current.status() >= SERVER_ERROR;
+    boolean hasFailed = AnswerCheck.isFailure(current);
     source.report(hasFailed ? AttemptResult.FAILED : AttemptResult.SERVED);
     attempt = null;
     finished = true;
-    if (isStream) {
-      byte[] rest = splitter.takeRest();
-      if (!begun) {
-        begin(current, -1);
-      }
-      exchange().write(rest);
-    } else if (!begun) {
-      byte[] body = held.toByteArray();
-      begin(current, body.length);
-      exchange().write(body);
-    }
-    exchange().end();
+    answer.end(current);
     RequestTrail.Step step =
         trail
             .step("answered")
@@ -325,22 +231,26 @@
 
   /** Ends an attempt and decides what follows. */
   private void attemptEnded(Attempt source, AttemptEnd end, AttemptResult result) {
-    attempt = null;
-    splitter.takeRest();
     if (end == AttemptEnd.NOT_SENT) {
       attempts--;
     }
-    Verdict verdict = decide(end);
+    attemptEnded(source, end, result, decide(end));
+  }
+
+  private void attemptEnded(Attempt source, AttemptEnd end, AttemptResult result, Verdict verdict) {
+    attempt = null;
+    answer.attemptEnded();
     mayHaveRun |= !end.isNotRun();
     RequestTrail.Step step =
         trail
             .step("attempt-ended")
             .put("server", source.server().id())
             .put("end", end.name())
-            .put("begun", begun)
+            .put("begun", answer.hasBegun())
             .put("verdict", verdict.name())
             .notable();
     source.describe(step);
+    answer.describe(step, core.now());
     if (end == AttemptEnd.DECLINED || end == AttemptEnd.FAILED) {
       source.report(result);
     } else {
@@ -353,20 +263,27 @@
     boolean isFree = end == AttemptEnd.NOT_SENT || end == AttemptEnd.FAILED;
     boolean canTry = hasAttemptsLeft() && deadline.minus(core.now()).compareTo(MIN_REMAINING) > 0;
     Verdict wish = AttemptPolicy.decide(end, context(canTry));
-    boolean isRepeat = wish == Verdict.RETRY || wish == Verdict.RESUME;
-    if (!isRepeat || isFree || core.tryRepeat(pool)) {
+    if (!isRepeat(wish) || isFree || core.tryRepeat(pool)) {
       return wish;
     }
     return AttemptPolicy.decide(end, context(false));
   }
 
+  private static boolean isRepeat(Verdict verdict) {
+    return verdict == Verdict.RETRY || verdict == Verdict.RESUME;
+  }
+
   private boolean hasAttemptsLeft() {
     return attempts < route.maxAttempts();
   }
 
   private AttemptContext context(boolean canRetry) {
     return new AttemptContext(
-        route.mayRepeat(), route.kind() == RouteKind.STREAMING, begun, mayHaveRun, canRetry);
+        route.mayRepeat(),
+        route.kind() == RouteKind.STREAMING,
+        answer.hasBegun(),
+        mayHaveRun,
+        canRetry);
   }
 
   private void follow(Verdict verdict, AttemptEnd end) {
@@ -401,19 +318,54 @@
       return;
     }
     Attempt current = attempt;
-    if (current != null && current.isSilent(route, hasAttemptsLeft())) {
+    if (current != null && isGivenUp(current)) {
       current.whenSilenceIsCertain(() -> endSilent(current));
     }
   }
 
+  private boolean isGivenUp(Attempt current) {
+    if (!current.wasSent()) {
+      return current.isUnconnected();
+    }
+    return current.isSilent(route)
+        && isRepeat(AttemptPolicy.decide(endOfSilent(), context(hasAttemptsLeft())))
+        && (!current.isSuspected() || canRepeatElsewhere());
+  }
+
+  private AttemptEnd endOfSilent() {
+    return head == null ? AttemptEnd.LOST : AttemptEnd.CUT;
+  }
+
+  private boolean canRepeatElsewhere() {
+    Duration startBy = answer.hasBegun() ? core.now().plus(RESUME_PATIENCE) : placed.startBy();
+    return core.canRepeatElsewhere(this, startBy);
+  }
+
+  /**
+   * Gives a silent attempt up for another one. Where none can follow now, its answer is the only
+   * one that may come, and the server is just avoided.
+   */
   private void endSilent(Attempt current) {
-    if (current == attempt && !finished && current.isSilent(route, hasAttemptsLeft())) {
-      AttemptEnd end = AttemptEnd.NOT_SENT;
-      if (!current.cancelUnsent()) {
-        end = head == null ? AttemptEnd.LOST : AttemptEnd.CUT;
+    if (current != attempt || finished || !isGivenUp(current)) {
+      return;
+    }
+    if (current.cancelUnsent()) {
+      attemptEnded(current, AttemptEnd.NOT_SENT, AttemptResult.UNREACHABLE);
+      return;
+    }
+    boolean isKnown = current.isSuspected();
+    if (canRepeatElsewhere()) {
+      Verdict verdict = decide(endOfSilent());
+      if (isRepeat(verdict)) {
+        attemptEnded(
+            current,
+            endOfSilent(),
+            isKnown ? AttemptResult.NEUTRAL : AttemptResult.UNREACHABLE,
+            verdict);
+        return;
       }
-      attemptEnded(current, end, AttemptResult.UNREACHABLE);
     }
+    current.suspect();
   }
 
   private void timeOut() {
@@ -432,7 +384,7 @@
 
   /** Ends the request, which no attempt will finish, with what is true of it. */
   private void endUnfinished(Rejection ifUnknown, Rejection ifNotRun) {
-    if (begun) {
+    if (answer.hasBegun()) {
       breakOff();
     } else {
       reject(mayHaveRun ? ifUnknown : ifNotRun);
@@ -452,10 +404,11 @@
     RequestTrail.Step step =
         trail
             .step("caller-gone")
-            .put("begun", begun)
+            .put("begun", answer.hasBegun())
             .put("attempts", attempts)
             .put("endReadMillisAgo", unhandled.toMillis())
             .notable();
+    answer.describe(step, core.now());
     Attempt current = attempt;
     attempt = null;
     if (current != null) {
@@ -474,7 +427,7 @@
         trail
             .step("left-open")
             .put("waitedFor", current == null ? "place" : current.waitsFor())
-            .put("begun", begun)
+            .put("begun", answer.hasBegun())
             .notable();
     if (current != null) {
       current.describe(step);
@@ -483,7 +436,9 @@
 
   private void breakOff() {
     finished = true;
-    trail.step("broken-off").put("lastEvent", lastEventId).notable();
+    answer.describe(
+        trail.step("broken-off").put("lastEvent", answer.lastEventId().orElse(-1)).notable(),
+        core.now());
     exchange().abort();
     core.finished(this, RequestOutcome.BROKEN_OFF);
   }
