Limit what gateways use after all of them restarted, whatever was used before

Cause: a gateway that restarts took half the limit as used before. The limit in use is 0.9 of what is tolerated, and all of it could be used at any one moment. So the window could hold 0.9 from before the kill and 0.45 after it, and more until the gateways heard each other: nothing was kept back for a peer that had not been heard. Gateways that had just restarted also taught each other what they had assumed.

No assumption about the earlier use mends that as long as the whole limit may be used at one moment: only 0.1 of what is tolerated would be left for the whole window after the kill. So the shape of the use is limited, too: burst + rate x t in any time t, where burst is that of the quota and what remains of the slack, and afterRestart is a third of the slack:

before the kill, in the window that ends s after it burst + rate x (window - s) since the kill, all gateways together afterRestart + rate x s sum = burst + afterRestart + rate x window = the limit in use, 0.9 of what is tolerated

The rate is served at once after a restart; the burst is what is lost. A second kill in the same window adds afterRestart once more (covered by the remaining 0.1, as is what is heard late).

- One after the other: a restarted gateway takes the counts of a peer that knows the last window, from the first report of that peer; peers that don't know it send none (a new map in GatewayLoad).
- Peers that can't hear each other: each silent peer is taken to use as much as each known one, which gives everybody an equal share of burst and rate.
That includes peers that were listed and never heard since the start.
Before the list was read the share is unknown, and nothing is given out.
A failed registration no longer keeps the list from being read.

Tests changed in AccountQuotasTest: they used up to 170 of 179 units at one moment of an account whose rate is half of the limit, which is no longer allowed. Those about the window, give-backs and shares use an account whose limit is nearly all burst, with the same amounts, and check usedLately besides; those about restarts and peers use smaller amounts, and are as tight at the new limits.

--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -331,7 +331,7 @@
       retryLimits = retries;
       budgets.clear();
     }
-    quotas.tolerate(tolerance);
+    quotas.tolerate(tolerance, now());
   }
 
   /** Takes over a configuration. */
@@ -411,8 +411,15 @@
                         waiting.add(
                             new WaitingCount(
                                 name, urgency.accountRank(), urgency.routeRank(), count))));
+    Duration now = now();
+    boolean canTell = quotas.knowsEarlierUse(now);
     return new Message.GatewayLoad(
-        isLeaving(), running, waiting, quotas.ownUse(), quotas.usedLately(now()));
+        isLeaving(),
+        running,
+        waiting,
+        quotas.ownUse(),
+        canTell ? quotas.usedLately(now) : Map.of(),
+        canTell ? quotas.burstSpent(now) : Map.of());
   }
 
   /**
--- a/src/main/java/org/wigeonstage/gateway/PeerExchange.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerExchange.java
@@ -63,7 +63,6 @@
   private final Set<String> forgotten = new HashSet<>();
 
   private Duration sentAt = Duration.ZERO;
-  private boolean hasLearned;
   private volatile boolean registered;
   private volatile long lastListMillis;
 
@@ -93,11 +92,23 @@
         registered = true;
         DecisionLog.write("registered", "address", listen.toString());
       }
+    } catch (WigeonstageException e) {
+      DecisionLog.write("not-registered", "error", String.valueOf(e.getMessage()));
+    }
+    list();
+  }
+
+  private void list() {
+    try {
       long now = core.now().toMillis();
       if (now - lastListMillis >= LIST_INTERVAL_MILLIS || lastListMillis == 0) {
         List<Peer> listed = store.readPeers();
         lastListMillis = now;
-        core.run(() -> listed.forEach(this::learn));
+        core.run(
+            () -> {
+              listed.forEach(this::learn);
+              core.quotas().gatewaysAreListed();
+            });
       }
     } catch (WigeonstageException e) {
       DecisionLog.write("peers-unknown", "error", String.valueOf(e.getMessage()));
@@ -129,12 +140,7 @@
   /** Sends loads, replaces silent links and takes shares for silent peers. */
   void tick() {
     Duration now = core.now();
-    peers
-        .entrySet()
-        .removeIf(
-            entry ->
-                entry.getValue().silence(now).compareTo(FORGET_AFTER) > 0
-                    && forgotten.add(entry.getKey()));
+    peers.entrySet().removeIf(entry -> isGone(entry.getValue(), now) && forget(entry, now));
     core.gateways(1 + peers.size());
     if (now.minus(sentAt).compareTo(SEND_INTERVAL) < 0) {
       return;
@@ -147,6 +153,15 @@
     publishLoads(now);
   }
 
+  private static boolean isGone(PeerState peer, Duration now) {
+    return peer.silence(now).compareTo(FORGET_AFTER) > 0;
+  }
+
+  private boolean forget(Map.Entry<String, PeerState> entry, Duration now) {
+    entry.getValue().use.forget(now);
+    return forgotten.add(entry.getKey());
+  }
+
   private void maintain(PeerState peer, Message.GatewayLoad load, Duration now) {
     peer.use.tick(core.gateways(), now);
     Link link = peer.link;
@@ -212,11 +227,8 @@
     PeerState peer = state(link.peer().name());
     peer.heardAt = now;
     peer.load = load;
-    if (link.peer().incarnation() < incarnation && !hasLearned) {
-      core.quotas().learnEarlierUse(load.usedLately(), now);
-      hasLearned = true;
-    }
-    peer.use.heard(link.peer().incarnation(), load.used(), now);
+    peer.use.heard(
+        link.peer().incarnation(), load.used(), load.usedLately(), load.burstSpent(), now);
   }
 
   @Override
--- a/src/main/java/org/wigeonstage/gateway/PeerState.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerState.java
@@ -16,7 +16,8 @@
   final PeerUse use;
   @Nullable Peer peer;
   @Nullable Link link;
-  Message.GatewayLoad load = new Message.GatewayLoad(true, Map.of(), List.of(), Map.of(), Map.of());
+  Message.GatewayLoad load =
+      new Message.GatewayLoad(true, Map.of(), List.of(), Map.of(), Map.of(), Map.of());
   Duration heardAt;
   Duration attemptedAt = Duration.ZERO;
 
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -186,14 +186,17 @@
    * @param running its running requests, by backend server
    * @param waiting its waiting requests
    * @param used what it has taken from quotas since its start, by client account
-   * @param usedLately what all gateways have taken in the last window, as far as it knows
+   * @param usedLately what all gateways have taken in the last window; empty where not known
+   * @param burstSpent what of each quota's burst was taken and has not come back; empty where not
+   *     known
    */
   record GatewayLoad(
       boolean isLeaving,
       Map<String, Integer> running,
       List<WaitingCount> waiting,
       Map<String, Long> used,
-      Map<String, Long> usedLately)
+      Map<String, Long> usedLately,
+      Map<String, Long> burstSpent)
       implements Message {
 
     /** Makes the collections immutable. */
@@ -202,6 +205,7 @@
       running = Map.copyOf(running);
       used = Map.copyOf(used);
       usedLately = Map.copyOf(usedLately);
+      burstSpent = Map.copyOf(burstSpent);
     }
   }
 }
--- a/src/main/java/org/wigeonstage/quota/AccountQuotas.java
+++ b/src/main/java/org/wigeonstage/quota/AccountQuotas.java
@@ -20,9 +20,12 @@
 public final class AccountQuotas {
 
   private final Map<String, AccountUse> uses = new HashMap<>();
+  private final Sharing sharing = new Sharing();
   private QuotaTolerance tolerance;
   private final boolean isFirstStart;
   private final Duration startedAt;
+  private boolean gatewaysAreListed;
+  private boolean hasLearned;
 
   /**
    * Creates quotas without accounts.
@@ -35,16 +38,18 @@
     this.tolerance = tolerance;
     this.isFirstStart = isFirstStart;
     this.startedAt = startedAt;
+    this.gatewaysAreListed = isFirstStart;
   }
 
   /**
    * Changes by how much the use may exceed a quota.
    *
    * @param changed the tolerance
+   * @param now the time
    */
-  public void tolerate(QuotaTolerance changed) {
+  public void tolerate(QuotaTolerance changed, Duration now) {
     tolerance = changed;
-    uses.values().forEach(use -> use.tolerate(changed));
+    uses.values().forEach(use -> use.tolerate(changed, now));
   }
 
   /**
@@ -66,11 +71,7 @@
   }
 
   private AccountUse newUse(AccountQuota quota) {
-    AccountUse use = new AccountUse(quota, tolerance, startedAt);
-    if (!isFirstStart) {
-      use.assumeEarlierUse(startedAt);
-    }
-    return use;
+    return new AccountUse(quota, tolerance, sharing, !isFirstStart, startedAt);
   }
 
   /**
@@ -84,7 +85,7 @@
    */
   public boolean tryTake(String account, long units, boolean placesToSpare, Duration now) {
     AccountUse use = uses.get(account);
-    return use == null || use.tryTake(units, placesToSpare, now);
+    return use == null || gatewaysAreListed && use.tryTake(units, placesToSpare, now);
   }
 
   /**
@@ -102,6 +103,25 @@
     }
   }
 
+  /** Notes that the gateways are known that may use the quotas, too. */
+  public void gatewaysAreListed() {
+    gatewaysAreListed = true;
+  }
+
+  /**
+   * Counts what a peer is assumed to use in the window.
+   *
+   * @param account the account's name
+   * @param units what is assumed
+   * @param now the time
+   */
+  void assumeOfPeer(String account, double units, Duration now) {
+    AccountUse use = uses.get(account);
+    if (use != null) {
+      use.assume(units, now);
+    }
+  }
+
   /**
    * Takes back what was assumed of a peer.
    *
@@ -131,6 +151,41 @@
     }
   }
 
+  /** Sets the number of gateways that share the limits. */
+  void gateways(int count) {
+    sharing.gateways(count);
+  }
+
+  /**
+   * Takes a peer to use as much as those that are heard, from now on.
+   *
+   * @return what was assumed of each silent peer before, by account
+   */
+  Map<String, Double> peerFellSilent() {
+    sharing.peerFellSilent();
+    Map<String, Double> before = new HashMap<>();
+    uses.forEach((account, use) -> before.put(account, use.assumedOfSilentPeer()));
+    return before;
+  }
+
+  /**
+   * Takes back what a peer was taken to use since it fell silent.
+   *
+   * @param before what was assumed of each silent peer before
+   * @param now the time
+   */
+  void peerIsKnown(Map<String, Double> before, Duration now) {
+    sharing.peerIsKnown();
+    uses.forEach(
+        (account, use) ->
+            use.refundSilence(use.assumedOfSilentPeer() - before.getOrDefault(account, 0.0), now));
+  }
+
+  /** Returns whether peers may run that were not heard yet. */
+  boolean followsOthers() {
+    return !isFirstStart;
+  }
+
   /**
    * Returns how long it takes until a request is within the quota.
    *
@@ -155,6 +210,16 @@
     return own;
   }
 
+  /**
+   * Returns whether all use of the last window is known here, so that others can learn it.
+   *
+   * @param now the time
+   * @return whether it is known
+   */
+  public boolean knowsEarlierUse(Duration now) {
+    return isFirstStart || hasLearned || now.minus(startedAt).compareTo(tolerance.window()) >= 0;
+  }
+
   /**
    * Returns what all gateways have used in the last window, as far as it is known here.
    *
@@ -168,20 +233,49 @@
   }
 
   /**
-   * Takes over what a gateway knows that has run for longer, in place of what was assumed at the
-   * start.
+   * Returns how much was used of what may be used at once, and has not come back.
+   *
+   * @param now the time
+   * @return units by account
+   */
+  public Map<String, Long> burstSpent(Duration now) {
+    Map<String, Long> spent = new HashMap<>();
+    uses.forEach((account, use) -> spent.put(account, use.burstSpent(now)));
+    return spent;
+  }
+
+  /**
+   * Takes over what a gateway knows of the use before this one's start, in place of the assumption
+   * that all was used up.
    *
    * @param lately what was used in the last window, by account
+   * @param burstSpent what was used of what may be used at once, by account
    * @param now the time
    */
-  public void learnEarlierUse(Map<String, Long> lately, Duration now) {
-    lately.forEach(
-        (account, units) -> {
-          AccountUse use = uses.get(account);
-          if (use != null) {
-            use.learnEarlierUse(units, startedAt, now);
-          }
-        });
+  public void learnEarlierUse(
+      Map<String, Long> lately, Map<String, Long> burstSpent, Duration now) {
+    if (uses.isEmpty()) {
+      return;
+    }
+    if (!knowsEarlierUse(now)) {
+      burstSpent.forEach(
+          (account, spent) -> {
+            AccountUse use = uses.get(account);
+            if (use != null) {
+              use.learnEarlierUse(lately.getOrDefault(account, 0L), spent, now);
+            }
+          });
+    }
+    hasLearned = true;
+  }
+
+  /**
+   * Returns whether another gateway has told what was used before this one's start.
+   *
+   * @return whether it is known
+   */
+  public boolean hasLearned() {
+    return hasLearned;
   }
 
   /**
--- a/src/main/java/org/wigeonstage/quota/AccountUse.java
+++ b/src/main/java/org/wigeonstage/quota/AccountUse.java
@@ -1,5 +1,6 @@
 package org.wigeonstage.quota;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 import org.wigeonstage.routes.AccountQuota;
 
@@ -9,50 +10,66 @@
   /** Requests are given back that waited for less, and their peers hear of it 50 ms later. */
   private static final Duration MAX_HELD = Duration.ofMillis(2500);
 
-  private QuotaTolerance tolerance;
+  private final Sharing sharing;
   private final UseWindow window;
   private final TokenBucket bucket;
+  private final TokenBucket pace;
+  private QuotaTolerance tolerance;
   private AccountQuota quota;
   private long own;
-  private double assumed;
-
-  AccountUse(AccountQuota quota, QuotaTolerance tolerance, Duration now) {
+  private double assumedOfSilentPeer;
+
+  /**
+   * Creates the use of an account.
+   *
+   * @param isUsedUp whether all may have been used before the start that may be used at once
+   */
+  AccountUse(
+      AccountQuota quota,
+      QuotaTolerance tolerance,
+      Sharing sharing,
+      boolean isUsedUp,
+      Duration startedAt) {
     this.quota = quota;
     this.tolerance = tolerance;
+    this.sharing = sharing;
     this.window = new UseWindow(tolerance.window());
-    this.bucket = new TokenBucket(quota.perSecond(), quota.burst(), 0, now);
+    this.bucket = new TokenBucket(quota.perSecond(), quota.burst(), 0, startedAt);
+    double burst = tolerance.burst(quota);
+    double level = isUsedUp ? Math.min(burst, tolerance.afterRestart(quota)) : burst;
+    this.pace = new TokenBucket(tolerance.pace(quota), burst, level, startedAt);
   }
 
   void resize(AccountQuota newQuota, Duration now) {
     quota = newQuota;
     bucket.resize(newQuota.perSecond(), newQuota.burst(), now);
+    pace.resize(tolerance.pace(quota), tolerance.burst(quota), now);
   }
 
   /** Changes the tolerance; the length of the window stays. */
-  void tolerate(QuotaTolerance changed) {
+  void tolerate(QuotaTolerance changed, Duration now) {
     tolerance = changed;
+    pace.resize(tolerance.pace(quota), tolerance.burst(quota), now);
   }
 
-  void assumeEarlierUse(Duration startedAt) {
-    assumed = tolerance.assumedBefore(quota);
-    window.add(assumed, startedAt);
-  }
-
-  /** Replaces what was assumed; counts until a window after the start at the latest. */
-  void learnEarlierUse(long units, Duration startedAt, Duration now) {
-    if (assumed > 0 && now.minus(startedAt).compareTo(tolerance.window()) < 0) {
-      window.add(-assumed, startedAt);
-      window.add(units, now);
-    }
-    assumed = 0;
+  /** Takes over what was used before the start; own use since then is not in it. */
+  void learnEarlierUse(long lately, long burstSpent, Duration now) {
+    window.add(lately, now);
+    pace.give(tolerance.burst(quota), now);
+    usePace((double) burstSpent + own, now);
   }
 
   long usedLately(Duration now) {
     return Math.round(window.sum(now));
   }
 
+  /** Returns how much of what may be used at once was used and has not come back. */
+  long burstSpent(Duration now) {
+    return Math.round(pace.missing(now));
+  }
+
   boolean tryTake(long units, boolean placesToSpare, Duration now) {
-    if (window.sum(now) + units > tolerance.limit(quota)) {
+    if (window.sum(now) + units > tolerance.limit(quota) || !untilPaced(units, now).isZero()) {
       return false;
     }
     if (!bucket.tryTake(units, now)) {
@@ -62,36 +79,74 @@
       bucket.takeUpTo(units, now);
     }
     window.add(units, now);
+    countForAll(units, now);
     own += units;
     return true;
   }
 
+  private Duration untilPaced(long units, Duration now) {
+    return pace.timeUntilLevel(inPace(Math.min(units, tolerance.burst(quota))), now);
+  }
+
+  /** Silent peers are taken to use as much as those that are heard, each. */
+  private double inPace(double units) {
+    return units * sharing.perKnownUnit();
+  }
+
+  private void countForAll(double units, Duration now) {
+    usePace(inPace(units), now);
+    assumedOfSilentPeer += units * sharing.ofEachSilentPeer();
+  }
+
+  private void usePace(double units, Duration now) {
+    pace.takeUsed(units, -tolerance.limit(quota), now);
+  }
+
   /** Gives back what a request took that has not run. */
   void giveBack(long units, Duration takenAt, Duration now) {
     refund(units, takenAt, now);
+    pace.give(units, now);
     own -= units;
   }
 
   /** Counts use of a peer; negative where it gave more back than it took since it was heard. */
   void charge(double units, Duration now) {
     if (units >= 0) {
-      window.add(units, now);
-      bucket.takeUpTo(units, now);
+      assume(units, now);
+      countForAll(units, now);
     } else {
       refund(-units, now.minus(MAX_HELD), now);
+      pace.give(-units, now);
     }
   }
 
+  /** Counts what a silent peer may use in the window. */
+  void assume(double units, Duration now) {
+    window.add(units, now);
+    bucket.takeUpTo(units, now);
+  }
+
   /** Takes back what was counted at a time. */
   void refund(double units, Duration chargedAt, Duration now) {
     window.add(-units, chargedAt);
     bucket.give(units, now);
   }
 
+  /** Takes back what a peer was taken to use while it was silent. */
+  void refundSilence(double units, Duration now) {
+    pace.give(units, now);
+  }
+
+  /** Returns what each peer is taken to have used that was silent from the start until now. */
+  double assumedOfSilentPeer() {
+    return assumedOfSilentPeer;
+  }
+
   /** Returns how long it takes until what refuses the units now no longer does. */
   Duration timeUntil(long units, Duration now) {
     Duration untilTolerated = window.timeUntil(tolerance.limit(quota) - units, now);
-    return untilTolerated.isZero() ? bucket.timeUntil(units, now) : untilTolerated;
+    Duration until = Comparators.max(untilTolerated, untilPaced(units, now));
+    return until.isZero() ? bucket.timeUntil(units, now) : until;
   }
 
   double usable() {
--- a/src/main/java/org/wigeonstage/quota/PeerUse.java
+++ b/src/main/java/org/wigeonstage/quota/PeerUse.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
 
 /**
  * What another gateway has taken from the quotas, as far as it is known.
@@ -37,6 +38,7 @@
   private long incarnation;
   private Duration heardAt;
   private Duration assumeFrom;
+  private @Nullable Map<String, Double> assumedBeforeSilence;
 
   /** Use since the peer's start that was known at a time. */
   private record Note(Duration at, Map<String, Long> used) {}
@@ -56,6 +58,32 @@
     this.ownIncarnation = ownIncarnation;
     this.heardAt = now;
     this.assumeFrom = now;
+    if (quotas.followsOthers()) {
+      assumedBeforeSilence = quotas.peerFellSilent();
+    }
+  }
+
+  /**
+   * Takes a report of the peer, and learns from the first one, if it started earlier, what was used
+   * before this gateway's start.
+   *
+   * @param newIncarnation names the peer's start
+   * @param used its use since its start, by account
+   * @param usedLately what all gateways used in the last window; empty where the peer can't tell
+   * @param burstSpent what is spent of each account's burst; empty where the peer can't tell
+   * @param now the time
+   */
+  public void heard(
+      long newIncarnation,
+      Map<String, Long> used,
+      Map<String, Long> usedLately,
+      Map<String, Long> burstSpent,
+      Duration now) {
+    boolean canTeach = newIncarnation < ownIncarnation && !burstSpent.isEmpty();
+    if (incarnation == 0 && canTeach) {
+      quotas.learnEarlierUse(usedLately, burstSpent, now);
+    }
+    heard(newIncarnation, used, now);
   }
 
   /**
@@ -67,7 +95,8 @@
    */
   public void heard(long newIncarnation, Map<String, Long> used, Duration now) {
     if (newIncarnation != incarnation) {
-      boolean ranBefore = incarnation == 0 && newIncarnation < ownIncarnation;
+      boolean ranBefore =
+          incarnation == 0 && newIncarnation < ownIncarnation && quotas.hasLearned();
       incarnation = newIncarnation;
       known.clear();
       notes.clear();
@@ -76,6 +105,7 @@
       }
       notes.addLast(new Note(now, Map.copyOf(known)));
     }
+    endSilence(now);
     used.forEach(
         (account, units) -> {
           long before = known.getOrDefault(account, 0L);
@@ -94,6 +124,13 @@
     }
   }
 
+  private void endSilence(Duration now) {
+    if (assumedBeforeSilence != null) {
+      quotas.peerIsKnown(assumedBeforeSilence, now);
+      assumedBeforeSilence = null;
+    }
+  }
+
   private void refundAll(Duration now) {
     assumed.forEach(part -> quotas.refundPeer(part.account(), part.units(), part.chargedAt(), now));
     assumed.clear();
@@ -105,20 +142,37 @@
    * @param now the time
    */
   public void notRunning(Duration now) {
+    endSilence(now);
     refundAll(now);
     heardAt = now;
     assumeFrom = now.plus(NOT_RUNNING_FOR);
   }
 
   /**
-   * Counts what a silent peer may have used. Nothing is assumed of one that was never heard: what
-   * was used before this gateway's start is assumed as a whole.
+   * Notes that the peer is gone for good.
+   *
+   * @param now the time
+   */
+  public void forget(Duration now) {
+    endSilence(now);
+  }
+
+  /**
+   * Counts what a silent peer may have used. Nothing is assumed in the window of one that was never
+   * heard: what all gateways may use after this one's start is limited as a whole.
    *
    * @param gateways the number of gateways that share the limits
    * @param now the time
    */
   public void tick(int gateways, Duration now) {
-    if (incarnation == 0 || now.compareTo(assumeFrom) < 0) {
+    quotas.gateways(gateways);
+    if (now.compareTo(assumeFrom) < 0 || incarnation == 0 && !quotas.followsOthers()) {
+      return;
+    }
+    if (assumedBeforeSilence == null) {
+      assumedBeforeSilence = quotas.peerFellSilent();
+    }
+    if (incarnation == 0) {
       return;
     }
     Duration oldest = now.minus(quotas.window());
@@ -129,7 +183,7 @@
             (account, limit) -> {
               double units = limit / gateways - countedLately(account, oldest);
               if (units > 0) {
-                quotas.chargePeer(account, units, now);
+                quotas.assumeOfPeer(account, units, now);
                 assumed.add(new Assumption(account, units, now));
               }
             });
--- a/src/main/java/org/wigeonstage/quota/TokenBucket.java
+++ b/src/main/java/org/wigeonstage/quota/TokenBucket.java
@@ -43,6 +43,18 @@
     level = Math.max(0, Math.min(capacity, level - units));
   }
 
+  /** Takes units that are used already; what is missing is paid back first, down to a level. */
+  void takeUsed(double units, double lowest, Duration now) {
+    refill(now);
+    level = Math.max(Math.min(level, lowest), level - units);
+  }
+
+  /** Returns what was taken and has not come back. */
+  double missing(Duration now) {
+    refill(now);
+    return capacity - level;
+  }
+
   /** Gives units back. */
   void give(double units, Duration now) {
     refill(now);
@@ -51,8 +63,13 @@
 
   /** Returns how long it takes until the units are there. */
   Duration timeUntil(double units, Duration now) {
+    return timeUntilLevel(Math.min(units, capacity), now);
+  }
+
+  /** Returns how long it takes to fill up to a level, which may be above what the bucket holds. */
+  Duration timeUntilLevel(double wanted, Duration now) {
     refill(now);
-    double missing = Math.min(units, capacity) - level;
+    double missing = wanted - level;
     return missing <= 0
         ? Duration.ZERO
         : Duration.ofNanos((long) (missing / perSecond * NANOS_PER_SECOND));
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -72,7 +72,8 @@
       waiting.add(
           new WaitingCount(in.unpackString(), in.unpackInt(), in.unpackInt(), in.unpackInt()));
     }
-    return new Message.GatewayLoad(isLeaving, running, waiting, readUse(in), readUse(in));
+    return new Message.GatewayLoad(
+        isLeaving, running, waiting, readUse(in), readUse(in), readUse(in));
   }
 
   private static Map<String, Long> readUse(MessageUnpacker in) throws IOException {
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -69,6 +69,7 @@
     }
     writeUse(packer, load.used());
     writeUse(packer, load.usedLately());
+    writeUse(packer, load.burstSpent());
   }
 
   private static void writeUse(MessageBufferPacker packer, Map<String, Long> use)
--- a/src/test/java/org/wigeonstage/quota/AccountQuotasTest.java
+++ b/src/test/java/org/wigeonstage/quota/AccountQuotasTest.java
@@ -22,12 +22,23 @@
 
   private static AccountQuotas quotas(boolean isFirstStart, Duration now) {
     AccountQuotas quotas = new AccountQuotas(TOLERANCE, isFirstStart, now);
-    quotas.configure(accounts(10), now);
+    quotas.configure(accounts(10, 10), now);
+    quotas.gatewaysAreListed();
     return quotas;
   }
 
-  private static List<ClientAccount> accounts(double perSecond) {
-    return List.of(new ClientAccount(SHOP, Set.of(), 0, new AccountQuota(perSecond, 10, true, 1)));
+  /** Nearly all of the limit, 178 units, may be used at once. */
+  private static AccountQuotas burstyQuotas(boolean isFirstStart, Duration now) {
+    QuotaTolerance tolerance = new QuotaTolerance(Duration.ofSeconds(8), 0.1, 0);
+    AccountQuotas quotas = new AccountQuotas(tolerance, isFirstStart, now);
+    quotas.configure(accounts(1, 172), now);
+    quotas.gatewaysAreListed();
+    return quotas;
+  }
+
+  private static List<ClientAccount> accounts(double perSecond, double burst) {
+    AccountQuota quota = new AccountQuota(perSecond, burst, true, 1);
+    return List.of(new ClientAccount(SHOP, Set.of(), 0, quota));
   }
 
   private static Duration seconds(double seconds) {
@@ -47,36 +58,89 @@
   void assumesEarlierUseAfterARestart() {
     AccountQuotas fresh = quotas(true, seconds(100));
     AccountQuotas restarted = quotas(false, seconds(100));
-    assertThat(fresh.tryTake(SHOP, 120, true, seconds(100))).isTrue();
-    assertThat(restarted.tryTake(SHOP, 120, true, seconds(100))).isFalse();
-    assertThat(restarted.tryTake(SHOP, 120, true, seconds(109))).isTrue();
+    assertThat(fresh.tryTake(SHOP, 60, true, seconds(100))).isTrue();
+    assertThat(restarted.tryTake(SHOP, 60, true, seconds(100))).isFalse();
+    assertThat(restarted.tryTake(SHOP, 60, true, seconds(109))).isTrue();
+  }
+
+  /** The units that a quota's rate adds while the window slides are not kept back. */
+  @Test
+  void usesTheRateAtOnceAfterARestart() {
+    AccountQuotas restarted = quotas(false, seconds(100));
+    assertThat(restarted.tryTake(SHOP, 30, true, seconds(100))).isTrue();
+    assertThat(restarted.tryTake(SHOP, 10, true, seconds(100.9))).isFalse();
+    assertThat(restarted.tryTake(SHOP, 10, true, seconds(101))).isTrue();
+    assertThat(restarted.tryTake(SHOP, 10, true, seconds(102))).isTrue();
+  }
+
+  /** Until a restarted gateway knows how many share the limits, its own share may be nothing. */
+  @Test
+  void takesNothingAfterARestartUntilTheGatewaysAreListed() {
+    AccountQuotas restarted = new AccountQuotas(TOLERANCE, false, seconds(100));
+    restarted.configure(accounts(10, 10), seconds(100));
+    assertThat(restarted.tryTake(SHOP, 1, true, seconds(104))).isFalse();
+    restarted.gatewaysAreListed();
+    assertThat(restarted.tryTake(SHOP, 1, true, seconds(104))).isTrue();
+  }
+
+  @Test
+  void sharesAfterARestartWithPeersThatWereNotHeardYet() {
+    AccountQuotas restarted = quotas(false, seconds(100));
+    PeerUse peer = new PeerUse(restarted, 2, seconds(100));
+    assertThat(restarted.tryTake(SHOP, 16, true, seconds(100))).isFalse();
+    assertThat(restarted.tryTake(SHOP, 10, true, seconds(100))).isTrue();
+    assertThat(restarted.tryTake(SHOP, 10, true, seconds(100))).isFalse();
+    peer.heard(3, Map.of(SHOP, 8L), seconds(100));
+    assertThat(restarted.tryTake(SHOP, 13, true, seconds(100))).isFalse();
+    assertThat(restarted.tryTake(SHOP, 11, true, seconds(100))).isTrue();
+  }
+
+  /** After a long time alone, a gateway may hear at once what its peers used all the while. */
+  @Test
+  void paysBackNoMoreThanAWindowOfUse() {
+    AccountQuotas quotas = quotas(true, Duration.ZERO);
+    quotas.chargePeer(SHOP, 1_000_000, seconds(10));
+    assertThat(quotas.tryTake(SHOP, 10, true, seconds(29))).isTrue();
   }
 
   /** A request waits for two seconds and is refused; the window must not go below what has run. */
   @Test
   void forgetsWhatWasGivenBackTogetherWithItsTaking() {
-    AccountQuotas quotas = quotas(true, Duration.ZERO);
+    AccountQuotas quotas = burstyQuotas(true, Duration.ZERO);
     assertThat(quotas.tryTake(SHOP, 100, true, seconds(1))).isTrue();
     quotas.giveBack(SHOP, 100, seconds(1), seconds(3));
     assertThat(quotas.tryTake(SHOP, 160, true, seconds(4))).isTrue();
     assertThat(quotas.tryTake(SHOP, 40, true, seconds(10))).isFalse();
+    assertThat(quotas.usedLately(seconds(10))).containsEntry(SHOP, 160L);
   }
 
   /** What was assumed at a start must not be missing once the start has left the window. */
   @Test
   void forgetsWhatWasAssumedAtTheStartTogetherWithTheStart() {
-    AccountQuotas quotas = quotas(false, seconds(100));
-    quotas.learnEarlierUse(Map.of(SHOP, 0L), seconds(104));
+    AccountQuotas quotas = burstyQuotas(false, seconds(100));
+    quotas.learnEarlierUse(Map.of(SHOP, 0L), Map.of(SHOP, 0L), seconds(104));
     assertThat(quotas.tryTake(SHOP, 170, true, seconds(107))).isTrue();
     assertThat(quotas.tryTake(SHOP, 60, true, seconds(109))).isFalse();
   }
 
-  /** A burst uses up what is tolerated; the window tells when that is over, not the rate. */
+  /** A burst uses up what is tolerated beyond the rate, and the bucket of the quota, too. */
   @Test
-  void tellsWhenTheWindowHasRoomAgain() {
+  void tellsWhenABurstHasComeBack() {
     AccountQuotas quotas = quotas(true, Duration.ZERO);
-    assertThat(quotas.tryTake(SHOP, 100, true, seconds(1))).isTrue();
-    assertThat(quotas.tryTake(SHOP, 60, true, seconds(4))).isTrue();
+    assertThat(quotas.tryTake(SHOP, 65, true, seconds(1))).isTrue();
+    assertThat(quotas.tryTake(SHOP, 65, true, seconds(2))).isFalse();
+    Duration wait = quotas.timeUntil(SHOP, 65, seconds(2));
+    assertThat(wait).isBetween(seconds(5), seconds(5.2));
+    assertThat(quotas.tryTake(SHOP, 65, true, seconds(2).plus(wait).minusMillis(10))).isFalse();
+    assertThat(quotas.tryTake(SHOP, 65, true, seconds(2).plus(wait))).isTrue();
+  }
+
+  /** The share of a silent peer is kept back for a whole window. */
+  @Test
+  void tellsWhenTheWindowHasRoomAgain() {
+    AccountQuotas quotas = burstyQuotas(true, Duration.ZERO);
+    quotas.assumeOfPeer(SHOP, 100, seconds(1));
+    quotas.assumeOfPeer(SHOP, 60, seconds(4));
     assertThat(quotas.tryTake(SHOP, 60, true, seconds(5))).isFalse();
     Duration wait = quotas.timeUntil(SHOP, 60, seconds(5));
     assertThat(wait).isBetween(seconds(4), seconds(4.5));
@@ -87,7 +151,7 @@
   void countsWhatPeersUse() {
     AccountQuotas quotas = quotas(true, Duration.ZERO);
     PeerUse peer = new PeerUse(quotas, 0, Duration.ZERO);
-    peer.heard(1, Map.of(SHOP, 170L), seconds(1));
+    peer.heard(1, Map.of(SHOP, 60L), seconds(1));
     assertThat(quotas.tryTake(SHOP, 30, true, seconds(1))).isFalse();
     peer.heard(2, Map.of(SHOP, 5L), seconds(11));
     assertThat(quotas.tryTake(SHOP, 30, true, seconds(11))).isTrue();
@@ -97,19 +161,22 @@
   @Test
   void learnsAfterARestartWhatWasUsedLately() {
     AccountQuotas stayed = quotas(true, Duration.ZERO);
-    assertThat(stayed.tryTake(SHOP, 100, true, seconds(12))).isTrue();
-    assertThat(stayed.tryTake(SHOP, 20, true, seconds(19))).isTrue();
+    assertThat(stayed.tryTake(SHOP, 60, true, seconds(12))).isTrue();
+    assertThat(stayed.tryTake(SHOP, 20, true, seconds(20.5))).isTrue();
+    assertThat(stayed.usedLately(seconds(21))).containsEntry(SHOP, 20L);
     AccountQuotas restarted = quotas(false, seconds(20));
-    restarted.learnEarlierUse(stayed.usedLately(seconds(21)), seconds(21));
+    restarted.learnEarlierUse(
+        stayed.usedLately(seconds(21)), stayed.burstSpent(seconds(21)), seconds(21));
     PeerUse peer = new PeerUse(restarted, 2, seconds(20));
     peer.heard(1, stayed.ownUse(), seconds(21));
-    assertThat(restarted.tryTake(SHOP, 140, true, seconds(21))).isTrue();
-    assertThat(restarted.tryTake(SHOP, 30, true, seconds(21))).isFalse();
+    assertThat(restarted.usedLately(seconds(21))).containsEntry(SHOP, 20L);
+    assertThat(restarted.tryTake(SHOP, 53, true, seconds(21))).isTrue();
+    assertThat(restarted.tryTake(SHOP, 3, true, seconds(21))).isFalse();
   }
 
   @Test
   void takesTheShareOfASilentPeerUntilItIsHeardAgain() {
-    AccountQuotas quotas = quotas(true, Duration.ZERO);
+    AccountQuotas quotas = burstyQuotas(true, Duration.ZERO);
     PeerUse peer = new PeerUse(quotas, 0, Duration.ZERO);
     peer.heard(1, Map.of(SHOP, 0L), seconds(0));
     for (int tenth = 1; tenth <= 80; tenth++) {
@@ -122,7 +189,7 @@
 
   @Test
   void takesNothingForAPeerThatDoesNotRun() {
-    AccountQuotas quotas = quotas(true, Duration.ZERO);
+    AccountQuotas quotas = burstyQuotas(true, Duration.ZERO);
     PeerUse peer = new PeerUse(quotas, 0, Duration.ZERO);
     for (int tenth = 1; tenth <= 80; tenth++) {
       peer.notRunning(seconds(tenth / 10.0));
@@ -133,7 +200,7 @@
 
   @Test
   void givesBackWhatHasNotRun() {
-    AccountQuotas quotas = quotas(true, Duration.ZERO);
+    AccountQuotas quotas = burstyQuotas(true, Duration.ZERO);
     assertThat(quotas.tryTake(SHOP, 150, true, seconds(1))).isTrue();
     quotas.giveBack(SHOP, 150, seconds(1), seconds(1));
     assertThat(quotas.tryTake(SHOP, 150, true, seconds(1))).isTrue();
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -68,7 +68,8 @@
                 Map.of("s1", 3),
                 List.of(new WaitingCount("pool", 0, 2, 5)),
                 Map.of("shop", 1L << 40),
-                Map.of("shop", 7L)),
+                Map.of("shop", 7L),
+                Map.of("shop", 8L)),
             new Message.ConfigSnapshot(8, "{}"));
     for (Message message : messages) {
       assertThat(MessageDecoder.decode(MessageEncoder.encode(message))).isEqualTo(message);
