LOST: close the sockets before the process halts

Cause: the hook halted the process with its listener and connections open. HotSpot waits up to 300 ms at a halt for threads that are in native code, which threads that select always are, and nothing is answered meanwhile. The same wait was part of what exceeded the grace.

The hook now closes the process between its graceful stop and the halt, which ends those threads. GatewayProcessesIT.answersEveryRequestThatItReadBeforeItStopped failed before (6 requests lost, process killed) and passes.

--- a/src/main/java/org/wigeonstage/cli/DaemonCommand.java
+++ b/src/main/java/org/wigeonstage/cli/DaemonCommand.java
@@ -32,7 +32,7 @@
     }
     LogSetup.apply(processName(settings), telemetry(settings).log());
     try (P process = start(settings)) {
-      return ShutdownSignal.await(() -> drain(process));
+      return ShutdownSignal.await(() -> drain(process), process);
     }
   }
 
--- a/src/main/java/org/wigeonstage/cli/GatewayCommand.java
+++ b/src/main/java/org/wigeonstage/cli/GatewayCommand.java
@@ -1,5 +1,6 @@
 package org.wigeonstage.cli;
 
+import com.google.common.io.Closer;
 import java.io.IOException;
 import java.nio.file.Path;
 import org.apache.commons.cli.CommandLine;
@@ -48,13 +49,14 @@
   private static int serve(SettingsWatch watch) throws IOException, InterruptedException {
     GatewaySettings settings = SettingsLoader.gatewayOf(watch.initialText());
     LogSetup.applyBounded(settings.name(), settings.log());
-    try (HttpClient client = HttpClient.start("store", 1)) {
+    try (Closer closer = Closer.create()) {
+      HttpClient client = closer.register(HttpClient.start("store", 1));
       PlatformAdapter adapter = new PlatformAdapter(client, Endpoint.of(settings.store()));
-      try (GatewayProcess process =
-          GatewayProcess.start(settings, adapter.fleetStore(), adapter.headerDialect())) {
-        watch.deliverTo(text -> process.reload(SettingsLoader.gatewayOf(text)));
-        return ShutdownSignal.await(process::drain);
-      }
+      GatewayProcess process =
+          closer.register(
+              GatewayProcess.start(settings, adapter.fleetStore(), adapter.headerDialect()));
+      watch.deliverTo(text -> process.reload(SettingsLoader.gatewayOf(text)));
+      return ShutdownSignal.await(process::drain, closer);
     }
   }
 }
--- a/src/main/java/org/wigeonstage/cli/ShutdownSignal.java
+++ b/src/main/java/org/wigeonstage/cli/ShutdownSignal.java
@@ -1,6 +1,8 @@
 package org.wigeonstage.cli;
 
 import com.google.common.flogger.FluentLogger;
+import java.io.Closeable;
+import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Handler;
 import java.util.logging.Logger;
@@ -20,14 +22,20 @@
 
   private ShutdownSignal() {}
 
-  /** Waits for a signal, then stops; returns the exit code. Halts the process from its hook. */
-  static int await(GracefulStop work) throws InterruptedException {
+  /**
+   * Waits for a signal, then stops, closes what is open and halts the process.
+   *
+   * <p>The virtual machine takes up to 300 ms to halt while threads wait for their sockets, and
+   * answers nothing meanwhile. The sockets and their threads must be closed before that.
+   */
+  static int await(GracefulStop work, Closeable resources) throws InterruptedException {
     CountDownLatch signalled = new CountDownLatch(1);
     Thread hook =
         new Thread(
             () -> {
               signalled.countDown();
               int code = stop(work);
+              close(resources);
               flushLogs();
               Runtime.getRuntime().halt(code);
             },
@@ -38,6 +46,14 @@
     return Command.SUCCESS;
   }
 
+  private static void close(Closeable resources) {
+    try {
+      resources.close();
+    } catch (IOException | RuntimeException e) {
+      logger.atWarning().withCause(e).log("not everything could be closed before the end");
+    }
+  }
+
   /** Halting ends the thread that writes logs, too. */
   private static void flushLogs() {
     for (Handler handler : Logger.getLogger("").getHandlers()) {
