LOST: plan the phases of a gateway's stop within its grace

What callers saw: connections that end without an answer at a gateway that is killed while it stops. Cause: the margins were counted from the handling of the signal and spent before the part that they should cover; of 8 s, `stopped` came at 7.65 s, and the signal had been handled up to 0.2 s late.

Plain requests are taken while they can be finished before open ones are given up. `leavingSince` is read by the thread that answers readiness checks without the lock, so it is volatile.

--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -78,7 +78,7 @@
   private boolean stopped;
   private Duration watchedTime = Duration.ZERO;
   private Duration tickedAt;
-  private @Nullable Duration leavingSince;
+  private volatile @Nullable Duration leavingSince;
 
   GatewayCore(
       MonotonicClock clock,
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -45,15 +45,6 @@
   private static final int HANDLER_THREADS = 1;
   private static final int PROBE_BODY_BYTES = 1024;
 
-  /** Leaving processes go on taking requests until the balancer has noticed. */
-  private static final Duration BALANCER_NOTICES = Duration.ofMillis(2500);
-
-  /** The part of the grace after which open requests are given up. */
-  private static final double GRACE_SHARE = 0.94;
-
-  /** Requests that were taken just before the end are answered in this time. */
-  private static final Duration LAST_ANSWERS = Duration.ofMillis(400);
-
   /** Answers that were given reach their callers in this time. */
   private static final Duration FLUSH = Duration.ofMillis(100);
 
@@ -232,18 +223,16 @@
           core.leave();
           writePhase("leaving");
         });
-    Thread.sleep(BALANCER_NOTICES.toMillis());
-    Duration rest =
-        Duration.ofMillis((long) (settings.grace().toMillis() * GRACE_SHARE))
-            .minus(BALANCER_NOTICES)
-            .minus(LAST_ANSWERS);
-    Polling.await(() -> unanswered() == 0, rest);
+    StopSchedule schedule = new StopSchedule(settings.grace());
+    Thread.sleep(schedule.balancerNoticed().toMillis());
+    Polling.await(() -> unanswered() == 0, schedule.openGivenUp().minus(core.leavingFor()));
     core.run(
         () -> {
           endpoint.stopTaking();
           writePhase("no-longer-taking");
         });
-    boolean finished = Polling.await(() -> unanswered() == 0, LAST_ANSWERS);
+    boolean finished =
+        Polling.await(() -> unanswered() == 0, schedule.openGivenUp().minus(core.leavingFor()));
     Thread.sleep(FLUSH.toMillis());
     core.run(
         () -> {
--- a/src/main/java/org/wigeonstage/gateway/LeavingFilter.java
+++ b/src/main/java/org/wigeonstage/gateway/LeavingFilter.java
@@ -21,9 +21,6 @@
   /** Streams that begin later may be cut at the end of the grace, which none of them may be. */
   private static final Duration LAST_STREAM = Duration.ofMillis(2800);
 
-  /** Plain requests last for less than two seconds. */
-  private static final Duration PLAIN_RESERVE = Duration.ofMillis(2500);
-
   /** The part of the remaining grace that an answer may be expected to take. */
   private static final double USED_SHARE = 0.5;
 
@@ -34,10 +31,12 @@
 
   private final GatewayCore core;
   private final Duration grace;
+  private final StopSchedule schedule;
 
   LeavingFilter(GatewayCore core, Duration grace) {
     this.core = core;
     this.grace = grace;
+    this.schedule = new StopSchedule(grace);
   }
 
   @Override
@@ -54,14 +53,14 @@
 
   private boolean canFinish(InboundCall call) {
     Duration leavingFor = core.leavingFor();
-    Duration remaining = grace.minus(leavingFor);
     if (core.hasStopped()) {
       return false;
     }
     if (call.route().kind() != RouteKind.STREAMING) {
-      return remaining.compareTo(PLAIN_RESERVE) > 0;
+      return schedule.canFinishPlain(leavingFor);
     }
     Duration lastStream = core.othersStay() ? BALANCER_NOTICES : LAST_STREAM;
+    Duration remaining = grace.minus(leavingFor);
     Duration usable = Duration.ofMillis((long) (remaining.toMillis() * USED_SHARE));
     Duration expected = core.expectedDuration(call).plus(call.route().firstPartObjective());
     return leavingFor.compareTo(lastStream) <= 0 && expected.compareTo(usable) <= 0;
