--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -347,7 +347,7 @@
       retryLimits = retries;
       budgets.clear();
     }
-    quotas.tolerate(tolerance);
+    quotas.tolerate(tolerance, now());
   }
 
   /** Takes over a configuration. */
@@ -427,8 +427,15 @@
                         waiting.add(
                             new WaitingCount(
                                 name, urgency.accountRank(), urgency.routeRank(), count))));
+    Duration now = now();
+    boolean canTell = quotas.knowsEarlierUse(now);
     return new Message.GatewayLoad(
-        isLeaving(), running, waiting, quotas.ownUse(), quotas.usedLately(now()));
+        isLeaving(),
+        running,
+        waiting,
+        quotas.ownUse(),
+        canTell ? quotas.usedLately(now) : Map.of(),
+        canTell ? quotas.burstSpent(now) : Map.of());
   }
 
   /**
@@ -439,6 +446,19 @@
     return watchedTime;
   }
 
+  /** Has a server avoided that has fallen silent. */
+  void suspect(ForwardedRequest request, BackendServer server) {
+    client.forget(Endpoint.of(server.address()));
+    pool(request.pool()).suspect(server.id(), now());
+  }
+
+  /** Returns whether the budget allows a repeat, and another server is expected to take it. */
+  boolean canRepeatElsewhere(ForwardedRequest request, Duration startBy) {
+    Duration now = now();
+    return budget(request.pool()).allowsRepeat(gateways, now)
+        && pool(request.pool()).canStartElsewhere(request.placed(), startBy, now);
+  }
+
   boolean isSuspect(ForwardedRequest request, BackendServer server) {
     return pool(request.pool()).isSuspect(server.id(), now());
   }
