LOST: give open requests their final answers before a gateway ends

What callers saw: a connection that ends without an answer, where a request was open at the end of its gateway's grace. Cause: nothing ended these requests; the process did.

At the end of the time for open requests they get what is true of them: 503 and "not run" where nothing was sent, 502 and "unknown" where the server may have run them, and a begun answer is broken off. Those that wait for a place go first, because the end of another request would free a place for them. The line `left-open` tells what each waited for; the phase `given-up` tells how many there were.

The time for last answers leaves 0.4 s for the end of the process, because the last callers close after that time.

--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -408,30 +408,46 @@
             .put("attempts", attempts)
             .put("endReadMillisAgo", unhandled.toMillis())
             .notable();
-    answer.describe(step, core.now());
-    Attempt current = attempt;
-    attempt = null;
-    if (current != null) {
-      current.describe(step);
-      mayHaveRun |= !current.cancelUnsent();
-      current.abandon(AttemptResult.NEUTRAL);
-    }
-    core.withdraw(this);
+    dropAttempt(step);
     core.finished(this, RequestOutcome.CALLER_GONE);
   }
 
-  /** Notes that the process ends before the request does. */
-  void leftOpen() {
+  /** Returns whether the request waits for a place at a backend server. */
+  boolean isWaiting() {
+    return attempt == null;
+  }
+
+  /**
+   * Gives the request its final answer, because the process ends.
+   *
+   * @param ifNotRun the answer where it certainly has not run
+   */
+  void giveUp(Rejection ifNotRun) {
+    if (finished) {
+      return;
+    }
     Attempt current = attempt;
-    RequestTrail.Step step =
+    dropAttempt(
         trail
             .step("left-open")
             .put("waitedFor", current == null ? "place" : current.waitsFor())
             .put("begun", answer.hasBegun())
-            .notable();
+            .notable());
+    endUnfinished(
+        Rejection.of(ErrorCode.ANSWER_LOST, "the process ended before the answer came"), ifNotRun);
+  }
+
+  /** Gives up the open attempt, if there is one, and the wait for a place. */
+  private void dropAttempt(RequestTrail.Step step) {
+    answer.describe(step, core.now());
+    Attempt current = attempt;
+    attempt = null;
     if (current != null) {
       current.describe(step);
+      mayHaveRun |= !current.cancelUnsent();
+      current.abandon(AttemptResult.NEUTRAL);
     }
+    core.withdraw(this);
   }
 
   private void breakOff() {
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -331,14 +331,15 @@
     return open.size();
   }
 
-  /** Writes the lines of all requests that are still open when the process ends. */
-  void recordOpen() {
-    open.values()
-        .forEach(
-            request -> {
-              request.leftOpen();
-              sampler.write(request.trail(), now());
-            });
+  /**
+   * Gives all open requests their final answers, because the process ends. Those that wait go
+   * first, so that none of them is started in a place that becomes free.
+   */
+  void giveUp() {
+    Rejection ifNotRun = LeavingFilter.refusal(othersStay);
+    List<ForwardedRequest> requests = List.copyOf(open.values());
+    requests.stream().filter(ForwardedRequest::isWaiting).forEach(each -> each.giveUp(ifNotRun));
+    requests.forEach(each -> each.giveUp(ifNotRun));
   }
 
   /** Takes over changed limits. */
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -234,12 +234,15 @@
         });
     boolean finished =
         Polling.await(() -> unanswered() == 0, schedule.openGivenUp().minus(core.leavingFor()));
+    if (!finished) {
+      core.run(
+          () -> {
+            writePhase("given-up");
+            core.giveUp();
+          });
+    }
     Thread.sleep(FLUSH.toMillis());
-    core.run(
-        () -> {
-          core.recordOpen();
-          writePhase("stopped");
-        });
+    core.run(() -> writePhase("stopped"));
     return finished;
   }
 
--- a/src/main/java/org/wigeonstage/gateway/LeavingFilter.java
+++ b/src/main/java/org/wigeonstage/gateway/LeavingFilter.java
@@ -44,11 +44,13 @@
     if (!core.isLeaving() || canFinish(call)) {
       return Optional.empty();
     }
-    return Optional.of(
-        Rejection.retryable(
-            ErrorCode.LEAVING,
-            "the process is leaving",
-            core.othersStay() ? RETRY_ELSEWHERE : RETRY_LATER));
+    return Optional.of(refusal(core.othersStay()));
+  }
+
+  /** Returns the answer to a request that the leaving process has not run. */
+  static Rejection refusal(boolean othersStay) {
+    return Rejection.retryable(
+        ErrorCode.LEAVING, "the process is leaving", othersStay ? RETRY_ELSEWHERE : RETRY_LATER);
   }
 
   private boolean canFinish(InboundCall call) {
--- a/src/main/java/org/wigeonstage/gateway/StopSchedule.java
+++ b/src/main/java/org/wigeonstage/gateway/StopSchedule.java
@@ -24,11 +24,11 @@
   /** Last answers are written, taken and their connections closed in this time. */
   private static final Duration LAST_ANSWERS = Duration.ofSeconds(1);
 
-  /** The last lines are written and the process ends in this time, on the slowest hosts too. */
-  private static final Duration PROCESS_ENDS = Duration.ofMillis(300);
+  /** The last callers close, lines are written and the process ends, on the slowest hosts too. */
+  private static final Duration PROCESS_ENDS = Duration.ofMillis(400);
 
   /** The part of a short rest of the grace that last answers get. */
-  private static final double LAST_ANSWERS_SHARE = 0.5;
+  private static final double LAST_ANSWERS_SHARE = 0.4;
 
   /** Plain requests last for less than this. */
   private static final Duration PLAIN_DURATION = Duration.ofSeconds(2);
--- a/src/test/java/org/wigeonstage/gateway/GatewayStopIT.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayStopIT.java
@@ -25,6 +25,9 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
   private static final int GRACE_SECONDS = 3;
 
+  /** More than one runner has places for. */
+  private static final int CALLS = 8;
+
   /** Longer than the grace, so that only the stop ends requests. */
   private static final String DEADLINE = "Deadline-Ms: 60000\r\n";
 
@@ -37,7 +40,10 @@
   void start() throws InterruptedException {
     ObjectNode configuration = Rehearsal.configuration();
     for (JsonNode route : configuration.path("routes")) {
-      ((ObjectNode) route).put("timeout_ms", 60_000);
+      ((ObjectNode) route)
+          .put("timeout_ms", 60_000)
+          .put("target_latency_ms", 60_000)
+          .put("max_attempts", 1);
     }
     fixture = new GatewayFixture(1, configuration, GRACE_SECONDS);
     fixture.awaitStatus("plain", 200);
@@ -78,13 +84,45 @@
       awaitRun("open-1");
       fixture.gateway.drain();
     }
-    for (String event : new String[] {"leaving", "no-longer-taking", "stopped"}) {
-      assertThat(decisions.of(event))
-          .as(event)
-          .singleElement()
-          .asString()
-          .contains("\"openRequests\":1", "\"notAdmitted\":0", "\"leavingMillis\":");
+    for (String event : new String[] {"leaving", "no-longer-taking", "given-up"}) {
+      assertPhase(event, 1);
+    }
+    assertPhase("stopped", 0);
+  }
+
+  private void assertPhase(String event, int openRequests) {
+    assertThat(decisions.of(event))
+        .as(event)
+        .singleElement()
+        .asString()
+        .contains("\"openRequests\":" + openRequests, "\"notAdmitted\":0", "\"leavingMillis\":");
+  }
+
+  /** LOST: requests that are open when their time is used up. */
+  @Test
+  void givesWhatIsOpenItsFinalAnswerBeforeItEnds() throws Exception {
+    runner().behave(Behaviour.RUNS_FOREVER);
+    Map<String, Socket> calls = new ConcurrentHashMap<>();
+    for (int i = 0; i < CALLS; i++) {
+      String id = "open-%d.".formatted(i);
+      calls.put(id, fixture.send("plain", id, CLOSES + DEADLINE));
+    }
+    assertThat(Polling.await(() -> fixture.gateway.core().openRequests() == CALLS, TIMEOUT))
+        .isTrue();
+    assertThat(fixture.gateway.drain()).isFalse();
+    fixture.gateway.close();
+    for (Map.Entry<String, Socket> call : calls.entrySet()) {
+      try (Socket socket = call.getValue()) {
+        boolean hasRun = !fixture.runsOf(call.getKey()).isEmpty();
+        assertThat(GatewayFixture.answerOn(socket))
+            .startsWith(hasRun ? "HTTP/1.1 502" : "HTTP/1.1 503")
+            .contains(hasRun ? "answer-lost" : "leaving");
+      }
     }
+    assertThat(decisions.of("left-open"))
+        .hasSize(CALLS)
+        .anyMatch(line -> line.contains("\"waitedFor\":\"place\""))
+        .anyMatch(line -> line.contains("\"waitedFor\":\"first-part\""));
   }
 
   /** Requests are read until the end by a process that waits for its first configuration. */
--- a/src/test/java/org/wigeonstage/gateway/StopScheduleTest.java
+++ b/src/test/java/org/wigeonstage/gateway/StopScheduleTest.java
@@ -10,7 +10,7 @@
 class StopScheduleTest {
 
   /** How late signals are handled, and how long a process takes to end, on the slowest hosts. */
-  private static final Duration AROUND_THE_STOP = Duration.ofMillis(300 + 300);
+  private static final Duration AROUND_THE_STOP = Duration.ofMillis(300 + 400);
 
   private static StopSchedule of(long graceMillis) {
     return new StopSchedule(Duration.ofMillis(graceMillis));
@@ -42,10 +42,10 @@
   }
 
   @Test
-  void halfOfAVeryShortRestBelongsToLastAnswers() {
+  void twoFifthsOfAShortRestBelongToLastAnswers() {
     StopSchedule schedule = of(600);
     assertThat(schedule.openGivenUp().toMillis()).isEqualTo(500);
-    assertThat(schedule.connectionsClosed().toMillis()).isEqualTo(550);
+    assertThat(schedule.connectionsClosed().toMillis()).isEqualTo(540);
   }
 
   @Test
@@ -58,7 +58,7 @@
     StopSchedule schedule = of(8000);
     assertThat(schedule.balancerNoticed()).isEqualTo(Duration.ofMillis(2500));
     assertThat(schedule.openGivenUp().toMillis()).isEqualTo(6666);
-    assertThat(schedule.connectionsClosed()).isEqualTo(Duration.ofMillis(7400));
+    assertThat(schedule.connectionsClosed()).isEqualTo(Duration.ofMillis(7300));
   }
 
   @Test
