Let a begun stream wait where no server takes new work

Callers saw a stream break off at once when the last server of its pool left or was lost, though another one registered while they would have waited.

Cause: the scheduler refused every request while no server took new work, also one whose caller had part of the answer and waits for seconds more. Such a request now waits in its urgency until its patience is over, as it does where all servers are full. Requests that have not begun are refused at once as before, so that their callers can go elsewhere.

PoolSchedulerTest.keepsABegunStreamWaitingWhileNoServerTakesNewWork failed before with NO_SERVER.

--- a/src/main/java/org/wigeonstage/placement/PlacedRequest.java
+++ b/src/main/java/org/wigeonstage/placement/PlacedRequest.java
@@ -15,6 +15,7 @@
   private final long promptTokens;
   private final long expectedEvents;
   private final Duration deadline;
+  private boolean hasBegun;
   private final Set<String> triedServers = new HashSet<>();
 
   /**
@@ -69,6 +70,7 @@
             expectedEvents,
             deadline);
     next.triedServers.addAll(triedServers);
+    next.hasBegun = true;
     return next;
   }
 
@@ -134,6 +136,11 @@
     return !triedServers.isEmpty();
   }
 
+  /** Returns whether its caller has a part of the answer. */
+  boolean hasBegun() {
+    return hasBegun;
+  }
+
   boolean hasTried(String serverId) {
     return triedServers.contains(serverId);
   }
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -123,13 +123,14 @@
   }
 
   /**
-   * Takes a request. It is started, kept waiting or refused.
+   * Takes a request. It is started, kept waiting or refused. One whose answer has begun waits as
+   * long as it can, because its caller would lose what it has.
    *
    * @param request the request
    * @param now the time
    */
   public void submit(PlacedRequest request, Duration now) {
-    if (servers.values().stream().noneMatch(ServerLoad::takesNewWork)) {
+    if (!request.hasBegun() && servers.values().stream().noneMatch(ServerLoad::takesNewWork)) {
       effects.refuse(request, Refusal.NO_SERVER, NO_SERVER_RETRY);
       return;
     }
--- a/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
+++ b/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
@@ -445,4 +445,19 @@
     assertThat(scheduler.canStartElsewhere(silent, millis(2000), millis(2100))).isFalse();
     assertThat(scheduler.canStartElsewhere(silent, millis(3000), millis(2100))).isTrue();
   }
+
+  /** A pool's last server leaves or is lost, and another one registers while the caller waits. */
+  @Test
+  void keepsABegunStreamWaitingWhileNoServerTakesNewWork() {
+    servers(server("a", 1, false));
+    PlacedRequest stream = submit("stream", 0, 0);
+    servers(server("a", 1, true));
+    PlacedRequest resumed = stream.resumed(millis(1000), millis(400), millis(1700));
+    scheduler.submit(resumed, millis(1000));
+    scheduler.tick(millis(1500));
+    assertThat(refused).isEmpty();
+    started.clear();
+    scheduler.update(List.of(server("b", 1, false)), millis(1600));
+    assertThat(started).containsEntry("stream", "b");
+  }
 }
