Use no connection that rested as long as one that its server had dropped

Callers saw requests lost within milliseconds of being sent, again and again: a server had dropped its idle connections without notice, and each of them cost the request that was sent on it next.

Cause: only the connection that was lost was given up; the others of the same age stayed in the pool for the next calls. Where a kept connection ends before anything of the answer came, all connections to that server that have rested at least as long are closed now. Calls that this process gives up itself tell nothing and close no others.

--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -38,7 +38,8 @@
   private boolean paused;
   private boolean aborted;
   private boolean ended;
-  private boolean began;
+  private volatile boolean began;
+  private volatile Runnable whenLostUnanswered = () -> {};
   private volatile @Nullable Duration connectedAt;
   private volatile @Nullable Duration writtenAt;
 
@@ -79,6 +80,11 @@
     };
   }
 
+  /** Sets what is run where the connection ends before the answer begins, but by {@link #abort}. */
+  void onLostUnanswered(Runnable action) {
+    whenLostUnanswered = action;
+  }
+
   void connectFailed(Throwable cause) {
     if (end()) {
       listener.notConnected(cause);
@@ -135,10 +141,17 @@
 
   void closed(Throwable cause) {
     if (end()) {
+      if (!began && !isAborted()) {
+        whenLostUnanswered.run();
+      }
       listener.broken(cause);
     }
   }
 
+  private synchronized boolean isAborted() {
+    return aborted;
+  }
+
   private synchronized boolean end() {
     boolean first = !ended;
     ended = true;
--- a/src/main/java/org/wigeonstage/http/PooledHttpClient.java
+++ b/src/main/java/org/wigeonstage/http/PooledHttpClient.java
@@ -74,9 +74,10 @@
             clock,
             (connection, reusable) -> release(server, connection, reusable, idleLimit.limit()));
     HttpPacket packet = packetOf(call);
-    Connection<?> kept = take(server, maxIdle);
+    IdleConnection kept = take(server, maxIdle);
     if (kept != null) {
-      exchange.connected(kept, packet);
+      exchange.onLostUnanswered(() -> forgetIdleSince(server, kept.since()));
+      exchange.connected(kept.connection(), packet);
     } else {
       connectsStarted.incrementAndGet();
       transport.connect(server, exchange, packet);
@@ -107,6 +108,27 @@
     }
   }
 
+  /**
+   * Closes the connections to a server that have been idle for at least as long as one that was
+   * lost as it was used. The server drops idle connections without notice, so they are lost, too.
+   */
+  private void forgetIdleSince(Endpoint server, Duration since) {
+    Deque<IdleConnection> connections = idle.get(server);
+    if (connections == null) {
+      return;
+    }
+    synchronized (connections) {
+      connections.removeIf(
+          entry -> {
+            boolean isAsOld = entry.since().compareTo(since) <= 0;
+            if (isAsOld) {
+              entry.connection().closeSilently();
+            }
+            return isAsOld;
+          });
+    }
+  }
+
   /** Closes connections that were idle for too long. */
   public void closeExpired() {
     Duration now = clock.elapsed();
@@ -128,7 +150,7 @@
     return expired;
   }
 
-  private @Nullable Connection<?> take(Endpoint server, Duration maxIdle) {
+  private @Nullable IdleConnection take(Endpoint server, Duration maxIdle) {
     Deque<IdleConnection> connections = idle.get(server);
     if (connections == null) {
       return null;
@@ -143,7 +165,7 @@
         }
         newestFirst.remove();
         if (!isExpired(entry, now)) {
-          return entry.connection();
+          return entry;
         }
       }
     }
