--- a/src/test/java/org/wigeonstage/system/GatewayHandle.java
+++ b/src/test/java/org/wigeonstage/system/GatewayHandle.java
@@ -10,6 +10,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -29,6 +31,7 @@
   private final Endpoint callers = stablePort();
   private final Path settingsFile;
   private final Path logFile;
+  private final Queue<Process> throttles = new ConcurrentLinkedQueue<>();
   private @Nullable Process process;
 
   GatewayHandle(String name, Path directory, Endpoint store) throws IOException {
@@ -110,6 +113,19 @@
     return started;
   }
 
+  /**
+   * Leaves the process three tenths of a core until its end, by stopping it in turns. The shell's
+   * own signals cost less than processes that send them.
+   */
+  void throttle() throws IOException {
+    String turns = "while kill -STOP $0 && sleep 0.07; kill -CONT $0; do sleep 0.03; done";
+    throttles.add(
+        new ProcessBuilder("bash", "-c", turns, Long.toString(current().pid()))
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+            .start());
+  }
+
   /** Waits for the end of the process; returns whether it came in time. */
   boolean awaitEnd(Duration limit) throws InterruptedException {
     return current().waitFor(limit.toMillis(), TimeUnit.MILLISECONDS);
@@ -133,5 +149,6 @@
     if (process != null) {
       process.destroyForcibly();
     }
+    throttles.forEach(Process::destroyForcibly);
   }
 }
