--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -43,7 +43,6 @@
 import org.wigeonstage.request.HeaderFields;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.routes.RoutingTable;
-import org.wigeonstage.telemetry.DecisionLog;
 
 /**
  * Ties the decisions on requests together. All of its state, and that of open requests, belongs to
@@ -72,9 +71,8 @@
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private final Map<PlacedRequest, ForwardedRequest> open = new HashMap<>();
   private final AwaitedRepeats awaitedRepeats = new AwaitedRepeats(this);
-  private Set<String> knownServers = Set.of();
+  private final KnownServers knownServers = new KnownServers();
   private int gateways = 1;
-  private boolean serversKnown;
   private boolean othersStay;
   private boolean stopped;
   private Duration watchedTime = Duration.ZERO;
@@ -331,7 +329,7 @@
 
   /** Returns whether the list of backend servers is known. */
   boolean knowsServers() {
-    return serversKnown;
+    return knownServers.isKnown();
   }
 
   int openRequests() {
@@ -366,38 +364,15 @@
 
   /** Takes over the list of backend servers. */
   void update(ServerList list) {
-    serversKnown = true;
-    List<BackendServer> servers = list.servers();
-    Set<String> ids = servers.stream().map(BackendServer::id).collect(Collectors.toSet());
-    logChanges(ids, list);
-    knownServers = ids;
+    knownServers.update(list);
     Map<String, List<BackendServer>> byPool =
-        servers.stream().collect(Collectors.groupingBy(BackendServer::pool));
+        list.servers().stream().collect(Collectors.groupingBy(BackendServer::pool));
     Duration now = now();
     Set<String> names = new HashSet<>(pools.keySet());
     names.addAll(byPool.keySet());
     names.forEach(name -> pool(name).update(byPool.getOrDefault(name, List.of()), now));
   }
 
-  private void logChanges(Set<String> ids, ServerList list) {
-    if (!ids.equals(knownServers)) {
-      Set<String> added = new HashSet<>(ids);
-      added.removeAll(knownServers);
-      Set<String> removed = new HashSet<>(knownServers);
-      removed.removeAll(ids);
-      DecisionLog.write(
-          "servers-changed",
-          "revision",
-          list.revision(),
-          "added",
-          added,
-          "removed",
-          removed,
-          "unreadable",
-          list.unreadable());
-    }
-  }
-
   /** Sets the number of gateways that share limits, this one included. */
   void gateways(int count) {
     gateways = Math.max(1, count);
