Send again on no rested connection what was lost on one

Callers of idempotent requests saw 502 within milliseconds while all servers were sound: the servers had dropped idle connections without notice, the request was lost on one of them, and its last attempt was lost on another.

Cause: a request that may repeat used connections that had rested for up to 30 s in each of its attempts. Only the first one does now, and only where another can follow; the others use a connection that was in use just now, as requests do that must not be sent twice, or a new one.

--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -24,10 +24,11 @@
   private static final Duration MAX_IDLE = Duration.ofSeconds(30);
 
   /**
-   * A request that must not be sent twice uses a kept connection only if it was in use just now:
-   * servers close idle ones after seconds, and one that is closed meanwhile costs the request.
+   * A request that must not be sent twice, or was sent before, uses a kept connection only if it
+   * was in use just now: servers close idle ones after seconds, and one that is closed meanwhile
+   * costs the request.
    */
-  private static final Duration MAX_IDLE_FOR_ONE_SENDING = Duration.ofMillis(500);
+  private static final Duration MAX_IDLE_FOR_LAST_SENDING = Duration.ofMillis(500);
 
   /** A first part that is this many objectives late will not come. */
   private static final double FIRST_PART_PATIENCE = 2;
@@ -87,9 +88,14 @@
     return server;
   }
 
-  void send(Endpoint target, OutboundCall call, boolean mayRepeat) {
+  /**
+   * Sends the request.
+   *
+   * @param mayBeLost whether it can be sent again if the connection turns out to be closed
+   */
+  void send(Endpoint target, OutboundCall call, boolean mayBeLost) {
     exchange =
-        core.client().send(target, call, mayRepeat ? MAX_IDLE : MAX_IDLE_FOR_ONE_SENDING, this);
+        core.client().send(target, call, mayBeLost ? MAX_IDLE : MAX_IDLE_FOR_LAST_SENDING, this);
   }
 
   boolean wasSent() {
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -118,7 +118,8 @@
     Attempt next = new Attempt(this, core, server, now, estimate.firstPart());
     attempt = next;
     attempts++;
-    next.send(Endpoint.of(server.address()), outbound, route.mayRepeat());
+    boolean mayBeLost = attempts == 1 && route.mayRepeat() && hasAttemptsLeft();
+    next.send(Endpoint.of(server.address()), outbound, mayBeLost);
   }
 
   /** Refuses the request because no backend server can take it. */
--- a/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
+++ b/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.wigeonstage.common.ControlThreads;
+import org.wigeonstage.http.Arrival;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpServer;
 import org.wigeonstage.http.ServerExchange;
@@ -47,6 +48,8 @@
     SENDS_WITHOUT_END,
     /** Run, and the answer has no signature. */
     UNSIGNED,
+    /** Connections that are not new are reset at their next request, and nothing is run. */
+    DROPS_KEPT,
     /** Run, and never answered. */
     RUNS_FOREVER,
     /** Nothing is run or answered. */
@@ -56,6 +59,7 @@
   private static final int MAX_BODY_BYTES = 1024 * 1024;
   private static final int EVENTS = 8;
   private static final long EVENT_MILLIS = 5;
+  private static final long NEW_MILLIS = 600;
   private static final long PAUSE_MILLIS = 2500;
   private static final int ENDLESS_PART_BYTES = 64 * 1024;
   private static final int OK = 200;
@@ -151,6 +155,10 @@
     if (current == Behaviour.SILENT) {
       return;
     }
+    if (current == Behaviour.DROPS_KEPT && !isNew(exchange)) {
+      exchange.abort();
+      return;
+    }
     String expected = exchange.header("Target-Instance");
     if (expected != null && !expected.equals(id)) {
       exchange.respond(MISDIRECTED, HeaderFields.NONE.with("Instance-Id", id), new byte[0]);
@@ -171,6 +179,11 @@
     run(exchange, current, attemptId);
   }
 
+  private static boolean isNew(ServerExchange exchange) {
+    Arrival arrival = exchange.arrival();
+    return arrival.readAt().minus(arrival.connectedAt()).toMillis() < NEW_MILLIS;
+  }
+
   private void run(ServerExchange exchange, Behaviour current, String attemptId) {
     if (current == Behaviour.RUNS_FOREVER) {
       return;
