Count what was used between learning from one gateway and first hearing another

What callers would see: none at once; QUOTA when many gateways are added, or restart beside others, while an account asks several times its limit.

Cause: a gateway that starts learns the use of the last window from the first gateway that it hears. The links to the others come up over the next second. What such a gateway had used before it was heard was left out as known, although what it used since the learning was known to nobody here.

Now the first report of each gateway that ran before is taken over where it knows of more use than is known here, in the window and of the burst.

Test: QuotaFleetTest, 1 to 31 gateways added at once to a fleet of up to 32 in all.

--- a/src/main/java/org/wigeonstage/quota/AccountQuotas.java
+++ b/src/main/java/org/wigeonstage/quota/AccountQuotas.java
@@ -245,8 +245,8 @@
   }
 
   /**
-   * Takes over what a gateway knows of the use before this one's start, in place of the assumption
-   * that all was used up.
+   * Takes over what a gateway knows of the use before it was heard: at first in place of the
+   * assumption that all was used up before this one's start, and then what it knows beyond that.
    *
    * @param lately what was used in the last window, by account
    * @param burstSpent what was used of what may be used at once, by account
@@ -257,15 +257,17 @@
     if (uses.isEmpty()) {
       return;
     }
-    if (!knowsEarlierUse(now)) {
-      burstSpent.forEach(
-          (account, spent) -> {
-            AccountUse use = uses.get(account);
-            if (use != null) {
-              use.learnEarlierUse(lately.getOrDefault(account, 0L), spent, now);
-            }
-          });
-    }
+    boolean knowsEarlierUse = knowsEarlierUse(now);
+    burstSpent.forEach(
+        (account, spent) -> {
+          AccountUse use = uses.get(account);
+          long units = lately.getOrDefault(account, 0L);
+          if (use != null && knowsEarlierUse) {
+            use.learnMore(units, spent, now);
+          } else if (use != null) {
+            use.learnEarlierUse(units, spent, now);
+          }
+        });
     hasLearned = true;
   }
 
--- a/src/main/java/org/wigeonstage/quota/AccountUse.java
+++ b/src/main/java/org/wigeonstage/quota/AccountUse.java
@@ -59,6 +59,12 @@
     usePace((double) burstSpent + own, now);
   }
 
+  /** Counts what another gateway knows beyond what is known here. */
+  void learnMore(long lately, long burstSpent, Duration now) {
+    window.add(Math.max(0, lately - window.sum(now)), now);
+    usePace(Math.max(0, burstSpent - pace.missing(now)), now);
+  }
+
   long usedLately(Duration now) {
     return Math.round(window.sum(now));
   }
--- a/src/main/java/org/wigeonstage/quota/PeerUse.java
+++ b/src/main/java/org/wigeonstage/quota/PeerUse.java
@@ -65,7 +65,7 @@
 
   /**
    * Takes a report of the peer, and learns from the first one, if it started earlier, what was used
-   * before this gateway's start.
+   * before this gateway's start, and since then before the peer was heard.
    *
    * @param newIncarnation names the peer's start
    * @param used its use since its start, by account
@@ -81,6 +81,7 @@
       Duration now) {
     boolean canTeach = newIncarnation < ownIncarnation && !burstSpent.isEmpty();
     if (incarnation == 0 && canTeach) {
+      endSilence(now);
       quotas.learnEarlierUse(usedLately, burstSpent, now);
     }
     heard(newIncarnation, used, now);
--- a/src/test/java/org/wigeonstage/quota/QuotaFleet.java
+++ b/src/test/java/org/wigeonstage/quota/QuotaFleet.java
@@ -4,8 +4,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -26,7 +28,9 @@
   private static final int CONNECT_STEPS = 50;
   private static final int MAX_LATENCY_STEPS = 3;
 
-  /** The list of gateways is read within a fifth of a second of a start. */
+  /** The list of gateways is read every 5 s, and first within a fifth of a second of a start. */
+  private static final int LISTING_STEPS = 500;
+
   private static final int MAX_LISTING_STEPS = 20;
 
   private static final int MIN_LINK_STEPS = 20;
@@ -38,6 +42,7 @@
   private final @Nullable Gateway[] gateways;
   private final int[] startsAt;
   private final int[] cutUntil;
+  private final boolean[] isListed;
   private final List<List<Report>> underway = new ArrayList<>();
   private final List<long[]> served = new ArrayList<>();
   private long asked;
@@ -54,7 +59,7 @@
 
     private final AccountQuotas quotas;
     private final long incarnation;
-    private final int listsAt;
+    private int listsAt;
     private final @Nullable PeerUse[] peers;
     private final int[] linkedAt;
 
@@ -74,6 +79,7 @@
     this.gateways = new Gateway[count];
     this.startsAt = new int[count];
     this.cutUntil = new int[count];
+    this.isListed = new boolean[count];
     for (int i = 0; i <= MAX_LATENCY_STEPS; i++) {
       underway.add(new ArrayList<>());
     }
@@ -96,6 +102,28 @@
     startsAt[index] = step + 1 + (int) (downFor.toMillis() / STEP_MILLIS);
   }
 
+  /** Takes a gateway out of the fleet before any time has passed, as if it was never there. */
+  void takeOut(int index) {
+    remove(index, false);
+    isListed[index] = false;
+    for (Gateway gateway : gateways) {
+      if (gateway != null) {
+        gateway.peers[index] = null;
+      }
+    }
+  }
+
+  /**
+   * Ends a gateway for good.
+   *
+   * @param isHostGone whether nobody refuses connections to it either
+   */
+  void remove(int index, boolean isHostGone) {
+    gateways[index] = null;
+    startsAt[index] = Integer.MAX_VALUE;
+    cutUntil[index] = isHostGone ? Integer.MAX_VALUE : 0;
+  }
+
   /** Kills all gateways; each starts again within a while. */
   void killAll(Duration downForAtMost) {
     for (int i = 0; i < count(); i++) {
@@ -149,6 +177,7 @@
         new Gateway(
             quotas, 1000 + now().toMillis(), step + random.nextInt(MAX_LISTING_STEPS), count());
     gateways[index] = gateway;
+    isListed[index] = true;
     for (int other = 0; other < count(); other++) {
       int linkedAt = step + MIN_LINK_STEPS + random.nextInt(MAX_LINK_STEPS - MIN_LINK_STEPS);
       gateway.linkedAt[other] = linkedAt;
@@ -201,19 +230,30 @@
               ? new Lately(gateway.quotas.usedLately(now()), gateway.quotas.burstSpent(now()))
               : new Lately(Map.of(), Map.of());
       if (step >= gateway.listsAt) {
-        gateway.quotas.gatewaysAreListed();
+        list(gateway, i);
       }
       for (int to = 0; to < count(); to++) {
-        if (to != i && (step >= gateway.listsAt || gateway.peers[to] != null)) {
+        if (gateway.peers[to] != null) {
           maintain(i, gateway, to, used, lately);
         }
       }
     }
   }
 
+  private void list(Gateway gateway, int index) {
+    gateway.listsAt = step + LISTING_STEPS;
+    gateway.quotas.gatewaysAreListed();
+    for (int other = 0; other < count(); other++) {
+      if (other != index && isListed[other]) {
+        peer(gateway, other);
+      }
+    }
+  }
+
   private void maintain(int from, Gateway gateway, int to, Map<String, Long> used, Lately lately) {
     PeerUse peer = peer(gateway, to);
-    peer.tick(count(), now());
+    int known = (int) Arrays.stream(gateway.peers).filter(Objects::nonNull).count();
+    peer.tick(1 + known, now());
     boolean isCut = cutUntil[from] > step || cutUntil[to] > step;
     if (gateways[to] == null) {
       if (!isCut && (step / SEND_STEPS) % (CONNECT_STEPS / SEND_STEPS) == to % 10) {
--- a/src/test/java/org/wigeonstage/quota/QuotaFleetTest.java
+++ b/src/test/java/org/wigeonstage/quota/QuotaFleetTest.java
@@ -47,6 +47,16 @@
     new Trial(seed).restartAllWhileSomeAreCutOff();
   }
 
+  @Property(tries = 20, seed = "20261204")
+  void keepsTheLimitWhileManyGatewaysAreAddedAtOnce(@ForAll long seed) {
+    new Trial(seed).addMany();
+  }
+
+  @Property(tries = 20, seed = "20261204")
+  void keepsTheLimitWhileManyGatewaysLeaveAtOnce(@ForAll long seed) {
+    new Trial(seed).removeMany();
+  }
+
   @Property(tries = 20, seed = "20261204")
   void servesTheUsualSoonAfterAllGatewaysRestarted(@ForAll long seed) {
     new Trial(seed).askForTheUsualAfterARestart();
@@ -133,6 +143,30 @@
       fleet.assertNoWindowAboveWhatIsTolerated();
     }
 
+    void addMany() {
+      int added = 1 + random.nextInt(fleet.count() - 1);
+      for (int i = 0; i < added; i++) {
+        fleet.takeOut(i);
+      }
+      askUntilAMomentOfTheWindow();
+      for (int i = 0; i < added; i++) {
+        fleet.kill(i, Duration.ofMillis(random.nextInt(1000)));
+      }
+      ask(Duration.ofSeconds(12), 2 + 6 * random.nextDouble());
+      fleet.assertNoWindowAboveWhatIsTolerated();
+    }
+
+    void removeMany() {
+      askUntilAMomentOfTheWindow();
+      int removed = 1 + random.nextInt(fleet.count() - 1);
+      boolean hostsAreGone = random.nextBoolean();
+      for (int i = 0; i < removed; i++) {
+        fleet.remove(i, hostsAreGone);
+      }
+      ask(Duration.ofSeconds(12), 2 + 6 * random.nextDouble());
+      fleet.assertNoWindowAboveWhatIsTolerated();
+    }
+
     void askForTheUsualAfterARestart() {
       askUntilAMomentOfTheWindow();
       fleet.killAll(RESTARTED_WITHIN);
