LOST: ask the server to deliver its answers and close before a gateway ends

What callers saw: answers that break off, and connections that end without one, at a gateway that stops. Cause: after the last request the stop waited 0.1 s and the process ended, whatever was still in the write queues; connections were accepted and requests read until then.

The stop now asks HttpServer.drain in what is left of the grace: the listener is closed, what was read is answered, answers are handed over and connections closed. Until then new requests are refused. `stopped` tells whether all answers were delivered and what was left, and so does the exit code.

GatewayStopIT.closesItsConnectionsAndTakesNoNewOnesBeforeItEnds failed before (no such fields), passes now. GatewayIT.answersEveryRequestThatItTakesWhileItStops called until the drain had returned, which now closes the listener; it calls until it is refused, and holds every answer but that of the call that crosses the close to 200 or 503, and that call to not having been read.

--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -31,6 +31,9 @@
   /** The least time with which another attempt is worth making. */
   private static final Duration MIN_REMAINING = Duration.ofMillis(60);
 
+  /** A server that declined a request has room again after about this time. */
+  private static final Duration DECLINED_RETRY_AFTER = Duration.ofMillis(300);
+
   /** Callers leave a stream after a pause of two seconds or more. */
   private static final Duration RESUME_PATIENCE = Duration.ofMillis(1700);
 
@@ -300,7 +303,7 @@
               Rejection.retryable(
                   ErrorCode.NO_BACKEND_SERVER,
                   "the backend server declined the request",
-                  core.declinedRetryAfter()));
+                  DECLINED_RETRY_AFTER));
       case REPORT_UNKNOWN, PASS_ON ->
           fail(ErrorCode.ANSWER_LOST, "the backend server's answer was lost: " + end);
       case REPORT_TIMEOUT -> fail(ErrorCode.DEADLINE, "the time of the request is used up");
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -57,8 +57,6 @@
   /** What a late tick adds to the watched time, so that silence is noticed in the end. */
   private static final Duration LATE_TICK = Duration.ofMillis(5);
 
-  private static final Duration DECLINED_RETRY_AFTER = Duration.ofMillis(300);
-
   private final MonotonicClock clock;
   private final HeaderDialect dialect;
   private final PooledHttpClient client;
@@ -228,10 +226,6 @@
     return budget(pool).tryRepeat(gateways, now());
   }
 
-  Duration declinedRetryAfter() {
-    return DECLINED_RETRY_AFTER;
-  }
-
   /** Notes how long the answer to a request took. */
   void served(ForwardedRequest request, Duration firstPart, Duration whole) {
     requestMetrics.served(request, firstPart, whole);
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -2,6 +2,8 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.Comparators;
+import com.google.common.collect.ObjectArrays;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.io.Closer;
 import java.io.Closeable;
@@ -17,6 +19,7 @@
 import org.wigeonstage.forward.HeaderDialect;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpServer;
+import org.wigeonstage.http.OpenWork;
 import org.wigeonstage.http.PooledHttpClient;
 import org.wigeonstage.http.ServerOptions;
 import org.wigeonstage.quota.AccountQuotas;
@@ -45,9 +48,6 @@
   private static final int HANDLER_THREADS = 1;
   private static final int PROBE_BODY_BYTES = 1024;
 
-  /** Answers that were given reach their callers in this time. */
-  private static final Duration FLUSH = Duration.ofMillis(100);
-
   private final GatewaySettings settings;
   private final Closer closer = Closer.create();
   private final MetricRegistry metrics = new MetricRegistry();
@@ -241,9 +241,22 @@
             core.giveUp();
           });
     }
-    Thread.sleep(FLUSH.toMillis());
-    core.run(() -> writePhase("stopped"));
-    return finished;
+    Duration rest = schedule.connectionsClosed().minus(core.leavingFor());
+    boolean delivered = callers.drain(Comparators.max(rest, Duration.ZERO));
+    OpenWork left = callers.openWork();
+    core.run(
+        () ->
+            writePhase(
+                "stopped",
+                "answersDelivered",
+                delivered,
+                "connections",
+                left.connections(),
+                "unansweredRequests",
+                left.unansweredRequests(),
+                "untakenAnswers",
+                left.untakenAnswers()));
+    return finished && delivered;
   }
 
   /** Returns how many requests were read and not answered, whether they were admitted or not. */
@@ -252,15 +265,16 @@
   }
 
   /** Writes what is open at the beginning of a phase of the stop. */
-  private void writePhase(String event) {
-    DecisionLog.write(
-        event,
-        "openRequests",
-        core.openRequests(),
-        "notAdmitted",
-        endpoint.unadmitted(),
-        "leavingMillis",
-        core.leavingFor().toMillis());
+  private void writePhase(String event, Object... namesAndValues) {
+    Object[] open = {
+      "openRequests",
+      core.openRequests(),
+      "notAdmitted",
+      endpoint.unadmitted(),
+      "leavingMillis",
+      core.leavingFor().toMillis()
+    };
+    DecisionLog.write(event, ObjectArrays.concat(open, namesAndValues, Object.class));
   }
 
   @Override
--- a/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -158,6 +158,11 @@
     return socket;
   }
 
+  /** Opens a connection on which nothing is asked. */
+  static Socket connect(GatewayProcess target) throws IOException {
+    return new Socket("127.0.0.1", target.callersEndpoint().port());
+  }
+
   List<RunnerStandin.RunRecord> runsOf(String id) {
     return runners.stream()
         .flatMap(runner -> runner.runs().stream())
--- a/src/test/java/org/wigeonstage/gateway/GatewayIT.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayIT.java
@@ -10,10 +10,8 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -312,28 +310,39 @@
     assertThat(answer.toString()).contains("id: 8\n").endsWith("0\r\n\r\n");
   }
 
-  /** Requests arrive until the process ends. */
+  /** Requests arrive until the process listens no more; the last one may cross that. */
   @Test
   void answersEveryRequestThatItTakesWhileItStops() throws Exception {
-    AtomicBoolean stopped = new AtomicBoolean();
-    Map<Integer, Integer> statuses = new ConcurrentHashMap<>();
+    List<Integer> statuses = new CopyOnWriteArrayList<>();
     Thread callers =
         new Thread(
             () -> {
-              for (int i = 0; !stopped.get(); i++) {
-                try {
-                  statuses.merge(statusOf(fixture.call("plain", "stop-" + i)), 1, Integer::sum);
-                } catch (IOException e) {
-                  statuses.merge(-1, 1, Integer::sum);
-                }
-              }
+              do {
+                statuses.add(statusOrZero("stop-%d.".formatted(statuses.size())));
+              } while (statuses.get(statuses.size() - 1) != 0);
             });
-    callers.start();
-    fixture.gateway.drain();
-    stopped.set(true);
-    callers.join();
-    assertThat(statuses.keySet()).isSubsetOf(200, 503);
-    assertThat(statuses).containsKeys(200, 503);
+    try (CapturedDecisions decisions = new CapturedDecisions()) {
+      callers.setDaemon(true);
+      callers.start();
+      assertThat(fixture.gateway.drain()).isTrue();
+      callers.join(TIMEOUT.toMillis());
+      assertThat(callers.isAlive()).as("the listener is open").isFalse();
+      int last = statuses.size() - 1;
+      assertThat(statuses.subList(0, last)).containsOnly(200, 503);
+      // All that is read then is refused, and the lines of refused requests are always written.
+      String crossing = "stop-%d.".formatted(last);
+      assertThat(decisions.of("rejected")).isNotEmpty().noneMatch(line -> line.contains(crossing));
+      assertThat(fixture.runsOf(crossing)).isEmpty();
+    }
+  }
+
+  /** Returns the status of an answer, or zero where there is none. */
+  private int statusOrZero(String id) {
+    try {
+      return statusOf(fixture.call("plain", id));
+    } catch (IOException e) {
+      return 0;
+    }
   }
 
   @Test
--- a/src/test/java/org/wigeonstage/gateway/GatewayStopIT.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayStopIT.java
@@ -1,11 +1,13 @@
 package org.wigeonstage.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.Map;
@@ -90,6 +92,22 @@
     assertPhase("stopped", 0);
   }
 
+  /** LOST: connections were cut, and new ones taken, until the process was gone. */
+  @Test
+  void closesItsConnectionsAndTakesNoNewOnesBeforeItEnds() throws Exception {
+    try (Socket idle = GatewayFixture.connect(fixture.gateway)) {
+      assertThat(fixture.gateway.drain()).isTrue();
+      assertThat(decisions.of("stopped"))
+          .singleElement()
+          .asString()
+          .contains("\"answersDelivered\":true", "\"unansweredRequests\":0")
+          .contains("\"untakenAnswers\":0");
+      assertThat(GatewayFixture.answerOn(idle)).isEmpty();
+      assertThatThrownBy(() -> GatewayFixture.connect(fixture.gateway))
+          .isInstanceOf(ConnectException.class);
+    }
+  }
+
   private void assertPhase(String event, int openRequests) {
     assertThat(decisions.of(event))
         .as(event)
