--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -43,7 +43,6 @@
 import org.wigeonstage.request.HeaderFields;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.routes.RoutingTable;
-import org.wigeonstage.telemetry.DecisionLog;
 
 /**
  * Ties the decisions on requests together. All of its state, and that of open requests, belongs to
@@ -69,9 +68,9 @@
   private final Map<String, PoolScheduler> pools = new HashMap<>();
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private final Map<PlacedRequest, ForwardedRequest> open = new HashMap<>();
-  private Set<String> knownServers = Set.of();
+  private final AwaitedRepeats awaitedRepeats = new AwaitedRepeats(this);
+  private final KnownServers knownServers = new KnownServers();
   private int gateways = 1;
-  private boolean serversKnown;
   private boolean othersStay;
   private boolean stopped;
   private Duration watchedTime = Duration.ZERO;
@@ -185,6 +184,11 @@
     pool(request.pool()).submit(request.placed(), now());
   }
 
+  /** Places a begun stream again as soon as the retry budget allows it. */
+  void submitWithinBudget(ForwardedRequest request) {
+    awaitedRepeats.add(request);
+  }
+
   /** Takes over the new placement of an open request. */
   void replace(PlacedRequest before, ForwardedRequest request) {
     open.remove(before);
@@ -234,6 +238,7 @@
   /** Forgets a request whose answer is given. */
   void finished(ForwardedRequest request, RequestOutcome outcome) {
     open.remove(request.placed());
+    awaitedRepeats.remove(request);
     InboundCall call = request.call();
     if (outcome != RequestOutcome.SERVED && !request.mayHaveRun() && call.account().isPresent()) {
       quotas.giveBack(call.account().get().name(), call.quotaUnits(), call.arrivedAt(), now());
@@ -318,7 +323,7 @@
 
   /** Returns whether the list of backend servers is known. */
   boolean knowsServers() {
-    return serversKnown;
+    return knownServers.isKnown();
   }
 
   int openRequests() {
@@ -353,38 +358,15 @@
 
   /** Takes over the list of backend servers. */
   void update(ServerList list) {
-    serversKnown = true;
-    List<BackendServer> servers = list.servers();
-    Set<String> ids = servers.stream().map(BackendServer::id).collect(Collectors.toSet());
-    logChanges(ids, list);
-    knownServers = ids;
+    knownServers.update(list);
     Map<String, List<BackendServer>> byPool =
-        servers.stream().collect(Collectors.groupingBy(BackendServer::pool));
+        list.servers().stream().collect(Collectors.groupingBy(BackendServer::pool));
     Duration now = now();
     Set<String> names = new HashSet<>(pools.keySet());
     names.addAll(byPool.keySet());
     names.forEach(name -> pool(name).update(byPool.getOrDefault(name, List.of()), now));
   }
 
-  private void logChanges(Set<String> ids, ServerList list) {
-    if (!ids.equals(knownServers)) {
-      Set<String> added = new HashSet<>(ids);
-      added.removeAll(knownServers);
-      Set<String> removed = new HashSet<>(knownServers);
-      removed.removeAll(ids);
-      DecisionLog.write(
-          "servers-changed",
-          "revision",
-          list.revision(),
-          "added",
-          added,
-          "removed",
-          removed,
-          "unreadable",
-          list.unreadable());
-    }
-  }
-
   /** Sets the number of gateways that share limits, this one included. */
   void gateways(int count) {
     gateways = Math.max(1, count);
@@ -467,6 +449,7 @@
     requestMetrics.ticked(sinceTick);
     tickedAt = now;
     List.copyOf(open.values()).forEach(request -> request.tick(now));
+    awaitedRepeats.tick(now);
     pools.values().forEach(pool -> pool.tick(now));
   }
 
