Take a repeat from the budget where a begun stream's next server failed

Servers got more repeats than the retry budget allows: a begun stream whose next server answered with a failure went on at a third one for nothing.

Cause: a repeat after a failure counted as taken already, which is so only where the failure is kept from a caller that has no part of the answer. For a begun stream nothing had been taken.

BegunStreamIT.takesARepeatFromTheBudgetWhereTheServerThatItWentOnAtFailed failed before: three runs where the budget allowed one repeat.

--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -264,7 +264,9 @@
   }
 
   private Verdict decide(AttemptEnd end) {
-    boolean isFree = end == AttemptEnd.NOT_SENT || end == AttemptEnd.FAILED;
+    // The repeat after a failure was taken before the failure was kept from the caller.
+    boolean isTaken = end == AttemptEnd.FAILED && !answer.hasBegun();
+    boolean isFree = end == AttemptEnd.NOT_SENT || isTaken;
     boolean canTry = hasAttemptsLeft() && deadline.minus(core.now()).compareTo(MIN_REMAINING) > 0;
     Verdict wish = AttemptPolicy.decide(end, context(canTry));
     if (!isRepeat(wish) || isFree || core.tryRepeat(pool)) {
--- a/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
+++ b/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
@@ -40,6 +40,8 @@
      * Run, and the answer stands still for seconds, a stream's in its middle, and is whole then.
      */
     PAUSES,
+    /** Run; streams break off in their middle, and are answered with a failure where they go on. */
+    CUTS_THEN_FAILS,
     /** Run, and the answer names another request. */
     ANSWERS_ANOTHER,
     /** Run, and a stream is answered with a plain body. */
@@ -198,7 +200,9 @@
     if (current != Behaviour.UNSIGNED) {
       fields = fields.with("Response-Signature", "signed-by-" + id);
     }
-    if (current == Behaviour.FAILS) {
+    boolean failsNow =
+        current == Behaviour.CUTS_THEN_FAILS && exchange.header("Last-Event-Id") != null;
+    if (current == Behaviour.FAILS || failsNow) {
       exchange.respond(FAILURE, fields, "failed".getBytes(StandardCharsets.UTF_8));
     } else if (exchange.header("Token-Count") != null && current != Behaviour.ANSWERS_PLAINLY) {
       stream(exchange, fields, current);
@@ -258,7 +262,8 @@
       return;
     }
     String event = "id: " + number + "\ndata: event " + number + "\n\n";
-    if (current == Behaviour.CUTS_ANSWER && number == EVENTS / 2) {
+    boolean cuts = current == Behaviour.CUTS_ANSWER || current == Behaviour.CUTS_THEN_FAILS;
+    if (cuts && number == EVENTS / 2) {
       String half = event.substring(0, event.length() / 2);
       exchange.write(half.getBytes(StandardCharsets.UTF_8));
       timer.schedule(exchange::abort, EVENT_MILLIS, TimeUnit.MILLISECONDS);
--- a/src/test/java/org/wigeonstage/gateway/BegunStreamIT.java
+++ b/src/test/java/org/wigeonstage/gateway/BegunStreamIT.java
@@ -29,7 +29,7 @@
     fixture.close();
   }
 
-  private void start(int retriesInASecond) throws Exception {
+  private void start(int retries, int windowSeconds) throws Exception {
     ObjectNode configuration = Rehearsal.configuration();
     for (JsonNode route : configuration.path("routes")) {
       ((ObjectNode) route).put("timeout_ms", 2 * DEADLINE.toMillis()).put("max_attempts", 3);
@@ -38,8 +38,8 @@
         JsonNodeFactory.instance
             .objectNode()
             .put("retryRatio", 0)
-            .put("retryFixed", retriesInASecond)
-            .put("retryWindowSeconds", 1);
+            .put("retryFixed", retries)
+            .put("retryWindowSeconds", windowSeconds);
     fixture = new GatewayFixture(1, configuration, settings);
     fixture.awaitStatus("status", 200);
     fixture.runners.get(0).behave(Behaviour.CUTS_ANSWER);
@@ -59,7 +59,7 @@
   /** Part of the allowance is kept as a margin, so that two allow one repeat in the window. */
   @Test
   void goesOnOnceTheRetryBudgetAllowsIt() throws Exception {
-    start(2);
+    start(2, 1);
     CompletableFuture<String> answer = call("cut");
     assertThat(Polling.await(() -> fixture.runsOf("cut").size() == 2, TIMEOUT)).isTrue();
     fixture.runners.get(0).behave(Behaviour.SOUND);
@@ -73,9 +73,18 @@
 
   @Test
   void isBrokenOffWithoutAnotherRunWhereTheRetryBudgetNeverAllowsIt() throws Exception {
-    start(0);
+    start(0, 1);
     String stream = call("cut").get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
     assertThat(stream).contains("id: 3\n").doesNotContain("id: 4\n").doesNotEndWith("0\r\n\r\n");
     assertThat(fixture.runsOf("cut")).hasSize(1);
   }
+
+  @Test
+  void takesARepeatFromTheBudgetWhereTheServerThatItWentOnAtFailed() throws Exception {
+    start(2, 60);
+    fixture.runners.get(0).behave(Behaviour.CUTS_THEN_FAILS);
+    String stream = call("cut").get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+    assertThat(stream).contains("id: 3\n").doesNotContain("id: 4\n").doesNotEndWith("0\r\n\r\n");
+    assertThat(fixture.runsOf("cut")).hasSize(2);
+  }
 }
