Share what may be used at once as soon as a peer's message is late

What callers would see: QUOTA when gateways lose each other while an account has used up its limit and asks on.

Cause: a peer counted as heard for 250 ms after its last message. With nothing left, the rate alone opens the limit again; cut off from each other, each of N gateways took all that the rate added in that time. 75 ms, one message late, is the time now; a share that was taken too early is given back in full with the next message.

Test: sharesTheRateAsSoonAsPeersAreSilent (a seed that failed), and two properties with cuts.

--- a/src/main/java/org/wigeonstage/quota/PeerUse.java
+++ b/src/main/java/org/wigeonstage/quota/PeerUse.java
@@ -24,6 +24,9 @@
   /** Use is assumed after so long; a peer that has just started may miss a few messages. */
   private static final Duration ASSUMED_AFTER = Duration.ofMillis(250);
 
+  /** What may be used at once is shared when a message is late; the peer sends every 50 ms. */
+  private static final Duration SHARED_AFTER = Duration.ofMillis(75);
+
   /** A peer that does not run needs longer than this to start; it is called every 500 ms. */
   private static final Duration NOT_RUNNING_FOR = Duration.ofMillis(1200);
 
@@ -38,6 +41,7 @@
   private long incarnation;
   private Duration heardAt;
   private Duration assumeFrom;
+  private Duration shareFrom;
   private @Nullable Map<String, Double> assumedBeforeSilence;
 
   /** Use since the peer's start that was known at a time. */
@@ -58,6 +62,7 @@
     this.ownIncarnation = ownIncarnation;
     this.heardAt = now;
     this.assumeFrom = now;
+    this.shareFrom = now;
     if (quotas.followsOthers()) {
       assumedBeforeSilence = quotas.peerFellSilent();
     }
@@ -117,6 +122,7 @@
     refundAll(now);
     heardAt = now;
     assumeFrom = now.plus(ASSUMED_AFTER);
+    shareFrom = now.plus(SHARED_AFTER);
   }
 
   private void note(Duration now) {
@@ -147,6 +153,7 @@
     refundAll(now);
     heardAt = now;
     assumeFrom = now.plus(NOT_RUNNING_FOR);
+    shareFrom = assumeFrom;
   }
 
   /**
@@ -167,13 +174,11 @@
    */
   public void tick(int gateways, Duration now) {
     quotas.gateways(gateways);
-    if (now.compareTo(assumeFrom) < 0 || incarnation == 0 && !quotas.followsOthers()) {
-      return;
-    }
-    if (assumedBeforeSilence == null) {
+    boolean mayRun = incarnation != 0 || quotas.followsOthers();
+    if (mayRun && assumedBeforeSilence == null && now.compareTo(shareFrom) >= 0) {
       assumedBeforeSilence = quotas.peerFellSilent();
     }
-    if (incarnation == 0) {
+    if (incarnation == 0 || now.compareTo(assumeFrom) < 0) {
       return;
     }
     Duration oldest = now.minus(quotas.window());
--- a/src/test/java/org/wigeonstage/quota/QuotaFleetTest.java
+++ b/src/test/java/org/wigeonstage/quota/QuotaFleetTest.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
 import org.wigeonstage.routes.AccountQuota;
 
 /** One account asks several times its limit of many gateways, some or all of which restart. */
@@ -47,6 +48,22 @@
     new Trial(seed).restartAllWhileSomeAreCutOff();
   }
 
+  @Property(tries = 20, seed = "20261204")
+  void keepsTheLimitWhileGatewaysAreCutOff(@ForAll long seed) {
+    new Trial(seed).cutOffWhileMuchIsAsked();
+  }
+
+  /** Nothing is left when all are cut off; each of 27 took what the rate added until it noticed. */
+  @Test
+  void sharesTheRateAsSoonAsPeersAreSilent() {
+    new Trial(245_502).cutOffWhileMuchIsAsked();
+  }
+
+  @Property(tries = 20, seed = "20261204")
+  void keepsTheLimitWhenAllGatewaysRestartAfterTheyWereCutOff(@ForAll long seed) {
+    new Trial(seed).restartAllWhileAllAreCutOff();
+  }
+
   @Property(tries = 20, seed = "20261204")
   void keepsTheLimitWhileManyGatewaysAreAddedAtOnce(@ForAll long seed) {
     new Trial(seed).addMany();
@@ -143,6 +160,31 @@
       fleet.assertNoWindowAboveWhatIsTolerated();
     }
 
+    private void cutOffSome() {
+      boolean isAll = random.nextInt(3) == 0;
+      for (int i = 0; i < fleet.count(); i++) {
+        if (isAll || random.nextInt(3) == 0) {
+          fleet.cutOff(i, Duration.ofMillis(1000 + random.nextInt(5000)));
+        }
+      }
+    }
+
+    void cutOffWhileMuchIsAsked() {
+      askUntilAMomentOfTheWindow();
+      cutOffSome();
+      ask(Duration.ofSeconds(12), 2 + 6 * random.nextDouble());
+      fleet.assertNoWindowAboveWhatIsTolerated();
+    }
+
+    void restartAllWhileAllAreCutOff() {
+      ask(Duration.ofSeconds(3), USUAL);
+      cutOffSome();
+      ask(Duration.ofMillis(random.nextInt(4000)), 2 + 6 * random.nextDouble());
+      fleet.killAll(RESTARTED_WITHIN);
+      ask(Duration.ofSeconds(12), 2 + 6 * random.nextDouble());
+      fleet.assertNoWindowAboveWhatIsTolerated();
+    }
+
     void addMany() {
       int added = 1 + random.nextInt(fleet.count() - 1);
       for (int i = 0; i < added; i++) {
