Let a gateway that is cut off serve a request that is larger than its share of the burst

What callers would see: while a gateway hears no peers, each request of a limited account that counts more than an equal share of the burst was refused, also far below the limit.

Where the earlier use is known, a full burst now admits any request; what it takes beyond the share is paid back from the share of the rate. After a start that knows nothing of earlier use the share stays strict.

--- a/src/main/java/org/wigeonstage/quota/AccountUse.java
+++ b/src/main/java/org/wigeonstage/quota/AccountUse.java
@@ -18,6 +18,7 @@
   private AccountQuota quota;
   private long own;
   private double assumedOfSilentPeer;
+  private Duration earlierUseUnknownUntil;
 
   /**
    * Creates the use of an account.
@@ -37,6 +38,7 @@
     this.bucket = new TokenBucket(quota.perSecond(), quota.burst(), 0, startedAt);
     double burst = tolerance.burst(quota);
     double level = isUsedUp ? Math.min(burst, tolerance.afterRestart(quota)) : burst;
+    this.earlierUseUnknownUntil = isUsedUp ? startedAt.plus(tolerance.window()) : startedAt;
     this.pace = new TokenBucket(tolerance.pace(quota), burst, level, startedAt);
   }
 
@@ -57,6 +59,7 @@
     window.add(lately, now);
     pace.give(tolerance.burst(quota), now);
     usePace((double) burstSpent + own, now);
+    earlierUseUnknownUntil = now;
   }
 
   /** Counts what another gateway knows beyond what is known here. */
@@ -91,7 +94,10 @@
   }
 
   private Duration untilPaced(long units, Duration now) {
-    return pace.timeUntilLevel(inPace(Math.min(units, tolerance.burst(quota))), now);
+    double burst = tolerance.burst(quota);
+    double wanted = inPace(Math.min(units, burst));
+    boolean mayExceedShare = now.compareTo(earlierUseUnknownUntil) >= 0;
+    return pace.timeUntilLevel(mayExceedShare ? Math.min(wanted, burst) : wanted, now);
   }
 
   /** Silent peers are taken to use as much as those that are heard, each. */
--- a/src/test/java/org/wigeonstage/quota/QuotaFleetTest.java
+++ b/src/test/java/org/wigeonstage/quota/QuotaFleetTest.java
@@ -74,6 +74,11 @@
     new Trial(seed).removeMany();
   }
 
+  @Property(tries = 20, seed = "20261204")
+  void servesTheUsualWhileOneGatewayIsCutOff(@ForAll long seed) {
+    new Trial(seed).askForTheUsualWhileOneIsCutOff();
+  }
+
   @Property(tries = 20, seed = "20261204")
   void servesTheUsualSoonAfterAllGatewaysRestarted(@ForAll long seed) {
     new Trial(seed).askForTheUsualAfterARestart();
@@ -209,6 +214,16 @@
       fleet.assertNoWindowAboveWhatIsTolerated();
     }
 
+    void askForTheUsualWhileOneIsCutOff() {
+      ask(Duration.ofSeconds(3), USUAL);
+      fleet.cutOff(0, Duration.ofSeconds(6));
+      Duration before = fleet.now();
+      long askedBefore = fleet.asked();
+      ask(Duration.ofSeconds(9), USUAL);
+      long asked = fleet.asked() - askedBefore;
+      assertThat(fleet.servedSince(before)).isGreaterThan((long) (0.97 * asked));
+    }
+
     void askForTheUsualAfterARestart() {
       askUntilAMomentOfTheWindow();
       fleet.killAll(RESTARTED_WITHIN);
