LOST: accept and read what has arrived before a stop or an idle close

Cause: the decision to close was made on a thread that can't know what waits unread in the sockets; closing the listener reset what waited for acceptance; and a refused request counted as one whose caller closes.

The decision is now an action behind a read barrier; before the listener is closed, barriers are passed until one accepts nothing; a connection always waits for its caller's close. The end of the process is bounded: closing 200 ms, the last lines 200 ms, and the stop's schedule leaves 600 ms for both and the halt; open requests are given up a little behind five sixths of the grace. A write to a server that fails ends its call.

LostAnswersTest: the three new tests failed before.

--- a/src/main/java/org/wigeonstage/cli/ShutdownSignal.java
+++ b/src/main/java/org/wigeonstage/cli/ShutdownSignal.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.Closeable;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Handler;
 import java.util.logging.Logger;
@@ -12,6 +13,9 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Closing waits for threads, which a process that is about to be killed can't do for long. */
+  private static final Duration CLOSE_LIMIT = Duration.ofMillis(200);
+
   /** Work that ends gracefully. */
   @FunctionalInterface
   interface GracefulStop {
@@ -35,7 +39,7 @@
             () -> {
               signalled.countDown();
               int code = stop(work);
-              close(resources);
+              closeInTime(resources);
               flushLogs();
               Runtime.getRuntime().halt(code);
             },
@@ -46,6 +50,17 @@
     return Command.SUCCESS;
   }
 
+  private static void closeInTime(Closeable resources) {
+    Thread closing = new Thread(() -> close(resources), "closing");
+    closing.setDaemon(true);
+    closing.start();
+    try {
+      closing.join(CLOSE_LIMIT.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static void close(Closeable resources) {
     try {
       resources.close();
--- a/src/main/java/org/wigeonstage/gateway/LeavingFilter.java
+++ b/src/main/java/org/wigeonstage/gateway/LeavingFilter.java
@@ -19,7 +19,7 @@
   private static final Duration BALANCER_NOTICES = Duration.ofMillis(2200);
 
   /** Streams that begin later may be cut at the end of the grace, which none of them may be. */
-  private static final Duration LAST_STREAM = Duration.ofMillis(2800);
+  private static final Duration LAST_STREAM = Duration.ofMillis(2700);
 
   /** The part of the remaining grace that an answer may be expected to take. */
   private static final double USED_SHARE = 0.5;
--- a/src/main/java/org/wigeonstage/gateway/StopSchedule.java
+++ b/src/main/java/org/wigeonstage/gateway/StopSchedule.java
@@ -18,17 +18,17 @@
   /** The part of the time for open requests in which new ones are served, where it is short. */
   private static final double SERVING_SHARE = 0.5;
 
-  /** The part of the grace that belongs to open requests; operators count on it. */
-  private static final double OPEN_SHARE = 5.0 / 6;
+  /** The part of the grace that belongs to open requests; operators count on five sixths. */
+  private static final double OPEN_SHARE = 0.85;
 
   /** Last answers are written, taken and their connections closed in this time. */
   private static final Duration LAST_ANSWERS = Duration.ofSeconds(1);
 
   /** The last callers close, lines are written and the process ends, on the slowest hosts too. */
-  private static final Duration PROCESS_ENDS = Duration.ofMillis(400);
+  private static final Duration PROCESS_ENDS = Duration.ofMillis(600);
 
   /** The part of a short rest of the grace that last answers get. */
-  private static final double LAST_ANSWERS_SHARE = 0.4;
+  private static final double LAST_ANSWERS_SHARE = 0.25;
 
   /** Plain requests last for less than this. */
   private static final Duration PLAIN_DURATION = Duration.ofSeconds(2);
--- a/src/main/java/org/wigeonstage/http/CallerConnection.java
+++ b/src/main/java/org/wigeonstage/http/CallerConnection.java
@@ -115,6 +115,7 @@
 
   /** Answers a request in its turn with a refusal, and closes after that. */
   void addLast(CallerRequest refused, Reason reason) {
+    noteEnd(reason);
     add(refused);
     finish(reason);
   }
@@ -143,7 +144,7 @@
     if (next != null) {
       handle(next);
     } else if (requests.closesNow()) {
-      close(callerAsked);
+      close();
     } else if (requests.takeContinue()) {
       sendContinue();
     }
@@ -167,7 +168,7 @@
     noteEnd(reason);
     requests.finish();
     if (requests.closesNow()) {
-      close(false);
+      close();
     }
   }
 
@@ -189,12 +190,8 @@
     endReason.compareAndSet(null, reason);
   }
 
-  private void close(boolean callerCloses) {
+  private void close() {
     delivered = true;
-    if (callerCloses) {
-      connection.closeSilently();
-      return;
-    }
     try {
       ((SocketChannel) ((NIOConnection) connection).getChannel()).shutdownOutput();
       timer.schedule(connection::closeSilently, LINGER.toMillis(), TimeUnit.MILLISECONDS);
--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -77,6 +77,11 @@
       public void completed(WriteResult<Object, SocketAddress> result) {
         written();
       }
+
+      @Override
+      public void failed(Throwable cause) {
+        closed(cause);
+      }
     };
   }
 
--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -1,9 +1,11 @@
 package org.wigeonstage.http;
 
+import com.google.common.collect.Comparators;
 import com.google.common.flogger.FluentLogger;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.Selector;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
@@ -35,7 +37,14 @@
   /** Callers that read the end of their connection close it within a few round trips. */
   private static final Duration LAST_CLOSES = Duration.ofMillis(100);
 
+  /** The reading thread ends within a round, which takes milliseconds. */
+  private static final Duration CLOSE_LIMIT = Duration.ofSeconds(1);
+
+  /** The least time for what arrived before a stop to be accepted and read. */
+  private static final Duration LAST_READS = Duration.ofMillis(100);
+
   private final TCPNIOTransport transport;
+  private final TCPNIOServerConnection listener;
   private final RequestFilter requests;
   private final Endpoint endpoint;
   private final MonotonicClock clock;
@@ -43,18 +52,20 @@
 
   private HttpServer(
       TCPNIOTransport transport,
+      TCPNIOServerConnection listener,
       RequestFilter requests,
       Endpoint endpoint,
       ScheduledExecutorService timer,
       MonotonicClock clock,
       ServerOptions options) {
     this.transport = transport;
+    this.listener = listener;
     this.requests = requests;
     this.endpoint = endpoint;
     this.timer = timer;
     this.clock = clock;
     timer.scheduleWithFixedDelay(
-        () -> requests.finishIdle(options.idleTimeout()),
+        () -> finishIdle(options.idleTimeout()),
         IDLE_CHECK_INTERVAL.toMillis(),
         IDLE_CHECK_INTERVAL.toMillis(),
         TimeUnit.MILLISECONDS);
@@ -133,6 +144,7 @@
       InetSocketAddress bound = (InetSocketAddress) listener.getLocalAddress();
       return new HttpServer(
           transport,
+          listener,
           requests,
           new Endpoint(endpoint.host(), bound.getPort()),
           timer,
@@ -169,11 +181,11 @@
    * @return whether all answers were handed to the operating system in that time
    */
   public boolean drain(Duration grace) {
-    transport.unbindAll();
-    Duration end = clock.elapsed().plus(grace);
+    Duration end = clock.elapsed().plus(Comparators.max(grace, LAST_READS));
     try {
-      awaitReads(grace);
-      requests.finishAll();
+      acceptWaiting();
+      transport.unbindAll();
+      finishAll(end.minus(clock.elapsed()));
       boolean isDelivered = Polling.await(requests::isAllDelivered, end.minus(clock.elapsed()));
       Polling.await(requests::hasNoConnections, LAST_CLOSES);
       return isDelivered;
@@ -183,25 +195,62 @@
     }
   }
 
-  /** Waits until what has arrived by now is read, so that no request is taken for a later one. */
-  private void awaitReads(Duration limit) throws InterruptedException {
-    Optional<Connection<?>> connection = requests.anyConnection();
-    if (connection.isPresent()) {
-      CountDownLatch caughtUp = new CountDownLatch(1);
-      ReadBarrier.pass(connection.get(), caughtUp::countDown);
-      if (!caughtUp.await(limit.toMillis(), TimeUnit.MILLISECONDS)) {
-        logger.atWarning().log("requests could not be read within %s of the stop", limit);
+  /** Accepts the connections that wait, because closing the listener would reset them. */
+  private void acceptWaiting() throws InterruptedException {
+    Duration end = clock.elapsed().plus(LAST_READS);
+    long before;
+    do {
+      before = requests.accepted();
+      if (!awaitBarrier(listener, () -> {}, end.minus(clock.elapsed()))) {
+        return;
       }
+    } while (requests.accepted() > before);
+  }
+
+  /** Finishes all connections once all is read that has arrived on them by now. */
+  private void finishAll(Duration limit) throws InterruptedException {
+    Optional<Connection<?>> connection = requests.anyConnection();
+    if (connection.isEmpty() || !awaitBarrier(connection.get(), requests::finishAll, limit)) {
+      requests.finishAll();
     }
   }
 
+  /** Runs an action after a whole round of the reading thread; returns whether it came in time. */
+  private static boolean awaitBarrier(Connection<?> connection, Runnable action, Duration limit)
+      throws InterruptedException {
+    CountDownLatch passed = new CountDownLatch(1);
+    ReadBarrier.pass(
+        connection,
+        () -> {
+          action.run();
+          passed.countDown();
+        });
+    boolean isInTime = passed.await(limit.toMillis(), TimeUnit.MILLISECONDS);
+    if (!isInTime) {
+      logger.atWarning().log("what arrived before the stop could not be read in time");
+    }
+    return isInTime;
+  }
+
+  /** Looks for idle connections after a round of reading, which may have been held up. */
+  private void finishIdle(Duration limit) {
+    requests
+        .anyConnection()
+        .ifPresent(connection -> ReadBarrier.pass(connection, () -> requests.finishIdle(limit)));
+  }
+
   @Override
   public void close() {
     timer.shutdownNow();
+    Selector selector = listener.getSelectorRunner().getSelector();
     try {
       transport.shutdownNow();
+      // Sockets are closed by the reading thread, and still accept until it has ended.
+      Polling.await(() -> !selector.isOpen(), CLOSE_LIMIT);
     } catch (IOException e) {
       throw new WigeonstageException(ErrorCode.IO, "can't stop listening on " + endpoint, e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 }
--- a/src/main/java/org/wigeonstage/http/RequestFilter.java
+++ b/src/main/java/org/wigeonstage/http/RequestFilter.java
@@ -31,6 +31,7 @@
   private final RequestHandler handler;
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
   private volatile boolean stopping;
+  private volatile long accepted;
 
   RequestFilter(
       int maxBodyBytes,
@@ -52,6 +53,7 @@
     CallerConnection connection =
         new CallerConnection(context.getConnection(), rounds.accepted(), clock, timer, handler);
     connections.add(connection);
+    accepted = accepted + 1;
     if (stopping) {
       connection.finish(Reason.STOPPING);
     }
@@ -120,6 +122,11 @@
     return connections.stream().allMatch(CallerConnection::isDelivered);
   }
 
+  /** Returns how many connections were accepted so far. */
+  long accepted() {
+    return accepted;
+  }
+
   /** Returns one of the connections. */
   Optional<Connection<?>> anyConnection() {
     return connections.stream().<Connection<?>>map(CallerConnection::connection).findAny();
--- a/src/main/java/org/wigeonstage/telemetry/BoundedLogHandler.java
+++ b/src/main/java/org/wigeonstage/telemetry/BoundedLogHandler.java
@@ -19,7 +19,7 @@
   private static final int CAPACITY = 4096;
 
   /** The longest time that a flush takes; a reader that is slower loses lines. */
-  private static final Duration FLUSH_LIMIT = Duration.ofMillis(500);
+  private static final Duration FLUSH_LIMIT = Duration.ofMillis(200);
 
   private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(CAPACITY);
   private final AtomicLong dropped = new AtomicLong();
@@ -79,7 +79,6 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
-    out.flush();
   }
 
   @Override
--- a/src/test/java/org/wigeonstage/http/LostAnswersTest.java
+++ b/src/test/java/org/wigeonstage/http/LostAnswersTest.java
@@ -7,6 +7,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -14,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.common.Polling;
 import org.wigeonstage.request.HeaderFields;
 
@@ -24,11 +27,13 @@
   private static final Duration TIMEOUT = Duration.ofMillis(TIMEOUT_MILLIS);
   private static final int BODY_LIMIT = 65_536;
   private static final byte[] LARGE = new byte[20 * 1024 * 1024];
+  private static final int HELD_MILLIS = 3000;
   private static final int SMALL = 20_000;
   private static final String FIRST = "GET /first HTTP/1.1\r\nHost: h\r\n\r\n";
 
   private final Closer closer = Closer.create();
   private final BlockingQueue<ServerExchange> taken = new LinkedBlockingQueue<>();
+  private final CountDownLatch held = new CountDownLatch(1);
   private HttpServer server;
 
   @AfterEach
@@ -181,6 +186,90 @@
     assertThat(drained.get()).isTrue();
   }
 
+  /** The server reads nothing while an observer of a connection's end holds its thread. */
+  private void holdReading(Socket leaving) throws Exception {
+    leaving.close();
+    assertThat(held.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+  }
+
+  private Socket connectHeld(Duration idleTimeout) throws IOException {
+    server =
+        closer.register(
+            HttpServer.start(
+                "test",
+                new Endpoint("127.0.0.1", 0),
+                new ServerOptions(8192, BODY_LIMIT, idleTimeout, 1),
+                MonotonicClock.system(),
+                this::hold,
+                taken::add));
+    return connectAgain();
+  }
+
+  private Socket connectAgain() throws IOException {
+    Socket socket = closer.register(new Socket("127.0.0.1", server.endpoint().port()));
+    socket.setSoTimeout(TIMEOUT_MILLIS);
+    return socket;
+  }
+
+  private void hold(ConnectionEnd end) {
+    try {
+      if (held.getCount() > 0) {
+        held.countDown();
+        Thread.sleep(HELD_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Test
+  void answersARequestThatWaitsUnreadWhileItsConnectionSeemsIdle() throws Exception {
+    Socket leaving = connectHeld(Duration.ofMillis(1500));
+    Socket socket = connectAgain();
+    assertThat(Polling.await(() -> server.openWork().connections() == 2, TIMEOUT)).isTrue();
+    holdReading(leaving);
+    send(socket, FIRST);
+    answer(next());
+    assertThat(socket.getInputStream().read()).isEqualTo('H');
+  }
+
+  @Test
+  void answersRequestsOnConnectionsThatWaitForAcceptanceAsTheServerStops() throws Exception {
+    Socket leaving = connectHeld(Duration.ofSeconds(30));
+    assertThat(Polling.await(() -> server.openWork().connections() == 1, TIMEOUT)).isTrue();
+    holdReading(leaving);
+    List<Socket> waiting = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      waiting.add(connectAgain());
+      send(waiting.get(i), FIRST);
+    }
+    Thread.sleep(HELD_MILLIS);
+    CompletableFuture<Boolean> drained = drain();
+    for (int i = 0; i < 5; i++) {
+      answer(next());
+    }
+    for (Socket socket : waiting) {
+      assertThat(readAll(socket)).startsWith("HTTP/1.1 200 ").endsWith("/first.");
+      socket.close();
+    }
+    assertThat(drained.get()).isTrue();
+  }
+
+  @Test
+  void deliversTheAnswerAheadOfAMalformedRequestToACallerThatGoesOnSending() throws Exception {
+    Socket socket = connect();
+    send(socket, FIRST);
+    ServerExchange first = next();
+    send(socket, "GET /second HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n");
+    awaitReads(first);
+    first.respond(200, HeaderFields.NONE, new byte[SMALL]);
+    for (int i = 0; i < 10; i++) {
+      Thread.sleep(20);
+      send(socket, "x".repeat(1000));
+    }
+    assertThat(readAll(socket)).hasSizeGreaterThan(SMALL).contains("HTTP/1.1 400 ");
+  }
+
   /** A connection that is closed with unread bytes is reset, and the answer may be lost with it. */
   @Test
   void deliversAnAnswerToACallerThatGoesOnSending() throws Exception {
