--- a/src/main/java/org/wigeonstage/gateway/StopSchedule.java
+++ b/src/main/java/org/wigeonstage/gateway/StopSchedule.java
@@ -19,13 +19,13 @@
   private static final double SERVING_SHARE = 0.5;
 
   /** The part of the grace that belongs to open requests; operators count on five sixths. */
-  private static final double OPEN_SHARE = 0.85;
+  private static final double OPEN_SHARE = 0.875;
 
   /** Last answers are written, taken and their connections closed in this time. */
   private static final Duration LAST_ANSWERS = Duration.ofSeconds(1);
 
   /** The last callers close, lines are written and the process ends, on the slowest hosts too. */
-  private static final Duration PROCESS_ENDS = Duration.ofMillis(600);
+  private static final Duration PROCESS_ENDS = Duration.ofMillis(400);
 
   /** The part of a short rest of the grace that last answers get. */
   private static final double LAST_ANSWERS_SHARE = 0.25;
