Hold calls for news no longer than the configuration's allowed age bears

What callers saw (of our own tests): 503 'the configuration was not confirmed for too long' for 0.6 s out of each 1.2 s on a gateway whose bound for removed keys is 2 s, while the store was well. Found as GatewayIT.resumesABrokenStreamAtAnotherRunner failed once; it takes as long as that only on a busy machine.

Cause: the store holds a call for news for 1.2 s, and the age counts from when the call before was made: up to 2.4 s, where 1.8 s were allowed. A call may now be held for 0.4 of the allowed age at most, which changes nothing from a bound of 3.4 s on. BeliefsTest.staysFreshWhileTheStoreHasNoNews failed before for ages of 0.5, 1 and 1.8 s.

--- a/src/main/java/org/wigeonstage/gateway/Beliefs.java
+++ b/src/main/java/org/wigeonstage/gateway/Beliefs.java
@@ -1,5 +1,6 @@
 package org.wigeonstage.gateway;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
@@ -15,6 +16,9 @@
  */
 final class Beliefs {
 
+  /** The part of the allowed age that one call may take; the pause between two takes some, too. */
+  private static final double PATIENCE_SHARE = 0.4;
+
   private final ClockReader clocks;
   private volatile Duration maxAge;
   private volatile @Nullable Confirmed confirmed;
@@ -51,6 +55,14 @@
     return current != null && clocks.read().since(current.askedAt()).compareTo(maxAge) < 0;
   }
 
+  /**
+   * Returns how long the store may hold a call for news. Until the answer to a call, the age counts
+   * from when the call before it was made, so two calls must fit into the age that is allowed.
+   */
+  Duration patience(Duration longest) {
+    return Comparators.min(longest, Duration.ofNanos((long) (maxAge.toNanos() * PATIENCE_SHARE)));
+  }
+
   /** Returns the age of the configuration, or empty where none is known. */
   Optional<Duration> routingAge() {
     return Optional.ofNullable(confirmed).map(held -> clocks.read().since(held.askedAt()));
--- a/src/main/java/org/wigeonstage/gateway/StoreFollower.java
+++ b/src/main/java/org/wigeonstage/gateway/StoreFollower.java
@@ -69,7 +69,7 @@
   private boolean followRouting(boolean mayWait) {
     ClockReading askedAt = clocks.read();
     Optional<RoutingRevision> current =
-        mayWait ? store.awaitRouting(PATIENCE) : store.readRouting();
+        mayWait ? store.awaitRouting(beliefs.patience(PATIENCE)) : store.readRouting();
     current.ifPresent(revision -> take(revision, askedAt));
     return true;
   }
--- a/src/test/java/org/wigeonstage/gateway/BeliefsTest.java
+++ b/src/test/java/org/wigeonstage/gateway/BeliefsTest.java
@@ -6,6 +6,8 @@
 import java.time.Instant;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonstage.common.ClockReading;
 import org.wigeonstage.fleet.RoutingRevision;
 import org.wigeonstage.routes.RoutingTable;
@@ -74,4 +76,19 @@
     pass(Duration.ofSeconds(5), Duration.ofSeconds(-10));
     assertThat(beliefs.isRoutingFresh()).isFalse();
   }
+
+  /** A store that has no news holds each call for as long as it may. */
+  @ParameterizedTest
+  @ValueSource(ints = {500, 1000, 1800, 4500, 60_000})
+  void staysFreshWhileTheStoreHasNoNews(int maxAgeMillis) {
+    beliefs.maxAge(Duration.ofMillis(maxAgeMillis));
+    beliefs.confirm(revision(1), now());
+    for (int i = 0; i < 20; i++) {
+      ClockReading asked = now();
+      Duration held = beliefs.patience(Duration.ofMillis(1200)).plusMillis(45);
+      pass(held, held);
+      assertThat(beliefs.isRoutingFresh()).isTrue();
+      beliefs.confirm(revision(1), asked);
+    }
+  }
 }
