--- a/src/test/java/org/wigeonstage/gateway/CapturedDecisions.java
+++ b/src/test/java/org/wigeonstage/gateway/CapturedDecisions.java
@@ -20,6 +20,11 @@
     logger.addHandler(this);
   }
 
+  /** Returns all lines so far. */
+  List<String> lines() {
+    return lines;
+  }
+
   /** Returns the lines of an event. */
   List<String> of(String event) {
     return lines.stream().filter(line -> line.contains("\"event\":\"" + event + "\"")).toList();
--- a/src/test/java/org/wigeonstage/gateway/ExplanationIT.java
+++ b/src/test/java/org/wigeonstage/gateway/ExplanationIT.java
@@ -7,18 +7,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.logging.Handler;
-import java.util.logging.LogRecord;
-import java.util.logging.Logger;
-import java.util.logging.SimpleFormatter;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.wigeonstage.common.Polling;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.platform.standin.RunnerStandin.Behaviour;
-import org.wigeonstage.telemetry.DecisionLog;
 import org.wigeonstage.telemetry.RequestStory;
 
 /** What became of a failed request, and why, is found from the logs alone. */
@@ -26,29 +20,11 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
-  private final Logger logger = Logger.getLogger(DecisionLog.class.getName());
-  private final List<String> lines = new CopyOnWriteArrayList<>();
-  private final Handler capture =
-      new Handler() {
-        private final SimpleFormatter formatter = new SimpleFormatter();
-
-        @Override
-        public void publish(LogRecord record) {
-          lines.add(formatter.formatMessage(record));
-        }
-
-        @Override
-        public void flush() {}
-
-        @Override
-        public void close() {}
-      };
-
+  private final CapturedDecisions decisions = new CapturedDecisions();
   private GatewayFixture fixture;
 
   @BeforeEach
   void start() throws InterruptedException {
-    logger.addHandler(capture);
     fixture = new GatewayFixture(1);
     fixture.awaitStatus("plain", 200);
   }
@@ -56,13 +32,13 @@
   @AfterEach
   void stop() throws Exception {
     fixture.close();
-    logger.removeHandler(capture);
+    decisions.close();
   }
 
   private List<String> story(String id) throws InterruptedException {
-    Polling.await(() -> lines.stream().anyMatch(line -> isLastOf(id, line)), TIMEOUT);
+    Polling.await(() -> decisions.lines().stream().anyMatch(line -> isLastOf(id, line)), TIMEOUT);
     RequestStory story = new RequestStory(id);
-    lines.forEach(story::add);
+    decisions.lines().forEach(story::add);
     assertThat(story.unreadable()).isZero();
     return story.tell();
   }
@@ -144,7 +120,7 @@
   }
 
   private long linesOf(String id) {
-    return lines.stream().filter(line -> line.contains(id)).count();
+    return decisions.lines().stream().filter(line -> line.contains(id)).count();
   }
 
   @Test
