--- a/src/main/java/org/wigeonstage/agent/AgentProcess.java
+++ b/src/main/java/org/wigeonstage/agent/AgentProcess.java
@@ -10,10 +10,10 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.wigeonstage.common.ControlExecutors;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.common.Polling;
+import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.config.ActiveConfiguration;
 import org.wigeonstage.config.ConfigurationDocument;
 import org.wigeonstage.handover.LoadReport;
@@ -132,13 +132,20 @@
   public static AgentProcess start(AgentSettings settings, InstantSource clock) {
     AgentProcess process = new AgentProcess(settings, clock);
     process.registrar.start();
-    process.storeExecutor.scheduleWithFixedDelay(
-        process.reconcileTask::reconcile,
-        RECONCILE_INTERVAL_MILLIS,
-        RECONCILE_INTERVAL_MILLIS,
-        TimeUnit.MILLISECONDS);
-    process.controlExecutor.scheduleWithFixedDelay(
-        process::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    Duration reconcileInterval = Duration.ofMillis(RECONCILE_INTERVAL_MILLIS);
+    RepeatedTask.startWithFixedDelay(
+        process.storeExecutor,
+        "reconciliation with the backend server",
+        reconcileInterval,
+        reconcileInterval,
+        process.reconcileTask::reconcile);
+    Duration tickInterval = Duration.ofMillis(TICK_MILLIS);
+    RepeatedTask.startWithFixedDelay(
+        process.controlExecutor,
+        "periodic checks of the agent",
+        tickInterval,
+        tickInterval,
+        process::tick);
     logger.atInfo().log(
         "agent %s listens on %s for entries", settings.name(), process.linkServer.endpoint());
     return process;
@@ -243,15 +250,10 @@
   }
 
   private void tick() {
-    try {
-      ledger.run(RequestLedger::tick);
-      effects.links().values().stream()
-          .filter(link -> link.timeSinceLastMessage().compareTo(MAX_TIME_WITHOUT_MESSAGE) > 0)
-          .forEach(Link::close);
-    } catch (RuntimeException e) {
-      logger.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(e).log(
-          "periodic checks of the agent failed; they continue at the next interval");
-    }
+    RepeatedTask.runPart("checks of the ledger", () -> ledger.run(RequestLedger::tick));
+    effects.links().values().stream()
+        .filter(link -> link.timeSinceLastMessage().compareTo(MAX_TIME_WITHOUT_MESSAGE) > 0)
+        .forEach(Link::close);
   }
 
   /** Stops accepting requests, refuses the queued ones, and lets the running ones finish. */
--- a/src/main/java/org/wigeonstage/cli/SettingsWatch.java
+++ b/src/main/java/org/wigeonstage/cli/SettingsWatch.java
@@ -5,10 +5,11 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.ControlExecutors;
+import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.common.WigeonstageException;
 import sun.misc.Signal;
 
@@ -48,7 +49,7 @@
    */
   static SettingsWatch start(Path file) throws IOException {
     SettingsWatch watch = new SettingsWatch(file, Files.readString(file));
-    Signal.handle(new Signal("HUP"), signal -> watch.executor.execute(watch::reloadIfChanged));
+    Signal.handle(new Signal("HUP"), signal -> watch.executor.execute(watch::reloadAfterSignal));
     return watch;
   }
 
@@ -60,8 +61,16 @@
   /** Calls an action after each change, including those between the start and this call. */
   void deliverTo(ReloadAction action) {
     executor.execute(() -> reloadAction = action);
-    executor.scheduleWithFixedDelay(
-        this::reloadIfChanged, 0, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    RepeatedTask.startWithFixedDelay(
+        executor,
+        "check of the settings file",
+        Duration.ZERO,
+        Duration.ofMillis(POLL_INTERVAL_MILLIS),
+        this::reloadIfChanged);
+  }
+
+  private void reloadAfterSignal() {
+    RepeatedTask.runPart("reload after a signal", this::reloadIfChanged);
   }
 
   private void reloadIfChanged() {
--- a/src/main/java/org/wigeonstage/common/Json.java
+++ b/src/main/java/org/wigeonstage/common/Json.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -14,7 +15,20 @@
 /** Reads and writes JSON. */
 public final class Json {
 
-  private static final JsonFactory FACTORY = new JsonFactory();
+  /** The maximum depth of nested arrays and objects. Reading uses one stack frame per level. */
+  private static final int MAX_NESTING_DEPTH = 100;
+
+  /** The maximum number of characters of a number. */
+  private static final int MAX_NUMBER_LENGTH = 100;
+
+  private static final JsonFactory FACTORY =
+      JsonFactory.builder()
+          .streamReadConstraints(
+              StreamReadConstraints.builder()
+                  .maxNestingDepth(MAX_NESTING_DEPTH)
+                  .maxNumberLength(MAX_NUMBER_LENGTH)
+                  .build())
+          .build();
 
   private Json() {}
 
@@ -38,13 +52,36 @@
    * @throws WigeonstageException with {@link ErrorCode#BAD_REQUEST} if the text is not valid JSON
    */
   public static JsonNode parse(String text) {
-    try (JsonParser parser = FACTORY.createParser(text)) {
+    return parse(() -> FACTORY.createParser(text));
+  }
+
+  /**
+   * Parses a part of a text that is encoded in UTF-8.
+   *
+   * @param text the text
+   * @param offset the index of the first byte of the value
+   * @param length the length of the value in bytes
+   * @return the tree, or a missing node if the part is empty
+   * @throws WigeonstageException with {@link ErrorCode#BAD_REQUEST} if the part is not valid JSON
+   */
+  public static JsonNode parse(byte[] text, int offset, int length) {
+    return parse(() -> FACTORY.createParser(text, offset, length));
+  }
+
+  private interface ParserSource {
+
+    JsonParser open() throws IOException;
+  }
+
+  private static JsonNode parse(ParserSource source) {
+    try (JsonParser parser = source.open()) {
       return JsonTrees.readSingleValue(parser);
     } catch (JsonProcessingException e) {
       throw new WigeonstageException(
           ErrorCode.BAD_REQUEST, "not valid JSON: " + e.getOriginalMessage(), e);
     } catch (IOException e) {
-      throw new WigeonstageException(ErrorCode.INTERNAL, "can't read JSON from memory", e);
+      throw new WigeonstageException(
+          ErrorCode.BAD_REQUEST, "not a valid encoding: " + e.getMessage(), e);
     }
   }
 
--- a/src/main/java/org/wigeonstage/entry/EntryProcess.java
+++ b/src/main/java/org/wigeonstage/entry/EntryProcess.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.wigeonstage.admission.AccountRateLimiter;
 import org.wigeonstage.admission.AdmissionChain;
 import org.wigeonstage.admission.OutputLengthEstimator;
@@ -21,6 +20,7 @@
 import org.wigeonstage.common.Json;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.common.Polling;
+import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.config.ActiveConfiguration;
 import org.wigeonstage.config.ConfigurationDocument;
 import org.wigeonstage.config.ConfigurationRecord;
@@ -46,6 +46,7 @@
 import org.wigeonstage.store.HttpObjectStore;
 import org.wigeonstage.store.ObjectList;
 import org.wigeonstage.store.StoreException;
+import org.wigeonstage.store.StoredObject;
 import org.wigeonstage.telemetry.Tracing;
 import org.wigeonstage.wire.Link;
 import org.wigeonstage.wire.LinkConnector;
@@ -195,15 +196,26 @@
    */
   public static EntryProcess start(EntrySettings settings, InstantSource clock) {
     EntryProcess process = new EntryProcess(settings, clock);
-    process.controlExecutor.scheduleWithFixedDelay(
-        process::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
-    process.storeExecutor.scheduleWithFixedDelay(
-        process::fetchPeerSnapshots,
-        PEER_FETCH_INTERVAL_MILLIS,
-        PEER_FETCH_INTERVAL_MILLIS,
-        TimeUnit.MILLISECONDS);
-    process.storeExecutor.scheduleWithFixedDelay(
-        process::updateMembership, 0, MEMBERSHIP_UPDATE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    Duration tickInterval = Duration.ofMillis(TICK_MILLIS);
+    RepeatedTask.startWithFixedDelay(
+        process.controlExecutor,
+        "periodic checks of the entry",
+        tickInterval,
+        tickInterval,
+        process::tick);
+    Duration peerFetchInterval = Duration.ofMillis(PEER_FETCH_INTERVAL_MILLIS);
+    RepeatedTask.startWithFixedDelay(
+        process.storeExecutor,
+        "calls to peers",
+        peerFetchInterval,
+        peerFetchInterval,
+        process::fetchPeerSnapshots);
+    RepeatedTask.startWithFixedDelay(
+        process.storeExecutor,
+        "update of the membership",
+        Duration.ZERO,
+        Duration.ofMillis(MEMBERSHIP_UPDATE_INTERVAL_MILLIS),
+        process::updateMembership);
     logger.atInfo().log(
         "entry %s listens on %s for callers and %s for operators",
         settings.name(), process.callerServer.endpoint(), process.operatorServer.endpoint());
@@ -235,12 +247,23 @@
   }
 
   private void applyRegistrations(ObjectList list) {
-    list.objects().stream()
-        .map(object -> Json.read(object.value(), AgentRegistration.class))
-        .forEach(agentRegistry::update);
+    list.objects().forEach(this::applyRegistration);
     updateLinks();
   }
 
+  /** Applies a registration, or leaves it out if it can't be read or names no valid address. */
+  private void applyRegistration(StoredObject object) {
+    try {
+      AgentRegistration registration = Json.read(object.value(), AgentRegistration.class);
+      Endpoint.parse(registration.entries());
+      agentRegistry.update(registration);
+    } catch (RuntimeException e) { // other writers may leave any value there
+      logger.atWarning().log(
+          "the registration %s at version %d is left out: %s",
+          object.name(), object.version(), e.getMessage());
+    }
+  }
+
   /** Updates which links to keep, from the configuration and the registered agents. */
   private synchronized void updateLinks() {
     ConfigurationDocument document = configuration.current().document();
@@ -261,13 +284,9 @@
   }
 
   private void tick() {
-    try {
-      links.maintain(connector, configuration.current().version());
-      coordinator.run((target, directory) -> target.tick());
-    } catch (RuntimeException e) {
-      logger.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(e).log(
-          "periodic checks of the entry failed; they continue at the next interval");
-    }
+    RepeatedTask.runPart(
+        "maintenance of links", () -> links.maintain(connector, configuration.current().version()));
+    coordinator.run((target, directory) -> target.tick());
   }
 
   /**
--- a/src/main/java/org/wigeonstage/fleet/BackendServer.java
+++ b/src/main/java/org/wigeonstage/fleet/BackendServer.java
@@ -1,11 +1,13 @@
 package org.wigeonstage.fleet;
 
+import org.wigeonstage.http.Endpoint;
+
 /**
  * A registered backend server.
  *
  * @param id identifies one run of the server; a restarted server has a new ID
  * @param pool the name of its pool
- * @param address IP address and port, separated by a colon
+ * @param address its IP address and port
  * @param failureDomain the failure domain of its host
  * @param slots the number of requests that it runs concurrently
  * @param isLeaving whether it is shutting down and gets no new requests
@@ -14,8 +16,19 @@
 public record BackendServer(
     String id,
     String pool,
-    String address,
+    Endpoint address,
     String failureDomain,
     int slots,
     boolean isLeaving,
-    long startedAtMillis) {}
+    long startedAtMillis) {
+
+  /**
+   * Returns whether another registration names the same address.
+   *
+   * @param other the other registration
+   * @return whether the addresses are equal
+   */
+  public boolean hasSameAddress(BackendServer other) {
+    return address.equals(other.address);
+  }
+}
--- a/src/main/java/org/wigeonstage/fleet/ServerRetention.java
+++ b/src/main/java/org/wigeonstage/fleet/ServerRetention.java
@@ -8,6 +8,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.http.Endpoint;
 
 /**
  * Retains backend servers whose registrations may have expired during an outage of the store.
@@ -64,7 +65,7 @@
    * address now belongs to another server, are no longer retained.
    */
   private ServerList merge(ServerList fresh) {
-    Map<String, BackendServer> byAddress =
+    Map<Endpoint, BackendServer> byAddress =
         fresh.servers().stream()
             .collect(Collectors.toMap(BackendServer::address, Function.identity(), (a, b) -> a));
     fresh.servers().forEach(server -> retained.remove(server.id()));
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -19,13 +19,13 @@
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.Json;
 import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.fleet.ServerList;
 import org.wigeonstage.forward.HeaderCodec;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.handover.WaitingCount;
 import org.wigeonstage.http.Arrival;
-import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.PooledHttpClient;
 import org.wigeonstage.http.ProblemDetails;
 import org.wigeonstage.placement.AttemptResult;
@@ -215,7 +215,7 @@
   /** Reports the result of an attempt to the scheduler, which frees the attempt's slot. */
   void endAttempt(ForwardedRequest request, BackendServer server, AttemptResult result) {
     if (result == AttemptResult.UNREACHABLE) {
-      client.closeIdle(Endpoint.parse(server.address()));
+      client.closeIdle(server.address());
     }
     pool(request.poolName()).endAttempt(request.placement(), server.id(), result, now());
   }
@@ -443,7 +443,7 @@
 
   /** Marks an unresponsive server as suspect, so that it gets no new requests. */
   void markSuspect(ForwardedRequest request, BackendServer server) {
-    client.closeIdle(Endpoint.parse(server.address()));
+    client.closeIdle(server.address());
     pool(request.poolName()).markSuspect(server.id(), now());
   }
 
@@ -466,9 +466,10 @@
     activeTime = activeTime.plus(isOnTime ? sinceLastTick : LATE_TICK_ACTIVE_TIME);
     requestMetrics.recordTickInterval(sinceLastTick);
     lastTickAt = now;
-    List.copyOf(openRequests.values()).forEach(request -> request.tick(now));
-    pendingResumptions.tick(now);
-    pools.values().forEach(pool -> pool.tick(now));
+    List.copyOf(openRequests.values())
+        .forEach(request -> RepeatedTask.runPart("check of a request", () -> request.tick(now)));
+    RepeatedTask.runPart("resumption of streams", () -> pendingResumptions.tick(now));
+    pools.forEach((name, pool) -> RepeatedTask.runPart("check of " + name, () -> pool.tick(now)));
   }
 
   private PoolScheduler pool(String name) {
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -4,17 +4,16 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.Comparators;
 import com.google.common.collect.ObjectArrays;
-import com.google.common.flogger.FluentLogger;
 import com.google.common.io.Closer;
 import java.io.Closeable;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.wigeonstage.common.ClockReader;
 import org.wigeonstage.common.ControlExecutors;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.common.Polling;
+import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.forward.HeaderCodec;
 import org.wigeonstage.http.Endpoint;
@@ -31,7 +30,6 @@
 /** A gateway: accepts callers' requests, and forwards them to backend servers that it selects. */
 public final class GatewayProcess implements Closeable {
 
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
 
   /**
@@ -113,6 +111,7 @@
     metrics.register(
         "configuration.ageMillis",
         (Gauge<Long>) () -> configuration.age().map(Duration::toMillis).orElse(-1L));
+    metrics.register("tasks.failed", (Gauge<Long>) RepeatedTask::failureCount);
     metrics.register("backend.connects", (Gauge<Long>) client::connectAttempts);
   }
 
@@ -129,8 +128,8 @@
     GatewayProcess process = new GatewayProcess(settings, store, headerCodec);
     process.storeWatcher.start();
     process.peerSynchronizer.start();
-    process.controlExecutor.scheduleWithFixedDelay(
-        process::tick, TICK_INTERVAL.toMillis(), TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+    RepeatedTask.startWithFixedDelay(
+        process.controlExecutor, "periodic checks", TICK_INTERVAL, TICK_INTERVAL, process::tick);
     DecisionLog.write("started", "callers", settings.callers(), "store", settings.store());
     return process;
   }
@@ -205,16 +204,11 @@
   }
 
   private void tick() {
-    try {
-      core.withLock(core::tick);
-      readLag.tick();
-      core.withLock(requestHandler::tick);
-      core.withLock(peerSynchronizer::tick);
-      client.closeExpired();
-    } catch (RuntimeException e) {
-      logger.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(e).log(
-          "periodic checks of the gateway failed; they continue at the next interval");
-    }
+    RepeatedTask.runPart("checks of open requests", () -> core.withLock(core::tick));
+    RepeatedTask.runPart("measurement of the read lag", readLag::tick);
+    RepeatedTask.runPart("checks of held requests", () -> core.withLock(requestHandler::tick));
+    RepeatedTask.runPart("exchange with peers", () -> core.withLock(peerSynchronizer::tick));
+    RepeatedTask.runPart("checks of idle connections", client::closeExpired);
   }
 
   private boolean isReady() {
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -13,8 +13,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.wigeonstage.common.ControlExecutors;
+import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.common.WigeonstageException;
 import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.fleet.GatewayRegistration;
@@ -47,16 +47,16 @@
   /** A registered gateway that reports nothing for this long is considered removed for good. */
   private static final Duration PEER_EXPIRY = Duration.ofSeconds(30);
 
-  private static final long REGISTER_INTERVAL_MILLIS = 1000;
+  private static final Duration REGISTER_INTERVAL = Duration.ofSeconds(1);
   private static final long LIST_INTERVAL_MILLIS = 5000;
 
   private final String name;
-  private final Endpoint listen;
   private final FleetStore store;
   private final GatewayCore core;
   private final long incarnation = System.currentTimeMillis();
   private final Closer closer = Closer.create();
   private final LinkConnector connector;
+  private final Endpoint endpoint;
   private final ScheduledExecutorService storeExecutor =
       ControlExecutors.newSingleThreadExecutor("peer-calls");
   private final Map<String, PeerState> peers = new HashMap<>();
@@ -74,11 +74,11 @@
   PeerSynchronizer(
       String name, Endpoint listen, FleetStore store, GatewayCore core, MetricRegistry metrics) {
     this.name = name;
-    this.listen = listen;
     this.store = store;
     this.core = core;
     this.connector = closer.register(LinkConnector.start(this::hello, this, metrics));
-    closer.register(LinkServer.start(listen, this::hello, this, metrics));
+    this.endpoint =
+        closer.register(LinkServer.start(listen, this::hello, this, metrics)).endpoint();
   }
 
   private Message.Hello hello() {
@@ -86,16 +86,20 @@
   }
 
   void start() {
-    storeExecutor.scheduleWithFixedDelay(
-        this::registerAndListPeers, 0, REGISTER_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    RepeatedTask.startWithFixedDelay(
+        storeExecutor,
+        "exchange of registrations",
+        Duration.ZERO,
+        REGISTER_INTERVAL,
+        this::registerAndListPeers);
   }
 
   private void registerAndListPeers() {
     try {
       if (!registered) {
-        store.register(new GatewayRegistration(name, listen.toString()));
+        store.register(new GatewayRegistration(name, endpoint));
         registered = true;
-        DecisionLog.write("registered", "address", listen.toString());
+        DecisionLog.write("registered", "address", endpoint.toString());
       }
     } catch (WigeonstageException e) {
       DecisionLog.write("not-registered", "error", String.valueOf(e.getMessage()));
@@ -156,9 +160,9 @@
     }
     lastSentAt = now;
     Message.GatewayLoad load = core.load();
-    for (PeerState peer : peers.values()) {
-      synchronize(peer, load, now);
-    }
+    peers.forEach(
+        (peerName, peer) ->
+            RepeatedTask.runPart("exchange with " + peerName, () -> synchronize(peer, load, now)));
     applyPeerLoads(now);
   }
 
@@ -186,8 +190,7 @@
     if (registration != null && now.minus(peer.lastConnectAt).compareTo(RECONNECT_INTERVAL) > 0) {
       peer.lastConnectAt = now;
       connector.connect(
-          Endpoint.parse(registration.address()),
-          cause -> core.withLock(() -> connectFailed(peer, cause)));
+          registration.address(), cause -> core.withLock(() -> connectFailed(peer, cause)));
     }
   }
 
--- a/src/main/java/org/wigeonstage/gateway/StoreWatcher.java
+++ b/src/main/java/org/wigeonstage/gateway/StoreWatcher.java
@@ -5,10 +5,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import org.wigeonstage.common.ClockReader;
 import org.wigeonstage.common.ClockReading;
 import org.wigeonstage.common.ControlExecutors;
+import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.common.WigeonstageException;
 import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.fleet.ServerList;
@@ -130,37 +130,27 @@
     }
 
     void start() {
-      executor.execute(this::run);
-    }
-
-    private void run() {
-      Duration delay = readOnce();
-      if (!executor.isShutdown()) {
-        executor.schedule(this::run, delay.toMillis(), TimeUnit.MILLISECONDS);
-      }
+      RepeatedTask.start(
+          executor, "read of " + subject, Duration.ZERO, RETRY_INTERVAL, this::readOnce);
     }
 
     /** Makes one call, and returns the delay until the next one. */
     private Duration readOnce() {
       Duration now = core.now();
       boolean isWatch = mayWait && now.minus(fullReadAt).compareTo(FULL_READ_INTERVAL) < 0;
+      mayWait = false;
       try {
         mayWait = read.execute(isWatch);
         fullReadAt = isWatch ? fullReadAt : now;
         updateReachable(true, "");
         return mayWait ? CALL_INTERVAL : RETRY_INTERVAL;
       } catch (WigeonstageException e) {
-        mayWait = false;
         if (!isWatch) {
           updateReachable(false, String.valueOf(e.getMessage()));
           return RETRY_INTERVAL;
         }
         DecisionLog.write("watch-lost", "read", subject, "error", String.valueOf(e.getMessage()));
         return CALL_INTERVAL;
-      } catch (RuntimeException e) {
-        mayWait = false;
-        DecisionLog.write("store-unreadable", "read", subject, "error", e.toString());
-        return RETRY_INTERVAL;
       }
     }
 
--- a/src/main/java/org/wigeonstage/http/BlockingCall.java
+++ b/src/main/java/org/wigeonstage/http/BlockingCall.java
@@ -13,6 +13,9 @@
 /** Sends a call and waits for the complete response. */
 public final class BlockingCall implements ResponseListener {
 
+  /** Several times the largest page of a list that the platform's store sends. */
+  private static final int MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
   private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private int status;
@@ -45,6 +48,7 @@
       throw new CallFailedException(
           "no complete response from " + target + " within " + timeout.toMillis() + " ms", true, e);
     } catch (ExecutionException e) {
+      exchange.abort();
       throw e.getCause() instanceof CallFailedException failure
           ? failure
           : new CallFailedException("call to " + target + " failed", true, e);
@@ -62,6 +66,15 @@
 
   @Override
   public void onData(byte[] data) {
+    if (response.isDone()) {
+      return;
+    }
+    if (body.size() + data.length > MAX_RESPONSE_BYTES) {
+      response.completeExceptionally(
+          new CallFailedException(
+              "the response exceeds " + MAX_RESPONSE_BYTES + " bytes", true, null));
+      return;
+    }
     body.writeBytes(data);
   }
 
--- a/src/main/java/org/wigeonstage/http/HttpResponse.java
+++ b/src/main/java/org/wigeonstage/http/HttpResponse.java
@@ -22,6 +22,15 @@
     return status;
   }
 
+  /**
+   * Returns the body.
+   *
+   * @return the bytes, which the caller must not change
+   */
+  public byte[] body() {
+    return body;
+  }
+
   /**
    * Returns the body as text.
    *
--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -21,6 +21,7 @@
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.common.Polling;
+import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.common.WigeonstageException;
 
 /** An HTTP server that passes all requests to a single handler. */
@@ -67,11 +68,12 @@
     this.endpoint = endpoint;
     this.timer = timer;
     this.clock = clock;
-    timer.scheduleWithFixedDelay(
-        () -> closeIdleConnections(options.idleTimeout()),
-        IDLE_CHECK_INTERVAL.toMillis(),
-        IDLE_CHECK_INTERVAL.toMillis(),
-        TimeUnit.MILLISECONDS);
+    RepeatedTask.startWithFixedDelay(
+        timer,
+        "check of idle connections",
+        IDLE_CHECK_INTERVAL,
+        IDLE_CHECK_INTERVAL,
+        () -> closeIdleConnections(options.idleTimeout()));
   }
 
   /**
--- a/src/main/java/org/wigeonstage/membership/StoreWatch.java
+++ b/src/main/java/org/wigeonstage/membership/StoreWatch.java
@@ -1,9 +1,12 @@
 package org.wigeonstage.membership;
 
 import com.codahale.metrics.Counter;
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.common.WigeonstageException;
 import org.wigeonstage.store.ObjectList;
 import org.wigeonstage.store.ObjectStore;
@@ -14,6 +17,8 @@
  */
 public final class StoreWatch implements Runnable {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int LOG_INTERVAL_SECONDS = 10;
   private static final Duration POLL_TIMEOUT = Duration.ofSeconds(20);
   private static final long RETRY_DELAY_MILLIS = 1000;
 
@@ -55,13 +60,28 @@
     // A negative revision makes the next poll read all objects.
     long revision = -1;
     while (!Thread.currentThread().isInterrupted()) {
-      try {
-        revision = poll(revision);
-      } catch (WigeonstageException e) {
-        failures.inc();
-        revision = -1;
-        waitBeforeRetry();
-      }
+      revision = pollOrWait(revision);
+    }
+  }
+
+  /** Returns the revision for the next poll, or a negative one after a failure and a delay. */
+  private long pollOrWait(long revision) {
+    long[] nextRevision = {-1};
+    RepeatedTask.runPart("watch of " + kind, () -> nextRevision[0] = tryPoll(revision));
+    if (nextRevision[0] < 0) {
+      failures.inc();
+      waitBeforeRetry();
+    }
+    return nextRevision[0];
+  }
+
+  private long tryPoll(long revision) {
+    try {
+      return poll(revision);
+    } catch (WigeonstageException e) {
+      logger.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
+          "can't read %s from the object store: %s", kind, e.getMessage());
+      return -1;
     }
   }
 
--- a/src/main/java/org/wigeonstage/placement/ServerState.java
+++ b/src/main/java/org/wigeonstage/placement/ServerState.java
@@ -80,7 +80,7 @@
    * requests again once it is registered with another address.
    */
   void applyRegistration(BackendServer newServer) {
-    isReplaced &= newServer.address().equals(server.address());
+    isReplaced &= newServer.hasSameAddress(server);
     server = newServer;
   }
 
--- a/src/main/java/org/wigeonstage/platform/PlatformFleetStore.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformFleetStore.java
@@ -1,18 +1,18 @@
 package org.wigeonstage.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.fleet.GatewayRegistration;
 import org.wigeonstage.fleet.ServerList;
 import org.wigeonstage.fleet.StoredConfiguration;
+import org.wigeonstage.store.StoreException;
 
 /**
  * Reads the configuration and the registered backend servers and gateways from the platform's
@@ -28,6 +28,8 @@
   private final PlatformStoreClient client;
   private final WatchedObjects configurations;
   private final WatchedObjects servers;
+  private final EntryDecoder serverDecoder = new EntryDecoder(SERVER_KIND);
+  private final EntryDecoder gatewayDecoder = new EntryDecoder(GATEWAY_KIND);
   private volatile @Nullable StoredConfiguration lastConfiguration;
 
   PlatformFleetStore(PlatformStoreClient client) {
@@ -48,12 +50,25 @@
     return configurations.object(CONFIGURATION_NAME).map(this::decodeConfiguration);
   }
 
-  /** Decodes the object, or returns the last result if its revision has not changed since. */
-  private StoredConfiguration decodeConfiguration(JsonNode object) {
-    long revision = object.path("metadata").path("revision").asLong();
+  /**
+   * Decodes the object, or returns the last result if its revision has not changed since.
+   *
+   * @throws StoreException if the configuration can't be read; the one in force is then not
+   *     confirmed
+   */
+  private StoredConfiguration decodeConfiguration(StoreObject object) {
     StoredConfiguration last = lastConfiguration;
-    if (last == null || last.revision() != revision) {
-      last = new StoredConfiguration(revision, RoutingDecoder.decode(object.path("spec")));
+    if (last == null || last.revision() != object.revision()) {
+      if (!object.spec().isObject()) {
+        throw new StoreException(
+            ErrorCode.INVALID_CONFIGURATION,
+            "the configuration at revision "
+                + object.revision()
+                + " can't be read: "
+                + object.fault(),
+            null);
+      }
+      last = new StoredConfiguration(object.revision(), RoutingDecoder.decode(object.spec()));
       lastConfiguration = last;
     }
     return last;
@@ -72,32 +87,26 @@
   }
 
   private ServerList serverList() {
-    List<BackendServer> decoded = new ArrayList<>();
-    List<JsonNode> objects = servers.objects();
-    for (JsonNode object : objects) {
-      ServerDecoder.decode(PlatformStoreClient.nameOf(object), object.path("spec"))
-          .ifPresent(decoded::add);
-    }
+    List<StoreObject> objects = servers.objects();
+    List<BackendServer> decoded = serverDecoder.decode(objects, ServerDecoder::decode);
     return new ServerList(servers.revision(), decoded, objects.size() - decoded.size());
   }
 
   @Override
   public List<GatewayRegistration> readGateways() {
-    List<GatewayRegistration> gateways = new ArrayList<>();
-    for (JsonNode object : client.list(GATEWAY_KIND).objects()) {
-      JsonNode address = object.path("spec").path("address");
-      if (address.isTextual()) {
-        gateways.add(new GatewayRegistration(PlatformStoreClient.nameOf(object), address.asText()));
-      }
-    }
-    return gateways;
+    return gatewayDecoder.decode(
+        client.list(GATEWAY_KIND).objects(),
+        (name, spec) ->
+            new GatewayRegistration(
+                RegistrationFields.checkName(name),
+                new RegistrationFields(spec).address("address")));
   }
 
   @Override
   public void register(GatewayRegistration registration) {
     ObjectNode object = JsonNodeFactory.instance.objectNode();
     object.putObject("metadata").put("name", registration.name());
-    object.putObject("spec").put("address", registration.address());
+    object.putObject("spec").put("address", registration.address().toString());
     client.put(GATEWAY_KIND, registration.name(), object);
   }
 }
--- a/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
@@ -1,12 +1,14 @@
 package org.wigeonstage.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.Json;
 import org.wigeonstage.common.WigeonstageException;
@@ -33,6 +35,9 @@
    */
   private static final Duration WATCH_MARGIN = Duration.ofMillis(600);
 
+  /** The maximum number of objects of one kind: ten times the largest fleet. */
+  private static final int MAX_OBJECTS = 20_000;
+
   private static final String OBJECTS_PATH = "/wigeonstage/objects/";
   private static final String JSON_TYPE = "application/json";
   private static final byte[] NO_BODY = {};
@@ -52,31 +57,45 @@
   }
 
   /** All objects of one kind at a revision of the store. */
-  record Listing(long revision, List<JsonNode> objects) {}
+  record Listing(long revision, List<StoreObject> objects) {}
 
   /**
    * Reads all pages of a kind. Returns the revision of the first page, so that a watch from this
    * revision reports all changes that later pages may lack.
    */
   Listing list(String kind) {
-    List<JsonNode> objects = new ArrayList<>();
-    String after = "";
-    long revision = -1;
-    boolean hasMore = true;
-    while (hasMore) {
-      JsonNode page = parseBody(call("GET", kind + after, NO_BODY), OK);
-      page.path("entries").forEach(objects::add);
-      revision = revision < 0 ? page.path("at").asLong() : revision;
-      hasMore = page.path("has_more").asBoolean() && !objects.isEmpty();
-      if (hasMore) {
-        after = "?after=" + nameOf(objects.get(objects.size() - 1));
+    StorePage page = readPage(kind, "");
+    long revision = page.revision();
+    List<StoreObject> objects = new ArrayList<>(page.objects());
+    while (page.hasMore()) {
+      String lastName = page.lastName();
+      page = readPage(kind, "?after=" + URLEncoder.encode(lastName, StandardCharsets.UTF_8));
+      objects.addAll(page.objects());
+      boolean advances = !page.hasMore() || page.lastName().compareTo(lastName) != 0;
+      if (!advances || objects.size() > MAX_OBJECTS) {
+        throw new StoreException(
+            ErrorCode.STORE_UNAVAILABLE,
+            "the list of " + kind + " does not end after " + objects.size() + " objects",
+            null);
       }
     }
     return new Listing(revision, objects);
   }
 
-  /** The changes to the objects of one kind, in order, up to a revision of the store. */
-  record Changes(long revision, List<JsonNode> events) {}
+  private StorePage readPage(String kind, String query) {
+    HttpResponse response = call("GET", kind + query, NO_BODY);
+    checkStatus(response, OK);
+    return decode(() -> StorePage.decode(response.body()));
+  }
+
+  /**
+   * The changes to the objects of one kind, in order, up to a revision of the store.
+   *
+   * @param revision the revision
+   * @param events the changes to objects whose names could be read
+   * @param isEmpty whether the store sent no changes, not even unreadable ones
+   */
+  record Changes(long revision, List<StoreEvent> events, boolean isEmpty) {}
 
   /**
    * Waits for changes after a revision. Returns no events if none occur within the time, and empty
@@ -88,10 +107,8 @@
     if (response.status() == GONE) {
       return Optional.empty();
     }
-    JsonNode body = parseBody(response, OK);
-    List<JsonNode> events = new ArrayList<>();
-    body.path("events").forEach(events::add);
-    return Optional.of(new Changes(body.path("at").asLong(), events));
+    checkStatus(response, OK);
+    return Optional.of(decode(() -> StoreEvent.decodeChanges(response.body())));
   }
 
   /** Creates an object, or replaces the existing one. */
@@ -99,16 +116,12 @@
     byte[] body = Json.write(object).getBytes(StandardCharsets.UTF_8);
     HttpResponse created = call("POST", kind, body);
     if (created.status() == CONFLICT) {
-      parseBody(call("PUT", kind + "/" + name, body), OK);
+      checkStatus(call("PUT", kind + "/" + name, body), OK);
     } else {
-      parseBody(created, CREATED);
+      checkStatus(created, CREATED);
     }
   }
 
-  static String nameOf(JsonNode object) {
-    return object.path("metadata").path("name").asText();
-  }
-
   private HttpResponse call(String method, String path, byte[] body) {
     return call(method, path, body, CALL_TIMEOUT);
   }
@@ -128,7 +141,7 @@
     }
   }
 
-  private static JsonNode parseBody(HttpResponse response, int expectedStatus) {
+  private static void checkStatus(HttpResponse response, int expectedStatus) {
     boolean isExpected = response.status() == expectedStatus || response.status() == OK;
     if (!isExpected) {
       ErrorCode code =
@@ -137,8 +150,11 @@
               : ErrorCode.BAD_REQUEST;
       throw new StoreException(code, "the store responded with status " + response.status(), null);
     }
+  }
+
+  private static <T> T decode(Supplier<T> decoder) {
     try {
-      return Json.parse(response.text());
+      return decoder.get();
     } catch (WigeonstageException e) {
       throw new StoreException(
           ErrorCode.STORE_UNAVAILABLE, "the store's response is not valid JSON", e);
--- a/src/main/java/org/wigeonstage/platform/RoutingDecoder.java
+++ b/src/main/java/org/wigeonstage/platform/RoutingDecoder.java
@@ -25,6 +25,9 @@
   private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 15_000;
   private static final long DEFAULT_ROUTE_TIMEOUT_MILLIS = 30_000;
 
+  /** The longest time of a configuration: 30 days. */
+  private static final long MAX_MILLIS = Duration.ofDays(30).toMillis();
+
   private RoutingDecoder() {}
 
   static RoutingTable decode(JsonNode configuration) {
@@ -49,9 +52,9 @@
         route.path("path_prefix").asText(),
         decodeKind(route.path("route_kind").asText()),
         route.path("resumable").asBoolean(),
-        Duration.ofMillis(route.path("timeout_ms").asLong(DEFAULT_ROUTE_TIMEOUT_MILLIS)),
-        Duration.ofMillis(route.path("target_latency_ms").asLong()),
-        Duration.ofMillis(route.path("target_gap_ms").asLong()),
+        decodeMillis(route.path("timeout_ms"), DEFAULT_ROUTE_TIMEOUT_MILLIS),
+        decodeMillis(route.path("target_latency_ms"), 0),
+        decodeMillis(route.path("target_gap_ms"), 0),
         route.path("priority").asInt(),
         Math.max(1, route.path("max_attempts").asInt(1)),
         route.path("auth_exempt").asBoolean(),
@@ -106,7 +109,13 @@
     return new ConnectionLimits(
         limits.path("max_header_bytes").asInt(DEFAULT_MAX_HEAD_BYTES),
         limits.path("max_body_bytes").asInt(DEFAULT_MAX_BODY_BYTES),
-        Duration.ofMillis(limits.path("header_timeout_ms").asLong(DEFAULT_HEAD_TIMEOUT_MILLIS)),
-        Duration.ofMillis(limits.path("idle_timeout_ms").asLong(DEFAULT_IDLE_TIMEOUT_MILLIS)));
+        decodeMillis(limits.path("header_timeout_ms"), DEFAULT_HEAD_TIMEOUT_MILLIS),
+        decodeMillis(limits.path("idle_timeout_ms"), DEFAULT_IDLE_TIMEOUT_MILLIS));
+  }
+
+  /** Decodes a time, limited to a range in which calculations with it don't overflow. */
+  private static Duration decodeMillis(JsonNode millis, long defaultMillis) {
+    double value = millis.asDouble(defaultMillis);
+    return Duration.ofMillis((long) Math.max(0, Math.min(value, MAX_MILLIS)));
   }
 }
--- a/src/main/java/org/wigeonstage/platform/ServerDecoder.java
+++ b/src/main/java/org/wigeonstage/platform/ServerDecoder.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
-import java.util.Optional;
+import org.wigeonstage.common.WigeonstageException;
 import org.wigeonstage.fleet.BackendServer;
 
 /**
@@ -11,35 +11,38 @@
  */
 final class ServerDecoder {
 
-  private static final String ADDRESS = "[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}";
+  /**
+   * The maximum number of requests that a server runs concurrently. Engines run a few hundred; a
+   * larger number would draw the requests of the whole pool.
+   */
+  private static final int MAX_SLOTS = 4096;
+
   private static final String LEAVING_STATE = "draining";
   private static final List<String> STATES = List.of("ready", LEAVING_STATE);
 
   private ServerDecoder() {}
 
-  /** Returns the decoded registration, or empty if a field is missing, mistyped or invalid. */
-  static Optional<BackendServer> decode(String id, JsonNode registration) {
-    boolean isValid =
-        !id.isEmpty()
-            && List.of("service", "address", "zone", "version", "state").stream()
-                .allMatch(field -> registration.path(field).isTextual())
-            && List.of("slot_count", "sequence").stream()
-                .allMatch(field -> registration.path(field).isIntegralNumber())
-            && registration.path("cold_remaining_ms").isNumber()
-            && registration.path("address").asText().matches(ADDRESS)
-            && registration.path("slot_count").asInt() > 0
-            && STATES.contains(registration.path("state").asText());
-    if (!isValid) {
-      return Optional.empty();
+  /**
+   * Decodes a registration.
+   *
+   * @throws WigeonstageException if a field is missing, mistyped or out of range
+   */
+  static BackendServer decode(String id, JsonNode registration) {
+    RegistrationFields fields = new RegistrationFields(registration);
+    String state = fields.text("state");
+    if (!STATES.contains(state)) {
+      throw RegistrationFields.invalid("state");
     }
-    return Optional.of(
-        new BackendServer(
-            id,
-            registration.path("service").asText(),
-            registration.path("address").asText(),
-            registration.path("zone").asText(),
-            registration.path("slot_count").asInt(),
-            registration.path("state").asText().equals(LEAVING_STATE),
-            registration.path("born").asLong()));
+    fields.text("version");
+    fields.wholeNumber("sequence", Long.MIN_VALUE, Long.MAX_VALUE);
+    fields.checkNumber("cold_remaining_ms");
+    return new BackendServer(
+        RegistrationFields.checkName(id),
+        fields.text("service"),
+        fields.address("address"),
+        fields.text("zone"),
+        (int) fields.wholeNumber("slot_count", 1, MAX_SLOTS),
+        state.equals(LEAVING_STATE),
+        fields.optionalWholeNumber("born").orElse(0));
   }
 }
--- a/src/main/java/org/wigeonstage/platform/WatchedObjects.java
+++ b/src/main/java/org/wigeonstage/platform/WatchedObjects.java
@@ -1,6 +1,5 @@
 package org.wigeonstage.platform;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,7 +16,7 @@
 
   private final PlatformStoreClient client;
   private final String kind;
-  private final Map<String, JsonNode> objectsByName = new TreeMap<>();
+  private final Map<String, StoreObject> objectsByName = new TreeMap<>();
   private long revision = -1;
 
   WatchedObjects(PlatformStoreClient client, String kind) {
@@ -29,9 +28,7 @@
   void read() {
     PlatformStoreClient.Listing listing = client.list(kind);
     objectsByName.clear();
-    listing
-        .objects()
-        .forEach(object -> objectsByName.put(PlatformStoreClient.nameOf(object), object));
+    listing.objects().forEach(object -> objectsByName.put(object.name(), object));
     revision = listing.revision();
   }
 
@@ -52,19 +49,17 @@
       read();
       return;
     }
-    if (!changes.get().events().isEmpty()) {
+    if (!changes.get().isEmpty()) {
       changes.get().events().forEach(this::apply);
       revision = Math.max(revision, changes.get().revision());
     }
   }
 
-  private void apply(JsonNode event) {
-    JsonNode object = event.path("resource_object");
-    String name = PlatformStoreClient.nameOf(object);
-    if (event.path("deleted").asBoolean()) {
-      objectsByName.remove(name);
+  private void apply(StoreEvent event) {
+    if (event.isDeleted()) {
+      objectsByName.remove(event.object().name());
     } else {
-      objectsByName.put(name, object);
+      objectsByName.put(event.object().name(), event.object());
     }
   }
 
@@ -72,11 +67,11 @@
     return revision;
   }
 
-  Optional<JsonNode> object(String name) {
+  Optional<StoreObject> object(String name) {
     return Optional.ofNullable(objectsByName.get(name));
   }
 
-  List<JsonNode> objects() {
+  List<StoreObject> objects() {
     return new ArrayList<>(objectsByName.values());
   }
 }
--- a/src/main/java/org/wigeonstage/platform/standin/StoreStandin.java
+++ b/src/main/java/org/wigeonstage/platform/standin/StoreStandin.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.util.RawValue;
 import java.io.Closeable;
 import java.util.ArrayList;
 import java.util.List;
@@ -130,6 +131,18 @@
     return revision;
   }
 
+  /**
+   * Writes an object whose content is any text, as another writer may do.
+   *
+   * @param kind the kind
+   * @param name the name
+   * @param spec the content, which is sent as it is
+   * @return the store's revision after the write
+   */
+  public long writeRaw(String kind, String name, String spec) {
+    return write(kind, name, JsonNodeFactory.instance.rawValueNode(new RawValue(spec)));
+  }
+
   private ObjectNode store(String kind, String name, JsonNode spec) {
     revision++;
     ObjectNode object = JsonNodeFactory.instance.objectNode();
--- a/src/test/java/org/wigeonstage/fleet/ServerRetentionTest.java
+++ b/src/test/java/org/wigeonstage/fleet/ServerRetentionTest.java
@@ -6,13 +6,15 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
+import org.wigeonstage.http.Endpoint;
 
 class ServerRetentionTest {
 
   private final ServerRetention retention = new ServerRetention();
 
   private static BackendServer server(String id) {
-    return new BackendServer(id, "pool", "10.0.0.1:" + id.hashCode(), "fd", 4, false, 0);
+    return new BackendServer(
+        id, "pool", new Endpoint("10.0.0.1", id.hashCode()), "fd", 4, false, 0);
   }
 
   private List<String> apply(double seconds, BackendServer... servers) {
@@ -53,7 +55,8 @@
 
   @Test
   void doesNotRetainLeavingServers() {
-    BackendServer leaving = new BackendServer("b", "pool", "10.0.0.2:1", "fd", 4, true, 0);
+    BackendServer leaving =
+        new BackendServer("b", "pool", new Endpoint("10.0.0.2", 1), "fd", 4, true, 0);
     apply(0, server("a"), leaving);
     assertThat(apply(5, servers())).containsExactly("a");
   }
--- a/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
+++ b/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.http.Endpoint;
 
 /**
  * Tests the scheduler with the default limits. Unless a test says otherwise, requests have account
@@ -40,7 +41,7 @@
           new SplittableRandom(1));
 
   private static BackendServer server(String id, int slots, boolean isLeaving) {
-    return new BackendServer(id, "pool", "10.0.0.1:1", "fd", slots, isLeaving, 0);
+    return new BackendServer(id, "pool", new Endpoint("10.0.0.1", 1), "fd", slots, isLeaving, 0);
   }
 
   private void register(BackendServer... servers) {
--- a/src/test/java/org/wigeonstage/platform/DecodersTest.java
+++ b/src/test/java/org/wigeonstage/platform/DecodersTest.java
@@ -1,13 +1,18 @@
 package org.wigeonstage.platform;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonstage.common.Json;
 import org.wigeonstage.common.KeyHash;
+import org.wigeonstage.common.WigeonstageException;
+import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.routes.RouteKind;
 import org.wigeonstage.routes.RoutingTable;
@@ -26,16 +31,18 @@
 
   @Test
   void decodesARegistration() {
-    assertThat(ServerDecoder.decode("i-1", registration()))
-        .hasValueSatisfying(
-            server -> {
-              assertThat(server.pool()).isEqualTo("engines");
-              assertThat(server.address()).isEqualTo("10.128.0.9:8080");
-              assertThat(server.slots()).isEqualTo(14);
-              assertThat(server.isLeaving()).isFalse();
-            });
-    assertThat(ServerDecoder.decode("i-1", registration().put("state", "draining")))
-        .hasValueSatisfying(server -> assertThat(server.isLeaving()).isTrue());
+    BackendServer server = ServerDecoder.decode("i-1", registration());
+    assertThat(server.pool()).isEqualTo("engines");
+    assertThat(server.address()).isEqualTo(new Endpoint("10.128.0.9", 8080));
+    assertThat(server.slots()).isEqualTo(14);
+    assertThat(server.isLeaving()).isFalse();
+    assertThat(ServerDecoder.decode("i-1", registration().put("state", "draining")).isLeaving())
+        .isTrue();
+  }
+
+  private static void assertRejected(String id, JsonNode registration) {
+    assertThatThrownBy(() -> ServerDecoder.decode(id, registration))
+        .isInstanceOf(WigeonstageException.class);
   }
 
   @ParameterizedTest
@@ -44,18 +51,49 @@
   void rejectsRegistrationsWithAMissingOrMistypedField(String field) {
     ObjectNode missing = registration();
     missing.remove(field);
-    assertThat(ServerDecoder.decode("i-1", missing)).isEmpty();
+    assertRejected("i-1", missing);
     ObjectNode mistyped = registration();
     mistyped.putArray(field);
-    assertThat(ServerDecoder.decode("i-1", mistyped)).isEmpty();
+    assertRejected("i-1", mistyped);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "{\"state\": \"resting\"}",
+        "{\"address\": \"host:80\"}",
+        "{\"address\": \"10.0.0.1:0\"}",
+        "{\"address\": \"10.0.0.1:99999\"}",
+        "{\"address\": \"10.0.0.999:80\"}",
+        "{\"address\": \"0.0.0.0:80\"}",
+        "{\"address\": \"255.255.255.255:80\"}",
+        "{\"address\": \"224.0.0.1:80\"}",
+        "{\"address\": \"010.0.0.1:80\"}",
+        "{\"slot_count\": 0}",
+        "{\"slot_count\": 2000000000}",
+        "{\"slot_count\": 4294967300}",
+        "{\"slot_count\": 100000000000000000000000000000}",
+        "{\"sequence\": 100000000000000000000000000000}",
+        "{\"cold_remaining_ms\": 1e999}",
+        "{\"born\": 1.5}",
+        "{\"born\": 100000000000000000000000000000}"
+      })
+  void rejectsRegistrationsWithValuesOutOfRange(String changedField) {
+    ObjectNode changed = registration();
+    changed.setAll((ObjectNode) Json.parse(changedField));
+    assertRejected("i-1", changed);
   }
 
   @Test
-  void rejectsRegistrationsWithInvalidValues() {
-    assertThat(ServerDecoder.decode("i-1", registration().put("state", "resting"))).isEmpty();
-    assertThat(ServerDecoder.decode("i-1", registration().put("address", "host:80"))).isEmpty();
-    assertThat(ServerDecoder.decode("i-1", registration().put("slot_count", 0))).isEmpty();
-    assertThat(ServerDecoder.decode("i-1", Json.parse("\"text\""))).isEmpty();
+  void rejectsRegistrationsThatAreNoObjects() {
+    assertRejected("i-1", Json.parse("\"text\""));
+  }
+
+  /** The name is sent in a header field, which a line break would end. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "i-1\r\nTenant: other", "i 1", "i-\u00e9"})
+  void rejectsNamesThatCannotBeSentInAHeaderField(String name) {
+    assertRejected(name, registration());
   }
 
   @Test
--- /dev/null
+++ b/src/test/java/org/wigeonstage/platform/OddEntriesTest.java
@@ -0,0 +1,207 @@
+package org.wigeonstage.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.google.common.io.Closer;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.Polling;
+import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.fleet.FleetStore;
+import org.wigeonstage.fleet.GatewayRegistration;
+import org.wigeonstage.fleet.ServerList;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.platform.standin.StoreStandin;
+import org.wigeonstage.store.StoreException;
+
+/** Tests that an odd entry of another writer does not affect the other entries of its list. */
+class OddEntriesTest {
+
+  /** The stack size of a gateway's threads. */
+  private static final long STACK_BYTES = 256 * 1024;
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+  private static final String SOUND =
+      """
+      {"service": "engines", "address": "10.128.0.9:8080", "zone": "fd-a", "version": "v1",
+       "slot_count": 14, "state": "ready", "cold_remaining_ms": 0, "sequence": 4}
+      """;
+
+  private final Closer closer = Closer.create();
+  private final StoreStandin store =
+      closer.register(StoreStandin.start(new Endpoint("127.0.0.1", 0)));
+  private final FleetStore fleetStore =
+      new PlatformAdapter(closer.register(HttpClient.start("test", 1)), store.endpoint())
+          .fleetStore();
+
+  @AfterEach
+  void close() throws IOException {
+    closer.close();
+  }
+
+  static Stream<String> oddEntries() {
+    return Stream.of(
+        SOUND.replace("8080", "99999"),
+        SOUND.replace("8080", "0"),
+        SOUND.replace("10.128.0.9", "10.128.0.999"),
+        SOUND.replace("14", "2000000000"),
+        SOUND.replace("14", "1".repeat(30)),
+        SOUND.replace("14", "1".repeat(3000)),
+        SOUND.replace("\"sequence\": 4", "\"sequence\": " + "4".repeat(30)),
+        SOUND.replace("\"sequence\": 4", "\"sequence\": 4, \"x\": " + "4".repeat(3000)),
+        SOUND.replace("\"sequence\": 4", "\"sequence\": 4, \"x\": 1e" + "9".repeat(3000)),
+        SOUND.replace("\"v1\"", nested("[", "]", 5000)),
+        SOUND.replace("\"v1\"", nested("{\"a\":", "}", 5000)),
+        SOUND.replace("\"sequence\": 4", "\"sequence\": 4, \"x\": " + nested("[", "]", 200_000)),
+        nested("[", "]", 5000),
+        SOUND.replace("\"v1\"", "\"" + "v".repeat(100_000) + "\""),
+        SOUND.replace("\"v1\"", "\"\\ud800\", \"zone\": [\"}]\"]"),
+        SOUND.replace("\"v1\"", "1, 2"),
+        SOUND.replace("\"v1\"", "nonsense"),
+        "null",
+        "17",
+        "\"text\"",
+        "[]",
+        "{}");
+  }
+
+  private static String nested(String open, String close, int depth) {
+    return open.repeat(depth) + "1" + close.repeat(depth);
+  }
+
+  private static List<String> idsOf(ServerList list) {
+    return list.servers().stream().map(BackendServer::id).toList();
+  }
+
+  /** Runs a call on a thread with the stack of a gateway's threads. */
+  private static <T> T onSmallStack(Supplier<T> call) throws Exception {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    new Thread(null, () -> complete(result, call), "small-stack", STACK_BYTES).start();
+    return result.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+  }
+
+  private static <T> void complete(CompletableFuture<T> result, Supplier<T> call) {
+    try {
+      result.complete(call.get());
+    } catch (Throwable e) {
+      result.completeExceptionally(e);
+    }
+  }
+
+  private void writeSound(String name) {
+    store.writeRaw("servers", name, SOUND);
+  }
+
+  @ParameterizedTest
+  @MethodSource("oddEntries")
+  void otherServersOfTheListAreRead(String odd) throws Exception {
+    writeSound("a");
+    store.writeRaw("servers", "b", odd);
+    writeSound("c");
+    ServerList list = onSmallStack(fleetStore::readServers);
+    assertThat(idsOf(list)).containsExactly("a", "c");
+    assertThat(list.unreadable()).isEqualTo(1);
+  }
+
+  @ParameterizedTest
+  @MethodSource("oddEntries")
+  void otherServersOfTheFollowingPagesAreRead(String odd) throws Exception {
+    store.setPageSize(1);
+    writeSound("a");
+    store.writeRaw("servers", "b", odd);
+    writeSound("c");
+    assertThat(idsOf(onSmallStack(fleetStore::readServers))).containsExactly("a", "c");
+  }
+
+  @ParameterizedTest
+  @MethodSource("oddEntries")
+  void changesAreFollowedBesideAnOddOne(String odd) throws Exception {
+    writeSound("a");
+    fleetStore.readServers();
+    store.writeRaw("servers", "b", odd);
+    writeSound("c");
+    ServerList list = onSmallStack(() -> fleetStore.awaitServers(TIMEOUT));
+    assertThat(idsOf(list)).containsExactly("a", "c");
+  }
+
+  @Test
+  void aServerWhoseEntryBecomesOddIsNoLongerUsed() {
+    writeSound("a");
+    writeSound("b");
+    fleetStore.readServers();
+    store.writeRaw("servers", "a", "{\"x\": " + "1".repeat(3000) + "}");
+    assertThat(idsOf(fleetStore.awaitServers(TIMEOUT))).containsExactly("b");
+    writeSound("a");
+    assertThat(idsOf(fleetStore.awaitServers(TIMEOUT))).containsExactly("a", "b");
+  }
+
+  @ParameterizedTest
+  @MethodSource("oddEntries")
+  void otherGatewaysOfTheListAreRead(String odd) throws Exception {
+    fleetStore.register(new GatewayRegistration("g1", new Endpoint("10.0.0.1", 7600)));
+    store.writeRaw("gateways", "g2", odd.replace("10.128.0.9:8080", "10.0.0.2:77777"));
+    fleetStore.register(new GatewayRegistration("g3", new Endpoint("10.0.0.3", 7600)));
+    assertThat(onSmallStack(fleetStore::readGateways))
+        .extracting(GatewayRegistration::name)
+        .containsExactly("g1", "g3");
+  }
+
+  @Test
+  void namesThatNeedEscapingDoNotStopThePaging() {
+    store.setPageSize(1);
+    for (String name : List.of("a", "b&after=z#/?", "c d", "e")) {
+      writeSound(name);
+    }
+    assertThat(idsOf(fleetStore.readServers())).containsExactly("a", "b&after=z#/?", "e");
+  }
+
+  @Test
+  void anOddConfigurationIsReportedAndNotRead() throws Exception {
+    store.write("config", "main", JsonNodeFactory.instance.objectNode().put("version", 3));
+    assertThat(fleetStore.readConfiguration().orElseThrow().table().version()).isEqualTo(3);
+    store.writeRaw("config", "main", nested("[", "]", 5000));
+    assertThatThrownBy(() -> onSmallStack(fleetStore::readConfiguration))
+        .cause()
+        .isInstanceOfSatisfying(
+            StoreException.class,
+            e -> assertThat(e.code()).isEqualTo(ErrorCode.INVALID_CONFIGURATION));
+    store.write("config", "main", JsonNodeFactory.instance.objectNode().put("version", 4));
+    assertThat(fleetStore.readConfiguration().orElseThrow().table().version()).isEqualTo(4);
+  }
+
+  @Test
+  void aConfigurationIsReadBesideAnOddObjectOfItsKind() throws Exception {
+    store.writeRaw("config", "draft", nested("{\"a\":", "}", 5000));
+    store.write("config", "main", JsonNodeFactory.instance.objectNode().put("version", 3));
+    assertThat(onSmallStack(fleetStore::readConfiguration).orElseThrow().table().version())
+        .isEqualTo(3);
+  }
+
+  /** A change that can't be read must not be delivered again and again. */
+  @Test
+  void anOddChangeIsDeliveredOnce() throws Exception {
+    writeSound("a");
+    fleetStore.readServers();
+    store.writeRaw("servers", "b", nested("[", "]", 5000));
+    fleetStore.awaitServers(TIMEOUT);
+    CompletableFuture<ServerList> next =
+        CompletableFuture.supplyAsync(() -> fleetStore.awaitServers(TIMEOUT));
+    assertThat(Polling.await(() -> store.watchCount() == 1, TIMEOUT)).isTrue();
+    writeSound("c");
+    assertThat(idsOf(next.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS))).containsExactly("a", "c");
+  }
+}
--- a/src/test/java/org/wigeonstage/platform/WatchedObjectsTest.java
+++ b/src/test/java/org/wigeonstage/platform/WatchedObjectsTest.java
@@ -41,7 +41,7 @@
   }
 
   private List<String> names() {
-    return watched.objects().stream().map(PlatformStoreClient::nameOf).toList();
+    return watched.objects().stream().map(StoreObject::name).toList();
   }
 
   private CompletableFuture<Void> startWaiting() throws InterruptedException {
@@ -71,7 +71,7 @@
     store.remove("things", "a");
     watched.await(LONG_WAIT);
     assertThat(names()).containsExactly("b");
-    assertThat(watched.object("b").orElseThrow().at("/spec/of").asText()).isEqualTo("b");
+    assertThat(watched.object("b").orElseThrow().spec().path("of").asText()).isEqualTo("b");
   }
 
   @Test
