Believe a response only if it belongs to the request

Callers: a faulty server that sends an earlier refusal again on a kept connection made the gateway answer 'not run' for a request that the server had run, or send it to a second server. Cause: a refusal without ID was believed on any connection, a repeated one with the right ID after the request was sent again on the same connection, and statuses 408, 429 and 503 were passed on without the server's declaration. Change: ResponseOrigin decides by ID and connection; a request is sent again to a server that has responded to it only on a new connection; such a status without the declaration is reported as unknown.

--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -5,8 +5,8 @@
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.forward.AttemptFailure;
+import org.wigeonstage.forward.ResponseFields;
 import org.wigeonstage.http.ClientExchange;
-import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.OutboundCall;
 import org.wigeonstage.http.ResponseHead;
 import org.wigeonstage.http.ResponseListener;
@@ -20,19 +20,6 @@
   /** Connections are established within a few milliseconds, also between failure domains. */
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
 
-  /**
-   * Maximum idle time of the pooled connection on which a request is sent. Servers announce how
-   * long they keep idle connections open; that limit applies as well.
-   */
-  private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(30);
-
-  /**
-   * A request that must not be sent twice, or was sent before, uses a pooled connection only if it
-   * has been idle for less than this. Servers close idle connections after seconds, and a request
-   * on a connection that is closed meanwhile is lost.
-   */
-  private static final Duration MAX_IDLE_TIME_WITHOUT_RETRY = Duration.ofMillis(500);
-
   /** The server is unresponsive if the first part takes this multiple of its objective. */
   private static final double FIRST_PART_TIMEOUT_FACTOR = 2;
 
@@ -56,6 +43,7 @@
   private Duration lastDataAt;
   private Duration activeTimeAtLastData;
   private int eventCount;
+  private boolean hasResponseId;
   private boolean reported;
   private boolean markedSuspect;
   private boolean isAwaitingReads;
@@ -94,12 +82,16 @@
   /**
    * Sends the request.
    *
-   * @param canBeSentAgain whether the request can be sent again if its connection proves closed
+   * @param maxIdleTime the maximum idle time of the pooled connection to use, or zero for a new one
    */
-  void send(Endpoint target, OutboundCall call, boolean canBeSentAgain) {
-    exchange =
-        core.client()
-            .send(target, call, canBeSentAgain ? MAX_IDLE_TIME : MAX_IDLE_TIME_WITHOUT_RETRY, this);
+  void send(OutboundCall call, Duration maxIdleTime) {
+    exchange = core.client().send(server.address(), call, maxIdleTime, this);
+  }
+
+  /** Returns whether the request is the first one on its connection. */
+  boolean usesNewConnection() {
+    ClientExchange current = exchange;
+    return current != null && current.usesNewConnection();
   }
 
   /**
@@ -124,7 +116,10 @@
     return current == null || current.cancelIfUnsent();
   }
 
-  /** Logs how long after the placement the request had a connection and was written to it. */
+  /**
+   * Logs how long after the placement the request had a connection and was written to it, and on
+   * what it rests that a response belongs to the request.
+   */
   void logTo(RequestLog.Entry entry) {
     ClientExchange current = exchange;
     if (current != null) {
@@ -134,10 +129,12 @@
       current
           .writtenAt()
           .ifPresent(time -> entry.put("writtenMillis", time.minus(startedAt).toMillis()));
+      entry.put("newConnection", current.usesNewConnection()).put("responseId", hasResponseId);
     }
   }
 
-  void recordHead(Duration now) {
+  void recordHead(Duration now, ResponseFields fields) {
+    hasResponseId = fields.requestId().isPresent();
     lastDataAt = now;
     activeTimeAtLastData = core.activeTime();
   }
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -11,7 +11,6 @@
 import org.wigeonstage.forward.AttemptPolicy;
 import org.wigeonstage.forward.ResponseFields;
 import org.wigeonstage.forward.Verdict;
-import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.OutboundCall;
 import org.wigeonstage.http.ResponseHead;
 import org.wigeonstage.http.ServerExchange;
@@ -43,6 +42,7 @@
   private final Duration deadline;
   private final RequestLog log;
   private final CallerResponse response;
+  private final ConnectionSelector connectionSelector;
   private @Nullable Attempt attempt;
   private @Nullable ResponseHead head;
   private int attemptCount;
@@ -65,6 +65,7 @@
     this.deadline = deadline;
     this.log = log;
     this.response = new CallerResponse(core, inbound);
+    this.connectionSelector = new ConnectionSelector(!inbound.fields().requestId().isEmpty());
   }
 
   PlacementRequest placement() {
@@ -121,7 +122,7 @@
     attempt = next;
     attemptCount++;
     boolean canBeSentAgain = attemptCount == 1 && route.mayRunMoreThanOnce() && hasAttemptsLeft();
-    next.send(Endpoint.parse(server.address()), outbound, canBeSentAgain);
+    next.send(outbound, connectionSelector.maxIdleTime(server, canBeSentAgain));
   }
 
   /** Refuses the request because no backend server can accept it. */
@@ -140,13 +141,14 @@
       return;
     }
     ResponseFields fields = core.headerCodec().decodeResponse(newHead.fields());
+    connectionSelector.recordResponse(source.server());
     head = newHead;
     response.applyHead(newHead, fields.forwardedFields());
-    source.recordHead(core.now());
+    source.recordHead(core.now(), fields);
     if (fields.closesConnection()) {
       core.recordClosingServer(source.server());
     }
-    Optional<AttemptFailure> failure = classifyOrAcquireRetry(newHead, fields);
+    Optional<AttemptFailure> failure = classifyOrAcquireRetry(source, newHead, fields);
     if (failure.isPresent()) {
       endAttempt(source, failure.get(), Attempt.resultOf(failure.get()));
     }
@@ -154,9 +156,10 @@
 
   /** Returns how the attempt failed, if so; a server error is forwarded unless it is retried. */
   private Optional<AttemptFailure> classifyOrAcquireRetry(
-      ResponseHead newHead, ResponseFields fields) {
+      Attempt source, ResponseHead newHead, ResponseFields fields) {
     Optional<AttemptFailure> failure =
-        ResponseClassifier.failureOf(newHead, fields, inbound.fields().requestId());
+        ResponseClassifier.failureOf(
+            newHead, fields, inbound.fields().requestId(), source.usesNewConnection());
     if (failure.isPresent()) {
       return failure;
     }
@@ -224,10 +227,7 @@
     log.addEntry("connection-lost")
         .put("server", source.server().id())
         .put("cause", cause.toString());
-    AttemptFailure failure = AttemptFailure.NOT_SENT;
-    if (wasSent) {
-      failure = head == null ? AttemptFailure.LOST : AttemptFailure.CUT;
-    }
+    AttemptFailure failure = wasSent ? unansweredFailure() : AttemptFailure.NOT_SENT;
     endAttempt(source, failure, Attempt.resultOf(failure));
   }
 
@@ -355,11 +355,11 @@
       return current.isConnectTimeoutOver();
     }
     return current.isUnresponsive(route)
-        && isRetry(AttemptPolicy.decide(unresponsiveFailure(), context(hasAttemptsLeft())))
+        && isRetry(AttemptPolicy.decide(unansweredFailure(), context(hasAttemptsLeft())))
         && (!current.hasMarkedServerSuspect() || canRetryOnAnotherServer());
   }
 
-  private AttemptFailure unresponsiveFailure() {
+  private AttemptFailure unansweredFailure() {
     return head == null ? AttemptFailure.LOST : AttemptFailure.CUT;
   }
 
@@ -382,11 +382,11 @@
     }
     boolean isAlreadySuspect = current.hasMarkedServerSuspect(); // an attempt marks it once
     if (canRetryOnAnotherServer()) {
-      Verdict verdict = decide(unresponsiveFailure());
+      Verdict verdict = decide(unansweredFailure());
       if (isRetry(verdict)) {
         endAttempt(
             current,
-            unresponsiveFailure(),
+            unansweredFailure(),
             isAlreadySuspect ? AttemptResult.NEUTRAL : AttemptResult.UNREACHABLE,
             verdict);
         return;
--- a/src/main/java/org/wigeonstage/gateway/ResponseClassifier.java
+++ b/src/main/java/org/wigeonstage/gateway/ResponseClassifier.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.wigeonstage.forward.AttemptFailure;
 import org.wigeonstage.forward.ResponseFields;
+import org.wigeonstage.forward.ResponseOrigin;
 import org.wigeonstage.http.ResponseHead;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.routes.RouteKind;
@@ -13,24 +14,42 @@
   private static final int OK = 200;
   private static final int MULTIPLE_CHOICES = 300;
   private static final int SERVER_ERROR = 500;
+  private static final int REQUEST_TIMEOUT = 408;
   private static final int MISDIRECTED_REQUEST = 421;
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int SERVICE_UNAVAILABLE = 503;
 
   private ResponseClassifier() {}
 
-  /** Returns how the attempt failed, or empty if the head belongs to a usable response. */
+  /**
+   * Returns how the attempt failed, or empty if the head belongs to a usable response.
+   *
+   * @param isFirstOnConnection whether no other response can have been sent on its connection
+   */
   static Optional<AttemptFailure> failureOf(
-      ResponseHead head, ResponseFields fields, String requestId) {
-    if (fields.requestId().isPresent() && !fields.requestId().get().equals(requestId)) {
+      ResponseHead head, ResponseFields fields, String requestId, boolean isFirstOnConnection) {
+    if (!ResponseOrigin.belongsTo(requestId, fields.requestId(), isFirstOnConnection)) {
       return Optional.of(AttemptFailure.INVALID);
     }
     if (head.status() == MISDIRECTED_REQUEST) {
       return Optional.of(AttemptFailure.MISDIRECTED);
     }
+    if (isSuccess(head)) {
+      boolean isUsable = fields.isSigned() && !fields.isEncoded() && !fields.declaresNotRun();
+      return isUsable ? Optional.empty() : Optional.of(AttemptFailure.INVALID);
+    }
     if (fields.declaresNotRun()) {
       return Optional.of(AttemptFailure.DECLINED);
     }
-    boolean isUnusable = !fields.isSigned() || fields.isEncoded();
-    return isSuccess(head) && isUnusable ? Optional.of(AttemptFailure.INVALID) : Optional.empty();
+    return impliesNotRun(head) ? Optional.of(AttemptFailure.INVALID) : Optional.empty();
+  }
+
+  /** Returns whether callers conclude from the status that the request did not run. */
+  private static boolean impliesNotRun(ResponseHead head) {
+    return switch (head.status()) {
+      case REQUEST_TIMEOUT, TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE -> true;
+      default -> false;
+    };
   }
 
   static boolean isSuccess(ResponseHead head) {
--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -39,6 +39,7 @@
   private boolean isAborted;
   private boolean hasEnded;
   private volatile boolean hasResponseStarted;
+  private volatile boolean usesNewConnection = true;
   private volatile Runnable lostBeforeResponseAction = () -> {};
   private volatile @Nullable Duration connectionObtainedAt;
   private volatile @Nullable Duration writtenAt;
@@ -86,6 +87,20 @@
     };
   }
 
+  /** Records that the connection has served other calls. */
+  void markConnectionReused() {
+    usesNewConnection = false;
+  }
+
+  /**
+   * Returns whether the call is the first one on its connection.
+   *
+   * @return false if the connection has served other calls before
+   */
+  public boolean usesNewConnection() {
+    return usesNewConnection;
+  }
+
   /**
    * Sets the action to run when the connection is lost before the response starts. {@link #abort}
    * does not run it.
--- a/src/main/java/org/wigeonstage/http/PooledHttpClient.java
+++ b/src/main/java/org/wigeonstage/http/PooledHttpClient.java
@@ -73,8 +73,9 @@
    *
    * @param server the address of the server
    * @param call the call to send
-   * @param maxIdle the longest time that a reused connection may have been idle; if there is no
-   *     such connection, or only ones past their idle timeout, the call opens a new connection
+   * @param maxIdle the longest time that a reused connection may have been idle, or zero to reuse
+   *     none; if there is no such connection, or only ones past their idle timeout, the call opens
+   *     a new connection
    * @param listener receives the response, on the client's threads
    * @return the exchange, through which the call can be paused or aborted
    */
@@ -90,6 +91,7 @@
     HttpPacket packet = packetOf(call);
     IdleConnection reused = acquireIdle(server, maxIdle);
     if (reused != null) {
+      exchange.markConnectionReused();
       exchange.onLostBeforeResponse(() -> closeIdleSince(server, reused.idleSince()));
       exchange.connected(reused.connection(), packet);
     } else {
@@ -170,7 +172,7 @@
 
   private @Nullable IdleConnection acquireIdle(Endpoint server, Duration maxIdle) {
     Deque<IdleConnection> connections = idleConnections.get(server);
-    if (connections == null) {
+    if (connections == null || maxIdle.isZero()) {
       return null;
     }
     Duration now = clock.elapsed();
--- a/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
+++ b/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
@@ -168,17 +168,17 @@
       exchange.abort();
       return;
     }
+    String attemptId = Optional.ofNullable(exchange.header(ATTEMPT_ID)).orElse("");
+    HeaderFields echo = HeaderFields.NONE.with(ATTEMPT_ID, attemptId);
     String expectedId = exchange.header("Target-Instance");
     if (expectedId != null && !expectedId.equals(id)) {
-      exchange.respond(MISDIRECTED_REQUEST, HeaderFields.NONE.with("Instance-Id", id), new byte[0]);
+      exchange.respond(MISDIRECTED_REQUEST, echo.with("Instance-Id", id), new byte[0]);
       return;
     }
     if (current == Behaviour.DECLINES) {
-      exchange.respond(
-          SERVICE_UNAVAILABLE, HeaderFields.NONE.with("Not-Executed", "1"), new byte[0]);
+      exchange.respond(SERVICE_UNAVAILABLE, echo.with("Not-Executed", "1"), new byte[0]);
       return;
     }
-    String attemptId = Optional.ofNullable(exchange.header(ATTEMPT_ID)).orElse("");
     runs.add(
         new RunRecord(
             attemptId,
