Report only changes of the load to peers, encoded once

Cause: each gateway sent its whole load (48 servers, 13 accounts three times over) to each of 32 peers every 50 ms, encoded for each link, and decoded 640 of them a second. Change: after a complete report on a new link and every 2 s, reports carry what has changed (LoadChanges) and are encoded once for all links. Changes that arrive on a link other than that of the last complete report are ignored. PROTOCOL_VERSION is 2.

--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -408,7 +408,7 @@
             pool.applyPeerLoad(running, byPool.getOrDefault(name, new TreeMap<>()), now));
   }
 
-  /** Returns the load and quota usage of this gateway, to be sent to its peers. */
+  /** Returns the complete load and quota usage of this gateway, to be sent to its peers. */
   Message.GatewayLoad load() {
     Map<String, Integer> running = new HashMap<>();
     pools.values().forEach(pool -> running.putAll(pool.runningByServer()));
@@ -424,6 +424,7 @@
     Duration now = now();
     boolean isEarlierUsageKnown = quotas.isEarlierUsageKnown(now);
     return new Message.GatewayLoad(
+        true,
         isLeaving(),
         running,
         waiting,
--- a/src/main/java/org/wigeonstage/gateway/PeerState.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerState.java
@@ -17,9 +17,18 @@
   @Nullable GatewayRegistration registration;
   @Nullable Link link;
 
-  /** The latest report; until the first one, the peer counts as leaving and without load. */
+  /** The link on which the complete load was sent, so that changes to it can follow. */
+  @Nullable Link reportedLink;
+
+  /** The link on which the peer has sent its complete load. */
+  @Nullable Link completeLoadLink;
+
+  /** When the complete load is sent again. */
+  Duration completeReportAt = Duration.ZERO;
+
+  /** The load as of the latest report; until the first one, the peer counts as leaving and without load. */
   Message.GatewayLoad load =
-      new Message.GatewayLoad(true, Map.of(), List.of(), Map.of(), Map.of(), Map.of());
+      new Message.GatewayLoad(true, true, Map.of(), List.of(), Map.of(), Map.of(), Map.of());
 
   Duration lastReportAt;
   Duration lastConnectAt = Duration.ZERO;
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -18,10 +18,12 @@
 import org.wigeonstage.common.WigeonstageException;
 import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.fleet.GatewayRegistration;
+import org.wigeonstage.handover.LoadChanges;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.handover.WaitingCount;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.telemetry.DecisionLog;
+import org.wigeonstage.wire.EncodedMessage;
 import org.wigeonstage.wire.Link;
 import org.wigeonstage.wire.LinkConnector;
 import org.wigeonstage.wire.LinkListener;
@@ -39,6 +41,12 @@
   /** Interval between load reports; a short request lasts for several of them. */
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(50);
 
+  /**
+   * Interval between complete reports on a link, which carry the recent usage for peers that missed
+   * reports.
+   */
+  private static final Duration COMPLETE_REPORT_INTERVAL = Duration.ofSeconds(2);
+
   private static final Duration RECONNECT_INTERVAL = Duration.ofMillis(500);
 
   /** A link on which nothing arrives for this long is replaced. */
@@ -67,6 +75,8 @@
    */
   private final Set<String> expired = new HashSet<>();
 
+  private Message.GatewayLoad lastLoad =
+      new Message.GatewayLoad(true, false, Map.of(), List.of(), Map.of(), Map.of(), Map.of());
   private Duration lastSentAt = Duration.ZERO;
   private volatile boolean registered;
   private volatile long lastListedAtMillis;
@@ -160,9 +170,11 @@
     }
     lastSentAt = now;
     Message.GatewayLoad load = core.load();
+    EncodedMessage changes = EncodedMessage.of(LoadChanges.between(lastLoad, load));
+    lastLoad = load;
     peers.forEach(
         (peerName, peer) ->
-            RepeatedTask.runPart("exchange with " + peerName, () -> synchronize(peer, load, now)));
+            RepeatedTask.runPart("exchange with " + peerName, () -> synchronize(peer, load, changes, now)));
     applyPeerLoads(now);
   }
 
@@ -176,14 +188,15 @@
   }
 
   /** Sends the load to a peer, or connects to it if there is no working link. */
-  private void synchronize(PeerState peer, Message.GatewayLoad load, Duration now) {
+  private void synchronize(
+      PeerState peer, Message.GatewayLoad load, EncodedMessage changes, Duration now) {
     peer.usage.tick(core.gatewayCount(), now);
     Link link = peer.link;
     if (link != null && link.timeSinceLastMessage().compareTo(LINK_TIMEOUT) > 0) {
       peer.link = null;
       link.close();
     } else if (link != null) {
-      link.send(load);
+      report(peer, link, load, changes, now);
       return;
     }
     GatewayRegistration registration = peer.registration;
@@ -194,6 +207,20 @@
     }
   }
 
+  /** Sends the changes to the previous load, or the complete load if the peer lacks that one. */
+  private static void report(
+      PeerState peer, Link link, Message.GatewayLoad load, EncodedMessage changes, Duration now) {
+    boolean hasPreviousLoad = peer.reportedLink == link;
+    peer.reportedLink = null;
+    if (hasPreviousLoad && now.compareTo(peer.completeReportAt) < 0) {
+      link.send(changes);
+    } else {
+      link.send(load);
+      peer.completeReportAt = now.plus(COMPLETE_REPORT_INTERVAL);
+    }
+    peer.reportedLink = link;
+  }
+
   /** Records that a peer is stopped if the connection was refused: no process listens there. */
   private void connectFailed(PeerState peer, Throwable cause) {
     String message = String.valueOf(cause.getMessage());
@@ -245,8 +272,13 @@
   private void applyReport(Link link, Message.GatewayLoad load) {
     Duration now = core.now();
     PeerState peer = state(link.peerHello().name());
+    if (load.isComplete()) {
+      peer.completeLoadLink = link;
+    } else if (peer.completeLoadLink != link) {
+      return; // changes to a load that was sent on a replaced link
+    }
     peer.lastReportAt = now;
-    peer.load = load;
+    peer.load = LoadChanges.apply(peer.load, load);
     peer.usage.applyReport(
         link.peerHello().incarnation(),
         load.totalUsage(),
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -13,7 +13,7 @@
 public sealed interface Message {
 
   /** The protocol version of this build. */
-  int PROTOCOL_VERSION = 1;
+  int PROTOCOL_VERSION = 2;
 
   /** A message about one request. */
   sealed interface RequestMessage extends Message {
@@ -190,8 +190,12 @@
   record ConfigSnapshot(long version, String document) implements Message {}
 
   /**
-   * The load and the quota usage of a gateway, which it sends to its peers periodically.
+   * The load and the quota usage of a gateway, which it sends to its peers periodically: first
+   * completely, then as the changes since the previous message on the same link (see {@link
+   * LoadChanges}).
    *
+   * @param isComplete whether everything is included; otherwise only what has changed is, and a
+   *     count of 0 means that there is none any more
    * @param isLeaving whether the gateway is shutting down, and accepts only requests that it
    *     expects to finish in time
    * @param runningByServer the number of its running requests, by backend server
@@ -205,6 +209,7 @@
    *     burst is replenished.
    */
   record GatewayLoad(
+      boolean isComplete,
       boolean isLeaving,
       Map<String, Integer> runningByServer,
       List<WaitingCount> waiting,
--- a/src/main/java/org/wigeonstage/wire/FrameFilter.java
+++ b/src/main/java/org/wigeonstage/wire/FrameFilter.java
@@ -1,6 +1,5 @@
 package org.wigeonstage.wire;
 
-import java.nio.ByteBuffer;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -11,7 +10,7 @@
 /** Decodes and encodes frames. A frame is a length of four bytes followed by a message. */
 final class FrameFilter extends BaseFilter {
 
-  private static final int LENGTH_BYTES = 4;
+  static final int LENGTH_BYTES = 4;
 
   private final int maxFrameBytes;
 
@@ -45,10 +44,12 @@
 
   @Override
   public NextAction handleWrite(FilterChainContext context) {
-    byte[] frame = MessageEncoder.encode(context.<Message>getMessage());
-    ByteBuffer buffer = ByteBuffer.allocate(LENGTH_BYTES + frame.length);
-    buffer.putInt(frame.length).put(frame).flip();
-    context.setMessage(Buffers.wrap(null, buffer));
+    Object message = context.getMessage();
+    EncodedMessage encoded =
+        message instanceof EncodedMessage alreadyEncoded
+            ? alreadyEncoded
+            : EncodedMessage.of((Message) message);
+    context.setMessage(Buffers.wrap(null, encoded.frame()));
     return context.getInvokeAction();
   }
 }
--- a/src/main/java/org/wigeonstage/wire/Link.java
+++ b/src/main/java/org/wigeonstage/wire/Link.java
@@ -88,6 +88,17 @@
     }
   }
 
+  /**
+   * Sends an encoded message. It is dropped if the link is closed.
+   *
+   * @param message the message
+   */
+  public void send(EncodedMessage message) {
+    if (connection.isOpen()) {
+      connection.write(message);
+    }
+  }
+
   /** Closes the link. */
   public void close() {
     connection.terminateSilently();
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -60,6 +60,7 @@
   }
 
   private static Message readGatewayLoad(MessageUnpacker in) throws IOException {
+    boolean isComplete = in.unpackBoolean();
     boolean isLeaving = in.unpackBoolean();
     int serverCount = in.unpackMapHeader();
     Map<String, Integer> runningByServer = new HashMap<>();
@@ -73,6 +74,7 @@
           new WaitingCount(in.unpackString(), in.unpackInt(), in.unpackInt(), in.unpackInt()));
     }
     return new Message.GatewayLoad(
+        isComplete,
         isLeaving,
         runningByServer,
         waiting,
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -60,7 +60,10 @@
 
   private static void writeGatewayLoad(MessageBufferPacker packer, Message.GatewayLoad load)
       throws IOException {
-    packer.packBoolean(load.isLeaving()).packMapHeader(load.runningByServer().size());
+    packer
+        .packBoolean(load.isComplete())
+        .packBoolean(load.isLeaving())
+        .packMapHeader(load.runningByServer().size());
     for (Map.Entry<String, Integer> entry : load.runningByServer().entrySet()) {
       packer.packString(entry.getKey()).packInt(entry.getValue());
     }
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -65,6 +65,9 @@
                 1, 2, new LoadReport(1, 2, 3, 4, 5, -1, LoadReport.IDLE.headroomByTier())),
             new Message.Leaving(),
             new Message.GatewayLoad(
+                false, true, Map.of("s1", 0), List.of(), Map.of(), Map.of(), Map.of()),
+            new Message.GatewayLoad(
+                true,
                 true,
                 Map.of("s1", 3),
                 List.of(new WaitingCount("pool", 0, 2, 5)),
