Wait for changes in the store as long as the deployment's bounds allow

Each gateway made two calls per 1.25 s, though most deployments allow 3 or 4 s, and read the list of gateways every 5 s at full price. Change: WatchTimes derives the length of a call from configurationMillis and leavingMillis (new settings, from the platform's bounds) up to 1.6 s, so that a lost call is still noticed in time and not taken for an outage; the list of gateways is read from a cheaper, slightly older copy after the first time.

--- a/src/main/java/org/wigeonstage/fleet/FleetStore.java
+++ b/src/main/java/org/wigeonstage/fleet/FleetStore.java
@@ -59,6 +59,14 @@
    */
   List<GatewayRegistration> readGateways();
 
+  /**
+   * Reads the registered gateways as they were up to some seconds ago, which costs the store less.
+   *
+   * @return the gateways
+   * @throws StoreException if the store is unreachable or refuses the call
+   */
+  List<GatewayRegistration> readRecentGateways();
+
   /**
    * Registers a gateway, replacing any registration under the same name.
    *
--- a/src/main/java/org/wigeonstage/fleet/ServerRetention.java
+++ b/src/main/java/org/wigeonstage/fleet/ServerRetention.java
@@ -23,8 +23,8 @@
   /**
    * The minimum time between two lists that indicates an outage. Registrations do not expire
    * sooner, because they last for three heartbeats, which are about one second apart. It is longer
-   * than a single lost watch call, which is no outage: it takes 1.9 s, of which the store may hold
-   * it for 1.2 s and its loss is detected after 0.6 s more (see {@code StoreWatcher}).
+   * than a single lost watch call, which is no outage: it takes 2.25 s, of which the store may hold
+   * it for 1.6 s and its loss is detected after 0.6 s more (see {@code WatchTimes}).
    */
   private static final Duration MIN_OUTAGE = Duration.ofMillis(2300);
 
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -80,7 +80,8 @@
             new RequestLogSampler(settings.logOneIn()));
     this.readLag = new ReadLagMonitor(clock);
     this.configuration = new ConfigurationState(clocks, maxConfigurationAge(settings));
-    this.storeWatcher = closer.register(new StoreWatcher(store, clocks, configuration, core));
+    this.storeWatcher =
+        closer.register(new StoreWatcher(store, watchTimes(settings), clocks, configuration, core));
     this.requestHandler =
         new CallerRequestHandler(core, configuration, readLag, settings.gracePeriod());
     this.callerServer =
@@ -143,6 +144,7 @@
   public void reload(GatewaySettings changed) {
     core.withLock(() -> core.applyLimits(retryLimits(changed), changed.quotaTolerance()));
     configuration.updateMaxAge(maxConfigurationAge(changed));
+    storeWatcher.updateWatchTimes(watchTimes(changed));
     DecisionLog.write(
         "settings-reloaded",
         "revocationMillis",
@@ -167,6 +169,10 @@
         RETRY_SAFETY_FACTOR);
   }
 
+  private static WatchTimes watchTimes(GatewaySettings settings) {
+    return WatchTimes.of(settings.configurationDelay(), settings.leavingDelay());
+  }
+
   private static Duration maxConfigurationAge(GatewaySettings settings) {
     return Duration.ofMillis((long) (settings.revocationDelay().toMillis() * MAX_AGE_SHARE));
   }
--- a/src/main/java/org/wigeonstage/gateway/PeerState.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerState.java
@@ -26,7 +26,10 @@
   /** When the complete load is sent again. */
   Duration completeReportAt = Duration.ZERO;
 
-  /** The load as of the latest report; until the first one, the peer counts as leaving and without load. */
+  /**
+   * The load as of the latest report; until the first one, the peer counts as leaving and without
+   * load.
+   */
   Message.GatewayLoad load =
       new Message.GatewayLoad(true, true, Map.of(), List.of(), Map.of(), Map.of(), Map.of());
 
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -121,7 +121,9 @@
     try {
       long now = core.now().toMillis();
       if (now - lastListedAtMillis >= LIST_INTERVAL_MILLIS || lastListedAtMillis == 0) {
-        List<GatewayRegistration> listed = store.readGateways();
+        // Quotas depend on the first list, which must contain all gateways.
+        List<GatewayRegistration> listed =
+            lastListedAtMillis == 0 ? store.readGateways() : store.readRecentGateways();
         lastListedAtMillis = now;
         core.withLock(
             () -> {
@@ -174,7 +176,8 @@
     lastLoad = load;
     peers.forEach(
         (peerName, peer) ->
-            RepeatedTask.runPart("exchange with " + peerName, () -> synchronize(peer, load, changes, now)));
+            RepeatedTask.runPart(
+                "exchange with " + peerName, () -> synchronize(peer, load, changes, now)));
     applyPeerLoads(now);
   }
 
--- a/src/main/java/org/wigeonstage/gateway/StoreWatcher.java
+++ b/src/main/java/org/wigeonstage/gateway/StoreWatcher.java
@@ -19,14 +19,6 @@
 /** Watches the configuration and the list of backend servers in the store. */
 final class StoreWatcher implements Closeable {
 
-  /**
-   * Maximum time of a watch, a call that waits for a change. A lost call is detected 0.6 s after
-   * that ({@code PlatformStoreClient.WATCH_MARGIN}), so after 1.8 s, which is within the 2 s in
-   * which changes must take effect. With {@link #CALL_INTERVAL}, it takes 1.85 s until the next
-   * call, which must be less than what {@link ServerRetention} considers an outage, 2.3 s.
-   */
-  private static final Duration MAX_WATCH_TIME = Duration.ofMillis(1200);
-
   /** Interval between two calls; limits their rate while changes follow each other quickly. */
   private static final Duration CALL_INTERVAL = Duration.ofMillis(50);
 
@@ -37,6 +29,7 @@
   private static final Duration FULL_READ_INTERVAL = Duration.ofSeconds(10);
 
   private final FleetStore store;
+  private volatile WatchTimes watchTimes;
   private final ClockReader clocks;
   private final ConfigurationState configuration;
   private final GatewayCore core;
@@ -45,13 +38,22 @@
   private final ReadLoop serverLoop = new ReadLoop("servers", this::readServers);
 
   StoreWatcher(
-      FleetStore store, ClockReader clocks, ConfigurationState configuration, GatewayCore core) {
+      FleetStore store,
+      WatchTimes watchTimes,
+      ClockReader clocks,
+      ConfigurationState configuration,
+      GatewayCore core) {
     this.store = store;
+    this.watchTimes = watchTimes;
     this.clocks = clocks;
     this.configuration = configuration;
     this.core = core;
   }
 
+  void updateWatchTimes(WatchTimes newWatchTimes) {
+    watchTimes = newWatchTimes;
+  }
+
   void start() {
     configurationLoop.start();
     serverLoop.start();
@@ -73,7 +75,7 @@
     ClockReading requestedAt = clocks.read();
     Optional<StoredConfiguration> current =
         mayWait
-            ? store.awaitConfiguration(configuration.maxWatchTime(MAX_WATCH_TIME))
+            ? store.awaitConfiguration(configuration.maxWatchTime(watchTimes.configuration()))
             : store.readConfiguration();
     current.ifPresent(stored -> applyConfiguration(stored, requestedAt));
     return true;
@@ -96,7 +98,7 @@
   }
 
   private boolean readServers(boolean mayWait) {
-    ServerList listed = mayWait ? store.awaitServers(MAX_WATCH_TIME) : store.readServers();
+    ServerList listed = mayWait ? store.awaitServers(watchTimes.servers()) : store.readServers();
     List<String> retainedBefore = serverRetention.retained();
     ServerList servers = serverRetention.apply(listed, core.now());
     if (!serverRetention.retained().equals(retainedBefore)) {
--- a/src/main/java/org/wigeonstage/handover/LoadChanges.java
+++ b/src/main/java/org/wigeonstage/handover/LoadChanges.java
@@ -43,8 +43,7 @@
         false,
         current.isLeaving(),
         changedCounts(previous.runningByServer(), current.runningByServer()),
-        toWaiting(
-            changedCounts(toCounts(previous.waiting()), toCounts(current.waiting()))),
+        toWaiting(changedCounts(toCounts(previous.waiting()), toCounts(current.waiting()))),
         usage,
         Map.of(),
         Map.of());
@@ -75,7 +74,8 @@
   }
 
   /** Returns the counts that differ; 0 for those that have ended. */
-  private static <K> Map<K, Integer> changedCounts(Map<K, Integer> previous, Map<K, Integer> current) {
+  private static <K> Map<K, Integer> changedCounts(
+      Map<K, Integer> previous, Map<K, Integer> current) {
     Map<K, Integer> changed = new HashMap<>();
     current.forEach(
         (key, count) -> {
--- a/src/main/java/org/wigeonstage/platform/PlatformFleetStore.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformFleetStore.java
@@ -94,8 +94,17 @@
 
   @Override
   public List<GatewayRegistration> readGateways() {
+    return decodeGateways(client.list(GATEWAY_KIND));
+  }
+
+  @Override
+  public List<GatewayRegistration> readRecentGateways() {
+    return decodeGateways(client.listRecent(GATEWAY_KIND));
+  }
+
+  private List<GatewayRegistration> decodeGateways(PlatformStoreClient.Listing listing) {
     return gatewayDecoder.decode(
-        client.list(GATEWAY_KIND).objects(),
+        listing.objects(),
         (name, spec) ->
             new GatewayRegistration(
                 RegistrationFields.checkName(name),
--- a/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
@@ -64,12 +64,22 @@
    * revision reports all changes that later pages may lack.
    */
   Listing list(String kind) {
-    StorePage page = readPage(kind, "");
+    return list(kind, "");
+  }
+
+  /** Reads all pages of a kind as they were up to some seconds ago, which costs the store less. */
+  Listing listRecent(String kind) {
+    return list(kind, "stale_read=1");
+  }
+
+  private Listing list(String kind, String parameters) {
+    StorePage page = readPage(kind, parameters);
     long revision = page.revision();
     List<StoreObject> objects = new ArrayList<>(page.objects());
     while (page.hasMore()) {
       String lastName = page.lastName();
-      page = readPage(kind, "?after=" + URLEncoder.encode(lastName, StandardCharsets.UTF_8));
+      String after = "after=" + URLEncoder.encode(lastName, StandardCharsets.UTF_8);
+      page = readPage(kind, parameters.isEmpty() ? after : parameters + "&" + after);
       objects.addAll(page.objects());
       boolean advances = !page.hasMore() || page.lastName().compareTo(lastName) != 0;
       if (!advances || objects.size() > MAX_OBJECTS) {
@@ -82,7 +92,8 @@
     return new Listing(revision, objects);
   }
 
-  private StorePage readPage(String kind, String query) {
+  private StorePage readPage(String kind, String parameters) {
+    String query = parameters.isEmpty() ? "" : "?" + parameters;
     HttpResponse response = call("GET", kind + query, NO_BODY);
     checkStatus(response, OK);
     return decode(() -> StorePage.decode(response.body()));
--- a/src/main/java/org/wigeonstage/settings/GatewaySettings.java
+++ b/src/main/java/org/wigeonstage/settings/GatewaySettings.java
@@ -17,6 +17,10 @@
  *     used before
  * @param revocationMillis the maximum time for which an API key may still be accepted after its
  *     removal, in milliseconds
+ * @param configurationMillis the time within which a changed configuration must be in force, in
+ *     milliseconds
+ * @param leavingMillis the time within which a leaving backend server must get no more requests, in
+ *     milliseconds
  * @param retryRatio the maximum number of retries per request in the window; for example, 0.1 for
  *     one retry per ten requests
  * @param retryFixed the retries that all gateways together may make in the window in addition
@@ -43,6 +47,8 @@
     String store,
     boolean isFirstStart,
     long revocationMillis,
+    long configurationMillis,
+    long leavingMillis,
     double retryRatio,
     int retryFixed,
     int retryWindowSeconds,
@@ -62,6 +68,24 @@
     return Duration.ofMillis(revocationMillis);
   }
 
+  /**
+   * Returns the time within which a changed configuration must be in force.
+   *
+   * @return the time
+   */
+  public Duration configurationDelay() {
+    return Duration.ofMillis(configurationMillis);
+  }
+
+  /**
+   * Returns the time within which a leaving backend server must get no more requests.
+   *
+   * @return the time
+   */
+  public Duration leavingDelay() {
+    return Duration.ofMillis(leavingMillis);
+  }
+
   /**
    * Returns the amount by which usage may exceed a quota.
    *
--- a/src/main/java/org/wigeonstage/settings/SettingsLoader.java
+++ b/src/main/java/org/wigeonstage/settings/SettingsLoader.java
@@ -112,6 +112,8 @@
     checkPorts(tree, addresses, faults);
     checkText(tree, "log", "json|text", faults);
     checkNumber(tree, "revocationMillis", 1, 600_000, faults);
+    checkNumber(tree, "configurationMillis", 500, 600_000, faults);
+    checkNumber(tree, "leavingMillis", 500, 600_000, faults);
     checkNumber(tree, "retryRatio", 0, 10, faults);
     checkNumber(tree, "retryFixed", 0, 1_000_000, faults);
     checkNumber(tree, "retryWindowSeconds", 1, 3600, faults);
@@ -138,6 +140,8 @@
         tree.path("store").asText(),
         tree.path("isFirstStart").asBoolean(),
         tree.path("revocationMillis").asLong(),
+        tree.path("configurationMillis").asLong(),
+        tree.path("leavingMillis").asLong(),
         tree.path("retryRatio").asDouble(),
         tree.path("retryFixed").asInt(),
         tree.path("retryWindowSeconds").asInt(),
