--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -105,6 +105,11 @@
   }
 
   private void registerAndListPeers() {
+    RepeatedTask.runPart("registration", this::register);
+    RepeatedTask.runPart("list of gateways", this::listPeers);
+  }
+
+  private void register() {
     try {
       if (!registered) {
         store.register(new GatewayRegistration(name, endpoint));
@@ -114,7 +119,6 @@
     } catch (WigeonstageException e) {
       DecisionLog.write("not-registered", "error", String.valueOf(e.getMessage()));
     }
-    listPeers();
   }
 
   private void listPeers() {
--- a/src/test/java/org/wigeonstage/cli/SettingsWatchTest.java
+++ b/src/test/java/org/wigeonstage/cli/SettingsWatchTest.java
@@ -49,12 +49,27 @@
 
   @Test
   void keepsWatchingAfterTheReloadActionRejectedSettings() throws Exception {
+    assertKeepsWatchingAfter(
+        () -> {
+          throw new WigeonstageException(ErrorCode.INVALID_CONFIGURATION, "bad");
+        });
+  }
+
+  @Test
+  void keepsWatchingAfterTheReloadActionThrewAnError() throws Exception {
+    assertKeepsWatchingAfter(
+        () -> {
+          throw new StackOverflowError("bad");
+        });
+  }
+
+  private void assertKeepsWatchingAfter(Runnable failure) throws Exception {
     Path file = Files.writeString(directory.resolve("settings.json"), "one");
     SettingsWatch.ReloadAction rejectBadSettings =
         text -> {
           reloaded.add(text);
           if (text.equals("bad")) {
-            throw new WigeonstageException(ErrorCode.INVALID_CONFIGURATION, "bad");
+            failure.run();
           }
         };
     try (SettingsWatch watch = SettingsWatch.start(file)) {
--- a/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -11,7 +11,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.UnaryOperator;
 import org.wigeonstage.common.Polling;
+import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpClient;
 import org.wigeonstage.platform.PlatformAdapter;
@@ -71,6 +73,11 @@
   }
 
   GatewayProcess startGateway(String name) {
+    return startGateway(name, store -> store);
+  }
+
+  /** Starts a gateway whose access to the store is wrapped. */
+  GatewayProcess startGateway(String name, UnaryOperator<FleetStore> wrapper) {
     ObjectNode settings =
         JsonNodeFactory.instance
             .objectNode()
@@ -88,7 +95,7 @@
     return closer.register(
         GatewayProcess.start(
             SettingsLoader.parseGateway(settings.toString()),
-            adapter.fleetStore(),
+            wrapper.apply(adapter.fleetStore()),
             adapter.headerCodec()));
   }
 
