--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -260,17 +260,12 @@
         .put("code", rejection.code().text())
         .put("detail", rejection.detail())
         .markNotable();
-    HeaderFields fields = HeaderFields.NONE.with("Content-Type", ProblemDetails.MEDIA_TYPE);
-    if (rejection.retryAfter().isPresent()) {
-      double seconds = rejection.retryAfter().get().toMillis() / 1000.0;
-      fields = fields.with("Retry-After", Double.toString(seconds));
-    }
     requestMetrics.recordRejected(inbound, rejection.code());
     inbound
         .exchange()
         .respond(
             rejection.code().httpStatus(),
-            closeIfLeaving(fields),
+            closeIfLeaving(rejection.headerFields()),
             Json.write(ProblemDetails.json(rejection.code(), rejection.detail()))
                 .getBytes(StandardCharsets.UTF_8));
   }
--- a/src/main/java/org/wigeonstage/gateway/Rejection.java
+++ b/src/main/java/org/wigeonstage/gateway/Rejection.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.http.ProblemDetails;
 import org.wigeonstage.placement.RefusalReason;
+import org.wigeonstage.request.HeaderFields;
 
 /**
  * An error response that the gateway itself sends to a caller, without a backend server.
@@ -15,6 +17,8 @@
  */
 record Rejection(ErrorCode code, String detail, Optional<Duration> retryAfter) {
 
+  private static final double MILLIS_PER_SECOND = 1000;
+
   static Rejection of(ErrorCode code, String detail) {
     return new Rejection(code, detail, Optional.empty());
   }
@@ -30,6 +34,16 @@
     return retryable(code, detailOf(reason), retryAfter);
   }
 
+  /** Returns the header fields of the response. */
+  HeaderFields headerFields() {
+    HeaderFields fields = HeaderFields.NONE.with("Content-Type", ProblemDetails.MEDIA_TYPE);
+    return retryAfter.map(delay -> fields.with("Retry-After", secondsOf(delay))).orElse(fields);
+  }
+
+  private static String secondsOf(Duration delay) {
+    return Double.toString(delay.toMillis() / MILLIS_PER_SECOND);
+  }
+
   private static String detailOf(RefusalReason reason) {
     return switch (reason) {
       case NO_SERVER -> "no backend server of the pool is ready";
