Estimate waiting times over all the time in which requests waited

Callers: before an overloaded pool, a request waited for most of its objective and was refused then, untried, though it could have been refused at once and tried elsewhere. Load pattern: many gateways, each with a short queue that is empty again and again. Cause: the rate of starts was measured since the queue was last empty, and unknown in the first 250 ms, so the first requests of each such episode were always queued; the request itself wasn't counted either. Change: the rate counts all time within the window of 2 s in which requests of the urgency waited, and a new request counts itself, unless a slot is free for it.

--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -31,9 +31,6 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
-  /** Servers whose costs are within this range of the lowest are treated as equivalent. */
-  private static final double COST_TOLERANCE_MILLIS = 4;
-
   private static final Duration DECAY_INTERVAL = Duration.ofMillis(500);
 
   /** How often queues are searched for requests that will not start in time. */
@@ -48,9 +45,8 @@
 
   private final SchedulingLimits limits;
   private final PlacementEffects effects;
-  private final RandomGenerator random;
+  private final ServerSelector selector;
   private final TreeMap<Urgency, List<PlacementRequest>> queues = new TreeMap<>();
-  private final Map<Urgency, Duration> nonEmptySince = new HashMap<>();
   private final Map<String, ServerState> servers = new HashMap<>();
   private final StartRateEstimator startRates;
   private Map<String, Integer> runningAtPeers = Map.of();
@@ -68,7 +64,7 @@
    */
   public PoolScheduler(SchedulingLimits limits, PlacementEffects effects, RandomGenerator random) {
     this.limits = limits;
-    this.random = random;
+    this.selector = new ServerSelector(random);
     this.effects = effects;
     this.startRates = new StartRateEstimator(limits.rateWindow());
   }
@@ -137,15 +133,14 @@
       effects.refuse(request, RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER);
       return;
     }
-    Duration wait = expectedWait(request.urgency(), now);
-    if (!request.wasPlacedBefore() && now.plus(wait).compareTo(request.startBy()) > 0) {
-      effects.refuse(request, RefusalReason.QUEUE_TOO_LONG, retryAfter(wait));
-      return;
-    }
     List<PlacementRequest> queue =
         queues.computeIfAbsent(request.urgency(), key -> new ArrayList<>());
-    if (queue.isEmpty()) {
-      nonEmptySince.put(request.urgency(), now);
+    Duration wait = startRates.expectedTimeToStart(queue.size() + 1, request.urgency(), now);
+    if (!request.wasPlacedBefore()
+        && now.plus(wait).compareTo(request.startBy()) > 0
+        && !(queue.isEmpty() && canStartNow(request, now))) {
+      effects.refuse(request, RefusalReason.QUEUE_TOO_LONG, retryAfter(wait));
+      return;
     }
     queue.add(request);
     startWaiting(now);
@@ -382,8 +377,19 @@
         (request, wait) -> effects.refuse(request, RefusalReason.QUEUE_TOO_LONG, retryAfter(wait)));
   }
 
+  /** Returns whether a request would find a free slot, and no more urgent one waits for it. */
+  private boolean canStartNow(PlacementRequest request, Duration now) {
+    return queues.headMap(request.urgency(), false).values().stream().allMatch(List::isEmpty)
+        && !availableServers(request, now).isEmpty();
+  }
+
   /** Starts waiting requests in order of urgency, until one finds no free slot. */
   private void startWaiting(Duration now) {
+    startWhileSlotsAreFree(now);
+    queues.forEach((urgency, queue) -> startRates.updateWaiting(urgency, !queue.isEmpty(), now));
+  }
+
+  private void startWhileSlotsAreFree(Duration now) {
     for (List<PlacementRequest> queue : List.copyOf(queues.values())) {
       while (!queue.isEmpty()) {
         PlacementRequest first = queue.get(0);
@@ -426,7 +432,7 @@
         untried.add(candidate);
       }
     }
-    return cheapest(untried.isEmpty() ? candidates : untried, request, now);
+    return selector.selectCheapest(untried.isEmpty() ? candidates : untried, request, now);
   }
 
   /** Returns the servers with a free slot, unless more urgent requests at peers need all slots. */
@@ -454,28 +460,6 @@
     return true;
   }
 
-  /** Picks one of the cheapest servers at random, so that peers with the same figures spread. */
-  private Optional<ServerState> cheapest(
-      List<ServerState> candidates, PlacementRequest request, Duration now) {
-    if (candidates.isEmpty()) {
-      return Optional.empty();
-    }
-    double[] costs = new double[candidates.size()];
-    double lowest = Double.MAX_VALUE;
-    for (int i = 0; i < costs.length; i++) {
-      costs[i] = candidates.get(i).costMillis(request, now);
-      lowest = Math.min(lowest, costs[i]);
-    }
-    double highestAccepted = lowest + COST_TOLERANCE_MILLIS;
-    List<ServerState> equivalent = new ArrayList<>();
-    for (int i = 0; i < costs.length; i++) {
-      if (costs[i] <= highestAccepted) {
-        equivalent.add(candidates.get(i));
-      }
-    }
-    return Optional.of(equivalent.get(random.nextInt(equivalent.size())));
-  }
-
   /** Returns how many more urgent requests wait at peers. */
   private int moreUrgentAtPeers(Urgency urgency) {
     int total = 0;
@@ -488,10 +472,9 @@
   /** Returns the expected time until all waiting requests of an urgency have started. */
   private Duration expectedWait(Urgency urgency, Duration now) {
     List<PlacementRequest> queue = queues.get(urgency);
-    return queue == null || queue.isEmpty()
+    return queue == null
         ? Duration.ZERO
-        : startRates.expectedTimeToStart(
-            queue.size(), urgency, nonEmptySince.getOrDefault(urgency, now), now);
+        : startRates.expectedTimeToStart(queue.size(), urgency, now);
   }
 
   private static Duration retryAfter(Duration wait) {
--- /dev/null
+++ b/src/main/java/org/wigeonstage/placement/ServerSelector.java
@@ -0,0 +1,42 @@
+package org.wigeonstage.placement;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Selects a server for a request among those that have a free slot. */
+final class ServerSelector {
+
+  /** Servers whose costs are within this range of the lowest are treated as equivalent. */
+  private static final double COST_TOLERANCE_MILLIS = 4;
+
+  private final RandomGenerator random;
+
+  ServerSelector(RandomGenerator random) {
+    this.random = random;
+  }
+
+  /** Picks one of the cheapest servers at random, so that peers with the same figures spread. */
+  Optional<ServerState> selectCheapest(
+      List<ServerState> candidates, PlacementRequest request, Duration now) {
+    if (candidates.isEmpty()) {
+      return Optional.empty();
+    }
+    double[] costs = new double[candidates.size()];
+    double lowest = Double.MAX_VALUE;
+    for (int i = 0; i < costs.length; i++) {
+      costs[i] = candidates.get(i).costMillis(request, now);
+      lowest = Math.min(lowest, costs[i]);
+    }
+    double highestAccepted = lowest + COST_TOLERANCE_MILLIS;
+    List<ServerState> equivalent = new ArrayList<>();
+    for (int i = 0; i < costs.length; i++) {
+      if (costs[i] <= highestAccepted) {
+        equivalent.add(candidates.get(i));
+      }
+    }
+    return Optional.of(equivalent.get(random.nextInt(equivalent.size())));
+  }
+}
