--- a/src/main/java/org/wigeonstage/platform/EntryDecoder.java
+++ b/src/main/java/org/wigeonstage/platform/EntryDecoder.java
@@ -44,7 +44,7 @@
     for (StoreObject object : objects) {
       try {
         decoded.add(decoder.apply(object.name(), object.spec()));
-      } catch (WigeonstageException e) {
+      } catch (RuntimeException e) { // must not affect the other entries
         unreadable.put(object.name(), object.revision());
         if (unreadable.size() <= MAX_LOGGED_ENTRIES && !isLogged(object)) {
           logUnreadable(object, e);
@@ -60,7 +60,7 @@
     return revision != null && revision == object.revision();
   }
 
-  private void logUnreadable(StoreObject object, WigeonstageException cause) {
+  private void logUnreadable(StoreObject object, RuntimeException cause) {
     String name = object.name();
     String fault = object.fault() == null ? String.valueOf(cause.getMessage()) : object.fault();
     DecisionLog.write(
--- a/src/main/java/org/wigeonstage/platform/StoreObject.java
+++ b/src/main/java/org/wigeonstage/platform/StoreObject.java
@@ -23,8 +23,8 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int LOG_INTERVAL_SECONDS = 10;
 
-  /** The maximum size of an object, which is also the store's limit for a value. */
-  private static final int MAX_OBJECT_BYTES = 1024 * 1024;
+  /** Twice what the store allows for the content, as the limit also covers metadata and status. */
+  private static final int MAX_OBJECT_BYTES = 2 * 1024 * 1024;
 
   /**
    * Decodes an object.
@@ -49,7 +49,7 @@
     }
     try {
       return new StoreObject(name.asText(), revision, spec.parse(), null);
-    } catch (WigeonstageException e) {
+    } catch (RuntimeException e) { // must not affect the other objects of the list
       return unreadable(name.asText(), revision, String.valueOf(e.getMessage()));
     }
   }
@@ -58,7 +58,7 @@
   static Optional<StoreObject> tryDecode(RawJson object) {
     try {
       return Optional.of(decode(object));
-    } catch (WigeonstageException e) {
+    } catch (RuntimeException e) { // must not affect the other objects of the list
       logger.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
           "an object of the store is left out: %s", e.getMessage());
       return Optional.empty();
