--- a/src/main/java/org/wigeonstage/agent/AgentProcess.java
+++ b/src/main/java/org/wigeonstage/agent/AgentProcess.java
@@ -36,6 +36,7 @@
 import org.wigeonstage.wire.Link;
 import org.wigeonstage.wire.LinkListener;
 import org.wigeonstage.wire.LinkServer;
+import org.wigeonstage.wire.WriteMode;
 
 /**
  * The agent of one backend server. It accepts requests from entries, dispatches them to the backend
@@ -90,7 +91,11 @@
     this.linkServer =
         closer.register(
             LinkServer.start(
-                Endpoint.parse(settings.entries()), this::createHello, new EntryLinks(), metrics));
+                Endpoint.parse(settings.entries()),
+                this::createHello,
+                new EntryLinks(),
+                metrics,
+                WriteMode.SELECTOR_THREAD));
     this.operatorServer =
         closer.register(
             HttpServer.start(
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -28,6 +28,7 @@
 import org.wigeonstage.wire.LinkConnector;
 import org.wigeonstage.wire.LinkListener;
 import org.wigeonstage.wire.LinkServer;
+import org.wigeonstage.wire.WriteMode;
 
 /**
  * Exchanges load and quota usage with the peers over links (connections between gateways). Peers
@@ -86,9 +87,13 @@
     this.name = name;
     this.store = store;
     this.core = core;
-    this.connector = closer.register(LinkConnector.start(this::hello, this, metrics));
+    this.connector =
+        closer.register(LinkConnector.start(this::hello, this, metrics, WriteMode.SENDING_THREAD));
     this.endpoint =
-        closer.register(LinkServer.start(listen, this::hello, this, metrics)).endpoint();
+        closer
+            .register(
+                LinkServer.start(listen, this::hello, this, metrics, WriteMode.SENDING_THREAD))
+            .endpoint();
   }
 
   private Message.Hello hello() {
@@ -178,10 +183,12 @@
     Message.GatewayLoad load = core.load();
     EncodedMessage changes = EncodedMessage.of(LoadChanges.between(lastLoad, load));
     lastLoad = load;
-    peers.forEach(
-        (peerName, peer) ->
-            RepeatedTask.runPart(
-                "exchange with " + peerName, () -> synchronize(peer, load, changes, now)));
+    // A failed link is reported while it is written to, which changes the state of its peer.
+    Map.copyOf(peers)
+        .forEach(
+            (peerName, peer) ->
+                RepeatedTask.runPart(
+                    "exchange with " + peerName, () -> synchronize(peer, load, changes, now)));
     applyPeerLoads(now);
   }
 
