--- a/src/main/java/org/wigeonstage/agent/AgentProcess.java
+++ b/src/main/java/org/wigeonstage/agent/AgentProcess.java
@@ -36,7 +36,6 @@
 import org.wigeonstage.wire.Link;
 import org.wigeonstage.wire.LinkListener;
 import org.wigeonstage.wire.LinkServer;
-import org.wigeonstage.wire.WriteMode;
 
 /**
  * The agent of one backend server. It accepts requests from entries, dispatches them to the backend
@@ -91,11 +90,7 @@
     this.linkServer =
         closer.register(
             LinkServer.start(
-                Endpoint.parse(settings.entries()),
-                this::createHello,
-                new EntryLinks(),
-                metrics,
-                WriteMode.SELECTOR_THREAD));
+                Endpoint.parse(settings.entries()), this::createHello, new EntryLinks(), metrics));
     this.operatorServer =
         closer.register(
             HttpServer.start(
--- a/src/main/java/org/wigeonstage/entry/EntryProcess.java
+++ b/src/main/java/org/wigeonstage/entry/EntryProcess.java
@@ -51,7 +51,6 @@
 import org.wigeonstage.wire.Link;
 import org.wigeonstage.wire.LinkConnector;
 import org.wigeonstage.wire.LinkListener;
-import org.wigeonstage.wire.WriteMode;
 
 /**
  * The process that accepts the requests of callers and offers them to agents. It also serves
@@ -129,9 +128,7 @@
           updateLinks();
         });
     this.connector =
-        closer.register(
-            LinkConnector.start(
-                this::createHello, new AgentLinkListener(), metrics, WriteMode.SELECTOR_THREAD));
+        closer.register(LinkConnector.start(this::createHello, new AgentLinkListener(), metrics));
     this.callerServer =
         closer.register(
             HttpServer.start(
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -28,7 +28,6 @@
 import org.wigeonstage.wire.LinkConnector;
 import org.wigeonstage.wire.LinkListener;
 import org.wigeonstage.wire.LinkServer;
-import org.wigeonstage.wire.WriteMode;
 
 /**
  * Exchanges load and quota usage with the peers over links (connections between gateways). Peers
@@ -87,13 +86,9 @@
     this.name = name;
     this.store = store;
     this.core = core;
-    this.connector =
-        closer.register(LinkConnector.start(this::hello, this, metrics, WriteMode.SENDING_THREAD));
+    this.connector = closer.register(LinkConnector.start(this::hello, this, metrics));
     this.endpoint =
-        closer
-            .register(
-                LinkServer.start(listen, this::hello, this, metrics, WriteMode.SENDING_THREAD))
-            .endpoint();
+        closer.register(LinkServer.start(listen, this::hello, this, metrics)).endpoint();
   }
 
   private Message.Hello hello() {
@@ -183,7 +178,7 @@
     Message.GatewayLoad load = core.load();
     EncodedMessage changes = EncodedMessage.of(LoadChanges.between(lastLoad, load));
     lastLoad = load;
-    // A failed link is reported while it is written to, which changes the state of its peer.
+    // Closing a link reports it at once, which may add the state of a peer.
     Map.copyOf(peers)
         .forEach(
             (peerName, peer) ->
--- a/src/main/java/org/wigeonstage/http/Transports.java
+++ b/src/main/java/org/wigeonstage/http/Transports.java
@@ -13,30 +13,13 @@
   private Transports() {}
 
   /**
-   * Creates a transport that runs its filters and writes on the selector threads.
+   * Creates a transport that runs its filters on the selector threads.
    *
    * @param name the name of the transport and prefix of its thread names
    * @param selectorThreads the number of selector threads
    * @return the transport, not yet started
    */
   public static TCPNIOTransport create(String name, int selectorThreads) {
-    return builder(name, selectorThreads).setOptimizedForMultiplexing(true).build();
-  }
-
-  /**
-   * Creates a transport that runs its filters on the selector threads, and writes on the calling
-   * thread as far as the socket accepts the data without blocking. With many connections and small
-   * messages, this saves waking a selector thread for each message.
-   *
-   * @param name the name of the transport and prefix of its thread names
-   * @param selectorThreads the number of selector threads
-   * @return the transport, not yet started
-   */
-  public static TCPNIOTransport createForSmallMessages(String name, int selectorThreads) {
-    return builder(name, selectorThreads).setOptimizedForMultiplexing(false).build();
-  }
-
-  private static TCPNIOTransportBuilder builder(String name, int selectorThreads) {
     ThreadPoolConfig pool =
         ThreadPoolConfig.defaultConfig()
             .setPoolName(name)
@@ -50,6 +33,8 @@
         .setIOStrategy(SameThreadIOStrategy.getInstance())
         .setTcpNoDelay(true)
         .setReuseAddress(true)
-        .setServerConnectionBackLog(ACCEPT_BACKLOG);
+        .setServerConnectionBackLog(ACCEPT_BACKLOG)
+        .setOptimizedForMultiplexing(true)
+        .build();
   }
 }
--- a/src/main/java/org/wigeonstage/wire/LinkServer.java
+++ b/src/main/java/org/wigeonstage/wire/LinkServer.java
@@ -11,10 +11,13 @@
 import org.wigeonstage.common.WigeonstageException;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.http.Transports;
 
 /** Accepts links. */
 public final class LinkServer implements Closeable {
 
+  private static final int THREADS = 2;
+
   private final TCPNIOTransport transport;
   private final Endpoint endpoint;
 
@@ -30,7 +33,6 @@
    * @param helloSupplier creates the first message for each link
    * @param listener the listener for the links, called on the threads of the server
    * @param metrics the registry of the counter of bad frames
-   * @param writeMode on which thread messages are written
    * @return the server
    * @throws WigeonstageException if the server can't listen on the address
    */
@@ -38,9 +40,8 @@
       Endpoint address,
       Supplier<Message.Hello> helloSupplier,
       LinkListener listener,
-      MetricRegistry metrics,
-      WriteMode writeMode) {
-    TCPNIOTransport transport = writeMode.createTransport("link-server");
+      MetricRegistry metrics) {
+    TCPNIOTransport transport = Transports.create("link-server", THREADS);
     transport.setProcessor(LinkFilterChains.create(helloSupplier, listener, metrics));
     try {
       TCPNIOServerConnection serverConnection = transport.bind(address.socketAddress());
