Leave out the time of a suspension when the rate of starts is estimated

A gateway that was frozen while requests waited would have taken the pool for one that starts nothing, and refused requests at once for up to 2 s after it woke, whenever no slot was free at that moment.

--- a/src/main/java/org/wigeonstage/placement/StartRateEstimator.java
+++ b/src/main/java/org/wigeonstage/placement/StartRateEstimator.java
@@ -19,6 +19,12 @@
   /** The rate over a shorter time is not meaningful. */
   private static final Duration MIN_OBSERVATION = Duration.ofMillis(250);
 
+  /**
+   * Many times the usual interval between two updates; a longer one shows that this process was
+   * suspended, during which nothing could start.
+   */
+  private static final Duration MAX_UPDATE_INTERVAL = Duration.ofSeconds(1);
+
   private final Duration window;
   private final Deque<Start> starts = new ArrayDeque<>();
   private final Map<Urgency, WaitingTimes> waitingTimes = new HashMap<>();
@@ -45,15 +51,18 @@
     private boolean isWaiting;
 
     void update(boolean isNowWaiting, Duration now) {
-      if (isWaiting) {
-        Interval current = intervals.removeLast();
-        intervals.addLast(new Interval(current.from(), now));
+      if (isWaiting && isSoonAfter(intervals.getLast().until(), now)) {
+        intervals.addLast(new Interval(intervals.removeLast().from(), now));
       } else if (isNowWaiting) {
         intervals.addLast(new Interval(now, now));
       }
       isWaiting = isNowWaiting;
     }
 
+    private static boolean isSoonAfter(Duration lastUpdate, Duration now) {
+      return now.minus(lastUpdate).compareTo(MAX_UPDATE_INTERVAL) <= 0;
+    }
+
     void removeBefore(Duration oldest) {
       while (!intervals.isEmpty() && intervals.getFirst().until().compareTo(oldest) < 0) {
         intervals.removeFirst();
--- a/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
@@ -81,7 +81,7 @@
       String after = "after=" + URLEncoder.encode(lastName, StandardCharsets.UTF_8);
       page = readPage(kind, parameters.isEmpty() ? after : parameters + "&" + after);
       objects.addAll(page.objects());
-      boolean advances = !page.hasMore() || page.lastName().compareTo(lastName) != 0;
+      boolean advances = !page.hasMore() || !page.lastName().equals(lastName);
       if (!advances || objects.size() > MAX_OBJECTS) {
         throw new StoreException(
             ErrorCode.STORE_UNAVAILABLE,
