--- a/src/test/java/org/wigeonstage/gateway/ControlLoopsIT.java
+++ b/src/test/java/org/wigeonstage/gateway/ControlLoopsIT.java
@@ -2,7 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -15,6 +18,7 @@
 import org.wigeonstage.fleet.ServerList;
 import org.wigeonstage.fleet.StoredConfiguration;
 import org.wigeonstage.platform.standin.Rehearsal;
+import org.wigeonstage.platform.standin.RunnerStandin;
 
 /** Tests that the loops of a gateway continue after whatever a call to the store throws. */
 class ControlLoopsIT {
@@ -107,8 +111,30 @@
         fixture.startGateway("gateway-2", store -> stores[0] = new FailingStore(store));
     assertThat(Polling.await(() -> stores[0].hasFailedInEachWay(), TIMEOUT)).isTrue();
     assertThat(Polling.await(() -> gateway.peerCount() == 1, TIMEOUT)).isTrue();
-    fixture.store.write("config", "main", Rehearsal.configuration().put("version", 2));
-    fixture.addServer("runner-late");
-    assertThat(Polling.await(() -> gateway.core().hasServerList(), TIMEOUT)).isTrue();
+    RunnerStandin late = fixture.addServer("runner-late");
+    fixture.servers.get(0).setBehaviour(RunnerStandin.Behaviour.DECLINES);
+    assertThat(awaitStatus(gateway, 200)).isTrue();
+    assertThat(late.runs()).isNotEmpty();
+    ObjectNode withoutRoutes = Rehearsal.configuration().put("version", 2);
+    withoutRoutes.putArray("routes");
+    fixture.store.write("config", "main", withoutRoutes);
+    assertThat(awaitStatus(gateway, 404)).isTrue();
+  }
+
+  /** Sends requests until one gets the given status. */
+  private static boolean awaitStatus(GatewayProcess gateway, int status)
+      throws InterruptedException {
+    AtomicInteger count = new AtomicInteger();
+    return Polling.await(
+        () -> {
+          String fields = "Connection: close\r\nDeadline-Ms: 2500\r\n";
+          String id = "r" + status + "-" + count.getAndIncrement();
+          try (Socket socket = GatewayFixture.send(gateway, "status", id, fields)) {
+            return GatewayFixture.statusOf(GatewayFixture.readResponse(socket)) == status;
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        },
+        TIMEOUT);
   }
 }
