Log the shared parts of prompts, and the run of a server with which an attempt ended

The adapter kept of a prompt only its last part, which no request shares. Change: all parts but the last are decoded; 'accepted' names them, and lines about the end of an attempt say at which run of the server it was and how many events it had sent. The unused ID of the last part is gone. Result: RequestLogIT.lostStreamIsLoggedWithItsSharedPromptPartsAndItsProgress fails without the change.

--- a/src/main/java/org/wigeonstage/forward/RequestFields.java
+++ b/src/main/java/org/wigeonstage/forward/RequestFields.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.forward;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.wigeonstage.request.HeaderFields;
@@ -18,8 +19,8 @@
  * @param expectedOutputTokens the caller's estimate of the tokens that will be generated, or 0;
  *     accurate in the median but often far off
  * @param declaredTokens the tokens that count against a quota, or -1 if not declared
- * @param promptSuffixId identifies the last part of the prompt, which the requests of a session
- *     share
+ * @param sharedPromptParts identifies the parts of the prompt that other requests may share, in
+ *     order: all but the last one, which belongs to the request or its session
  * @param lastEventId the ID of the last event that the caller received of a stream that it resumes
  * @param forwardedFields the header fields that are forwarded to the backend server unchanged
  */
@@ -31,6 +32,12 @@
     long maxOutputTokens,
     long expectedOutputTokens,
     long declaredTokens,
-    Optional<String> promptSuffixId,
+    List<String> sharedPromptParts,
     OptionalLong lastEventId,
-    HeaderFields forwardedFields) {}
+    HeaderFields forwardedFields) {
+
+  /** Copies the list. */
+  public RequestFields {
+    sharedPromptParts = List.copyOf(sharedPromptParts);
+  }
+}
--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -130,6 +130,9 @@
           .writtenAt()
           .ifPresent(time -> entry.put("writtenMillis", time.minus(startedAt).toMillis()));
       entry.put("newConnection", current.usesNewConnection()).put("responseId", hasResponseId);
+      entry
+          .put("serverStartedAtMillis", server.startedAtMillis())
+          .put("eventsOfAttempt", eventCount);
     }
   }
 
--- a/src/main/java/org/wigeonstage/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformHeaderCodec.java
@@ -1,11 +1,13 @@
 package org.wigeonstage.platform;
 
+import com.google.common.base.Splitter;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.wigeonstage.common.WholeNumber;
@@ -39,6 +41,11 @@
    */
   private static final String PROMPT_PARTS = "Prompt-Prefix";
 
+  /** Longer IDs are replaced by a hash, because IDs that crashed servers are retained. */
+  private static final int MAX_PART_ID_LENGTH = 64;
+
+  private static final Splitter PART_SPLITTER = Splitter.on(',');
+
   private static final String CONNECTION = "Connection";
 
   /** Fields that apply to a single connection or body and are not forwarded. */
@@ -83,15 +90,26 @@
         hasTokenCounts ? tokenCounts.get(1) : 0,
         parseNumber(fields, LENGTH_HINT).orElse(0),
         hasTokenCounts ? tokenCounts.get(0) + tokenCounts.get(1) : -1,
-        fields.first(PROMPT_PARTS).flatMap(PlatformHeaderCodec::idOfLastPart),
+        sharedPartsOf(fields.first(PROMPT_PARTS).orElse("")),
         parseNumber(fields, LAST_EVENT_ID),
         withoutHopByHop(fields).without(RESERVED_FIELDS::contains));
   }
 
-  private static Optional<String> idOfLastPart(String parts) {
-    String last = parts.substring(parts.lastIndexOf(',') + 1).trim();
-    int colon = last.indexOf(':');
-    return colon > 0 ? Optional.of(last.substring(0, colon)) : Optional.empty();
+  /** Returns the IDs of all parts but the last; an entry without an ID is skipped. */
+  private static List<String> sharedPartsOf(String parts) {
+    List<String> entries = PART_SPLITTER.splitToList(parts);
+    return entries.subList(0, Math.max(0, entries.size() - 1)).stream()
+        .map(entry -> entry.substring(0, Math.max(0, entry.indexOf(':'))).trim())
+        .filter(id -> !id.isEmpty())
+        .map(PlatformHeaderCodec::shortened)
+        .distinct()
+        .toList();
+  }
+
+  private static String shortened(String id) {
+    return id.length() <= MAX_PART_ID_LENGTH
+        ? id
+        : Hashing.sha256().hashString(id, StandardCharsets.UTF_8).toString();
   }
 
   @Override
--- a/src/test/java/org/wigeonstage/gateway/RequestLogIT.java
+++ b/src/test/java/org/wigeonstage/gateway/RequestLogIT.java
@@ -67,6 +67,20 @@
             "code=answer-lost");
   }
 
+  @Test
+  void lostStreamIsLoggedWithItsSharedPromptPartsAndItsProgress() throws Exception {
+    fixture.servers.get(0).setBehaviour(Behaviour.TRUNCATES_RESPONSE);
+    fixture.request("stream", "cut-1", "Prompt-Prefix: 5c1e:60,91bd:400,e440:20");
+    assertThat(String.join("\n", historyOf("cut-1")))
+        .containsSubsequence(
+            "accepted",
+            "sharedPromptParts=5c1e,91bd",
+            "attempt-ended",
+            "end=CUT",
+            "serverStartedAtMillis=",
+            "eventsOfAttempt=3");
+  }
+
   @Test
   void declinedRequestIsLoggedWithItsVerdictAndErrorCode() throws Exception {
     fixture.servers.get(0).setBehaviour(Behaviour.DECLINES);
