Show by a failing test that requests which crash servers are sent to one server after the other

Servers on loopback crash when they begin to respond to a prompt with one part, and start again 1.3 s later; sound requests share the other parts. Listed in KNOWN-RED until the fix.

--- a/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
+++ b/src/main/java/org/wigeonstage/platform/standin/RunnerStandin.java
@@ -4,9 +4,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.Closeable;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -69,6 +71,7 @@
   private static final long EVENT_INTERVAL_MILLIS = 5;
   private static final long MAX_NEW_CONNECTION_AGE_MILLIS = 600;
   private static final long STALL_MILLIS = 2500;
+  private static final long TIME_TO_CRASH_MILLIS = 40;
   private static final int ENDLESS_CHUNK_BYTES = 64 * 1024;
   private static final int OK = 200;
   private static final int MISDIRECTED_REQUEST = 421;
@@ -82,7 +85,9 @@
       ControlExecutors.newSingleThreadExecutor("runner-timer");
   private final List<RunRecord> runs = new CopyOnWriteArrayList<>();
   private final AtomicLong endlessBytesSent = new AtomicLong();
+  private final CountDownLatch crashed = new CountDownLatch(1);
   private volatile Behaviour behaviour = Behaviour.NORMAL;
+  private volatile String crashingPart = "";
 
   /**
    * A request that was run.
@@ -130,6 +135,24 @@
     this.behaviour = behaviour;
   }
 
+  /**
+   * Makes the stand-in crash as soon as it begins to respond to a request whose prompt has a part.
+   *
+   * @param partId the ID of the part
+   */
+  public void setCrashingPart(String partId) {
+    crashingPart = partId;
+  }
+
+  /**
+   * Returns whether the stand-in has crashed.
+   *
+   * @return whether it has
+   */
+  public boolean hasCrashed() {
+    return crashed.getCount() == 0;
+  }
+
   /**
    * Returns the requests that were run so far.
    *
@@ -186,7 +209,28 @@
             exchange.pathAndQuery(),
             exchange.fields(),
             exchange.text()));
-    run(exchange, current, attemptId);
+    if (hasCrashingPart(exchange)) {
+      timer.schedule(() -> crash(exchange), TIME_TO_CRASH_MILLIS, TimeUnit.MILLISECONDS);
+    } else {
+      run(exchange, current, attemptId);
+    }
+  }
+
+  private boolean hasCrashingPart(ServerExchange exchange) {
+    String parts = exchange.header("Prompt-Prefix");
+    return parts != null
+        && !crashingPart.isEmpty()
+        && Arrays.asList(parts.split("[:,][0-9]*,?", -1)).contains(crashingPart);
+  }
+
+  /** Starts a stream, but no plain response, before all connections end. */
+  private void crash(ServerExchange exchange) {
+    if (exchange.header("Token-Count") != null) {
+      exchange.start(OK, HeaderFields.NONE.with("Content-Type", "text/event-stream"), -1);
+    }
+    exchange.abort();
+    crashed.countDown();
+    server.close();
   }
 
   private static boolean hasNewConnection(ServerExchange exchange) {
--- /dev/null
+++ b/src/test/java/org/wigeonstage/gateway/CrashingPromptIT.java
@@ -0,0 +1,192 @@
+package org.wigeonstage.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wigeonstage.common.Polling;
+import org.wigeonstage.platform.standin.RunnerStandin;
+
+/**
+ * Tests requests whose prompts have a part that crashes each backend server which begins to respond
+ * to it, beside sound requests that share their other parts.
+ */
+@Tag("known-red")
+class CrashingPromptIT {
+
+  private static final int SERVERS = 8;
+  private static final Duration RESTART_TIME = Duration.ofMillis(1300);
+
+  /** How long after the fifth crash the requests may still reach servers. */
+  private static final Duration CONTACT_TIME = Duration.ofSeconds(3);
+
+  private static final int CRASHES_TO_LEARN = 5;
+  private static final int MAX_LATER_ARRIVALS = 3;
+  private static final Duration INTERVAL = Duration.ofMillis(200);
+  private static final int SOUND_REQUESTS_PER_INTERVAL = 4;
+  private static final Duration LENGTH = Duration.ofSeconds(9);
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+  private final ExecutorService callers = Executors.newCachedThreadPool();
+  private final List<GatewayProcess> gateways = new ArrayList<>();
+  private final List<Instant> crashTimes = new CopyOnWriteArrayList<>();
+  private final Map<String, RunnerStandin> runningServers = new TreeMap<>();
+  private final Map<String, Instant> restartTimes = new TreeMap<>();
+  private final Map<Instant, Integer> soundStatuses = new ConcurrentHashMap<>();
+  private GatewayFixture fixture;
+  private String crashingPart = "";
+  private int serverCount;
+  private int requestCount;
+
+  private void start(int gatewayCount, String part) throws Exception {
+    crashingPart = part;
+    fixture = new GatewayFixture(0);
+    gateways.add(fixture.gateway);
+    for (int i = 2; i <= gatewayCount; i++) {
+      gateways.add(fixture.startGateway("gateway-" + i));
+    }
+    for (int i = 0; i < SERVERS; i++) {
+      startServer();
+    }
+    fixture.awaitStatus("status", 200);
+    for (GatewayProcess gateway : gateways) {
+      assertThat(Polling.await(() -> gateway.peerCount() == gatewayCount - 1, TIMEOUT)).isTrue();
+    }
+  }
+
+  private void startServer() {
+    String id = "server-" + serverCount++;
+    RunnerStandin server = fixture.addServer(id);
+    server.setCrashingPart(crashingPart);
+    runningServers.put(id, server);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    callers.shutdownNow();
+    fixture.close();
+  }
+
+  /** Removes the entries of crashed servers, and starts others, after some time. */
+  private void superviseServers() {
+    Instant now = Instant.now();
+    runningServers.forEach(
+        (id, server) -> {
+          if (server.hasCrashed() && restartTimes.putIfAbsent(id, now) == null) {
+            crashTimes.add(now);
+          }
+        });
+    for (Map.Entry<String, Instant> entry : Map.copyOf(restartTimes).entrySet()) {
+      if (runningServers.containsKey(entry.getKey())
+          && now.isAfter(entry.getValue().plus(RESTART_TIME))) {
+        runningServers.remove(entry.getKey());
+        fixture.store.remove("servers", entry.getKey());
+        startServer();
+      }
+    }
+  }
+
+  private void send(String route, String parts, boolean isSound) {
+    GatewayProcess gateway = gateways.get(requestCount % gateways.size());
+    String id = (isSound ? "sound-" : "crashing-") + requestCount++;
+    String fields =
+        "Deadline-Ms: 2500\r\nConnection: close\r\nPrompt-Prefix: %s,%s:5\r\n%s"
+            .formatted(parts, id, route.equals("stream") ? "Token-Count: 10,20\r\n" : "");
+    callers.execute(
+        () -> {
+          Instant sentAt = Instant.now();
+          try (Socket socket = GatewayFixture.send(gateway, route, id, fields)) {
+            String response = GatewayFixture.readResponse(socket);
+            if (isSound) {
+              soundStatuses.put(sentAt, GatewayFixture.statusOf(response));
+            }
+          } catch (IOException e) {
+            throw new IllegalStateException(e);
+          }
+        });
+  }
+
+  /** Returns the times at which requests with the crashing part reached servers. */
+  private long crashingRunsSince(Map<String, Integer> runsBefore) {
+    return crashingRuns().entrySet().stream()
+        .mapToLong(entry -> entry.getValue() - runsBefore.getOrDefault(entry.getKey(), 0))
+        .sum();
+  }
+
+  private Map<String, Integer> crashingRuns() {
+    Map<String, Integer> runs = new TreeMap<>();
+    for (RunnerStandin server : fixture.servers) {
+      server.runs().stream()
+          .filter(run -> run.attemptId().startsWith("crashing-"))
+          .forEach(run -> runs.merge(run.attemptId(), 1, Integer::sum));
+    }
+    return runs;
+  }
+
+  /** Sends requests at a constant rate; returns how often crashing ones reached servers late. */
+  private long playRequests(String route, String crashingParts, String soundParts)
+      throws InterruptedException {
+    Instant end = Instant.now().plus(LENGTH);
+    Map<String, Integer> runsAtBound = Map.of();
+    boolean isBoundPassed = false;
+    while (Instant.now().isBefore(end)) {
+      send(route, crashingParts, false);
+      for (int i = 0; i < SOUND_REQUESTS_PER_INTERVAL; i++) {
+        send(route, soundParts, true);
+      }
+      Thread.sleep(INTERVAL.toMillis());
+      superviseServers();
+      if (!isBoundPassed
+          && crashTimes.size() >= CRASHES_TO_LEARN
+          && Instant.now().isAfter(crashTimes.get(CRASHES_TO_LEARN - 1).plus(CONTACT_TIME))) {
+        isBoundPassed = true;
+        runsAtBound = crashingRuns();
+      }
+    }
+    return isBoundPassed ? crashingRunsSince(runsAtBound) : 0;
+  }
+
+  private void assertLastSoundRequestsAreServed() throws InterruptedException {
+    Thread.sleep(RESTART_TIME.toMillis());
+    Instant from = Instant.now().minus(LENGTH.dividedBy(3));
+    List<Integer> statuses =
+        soundStatuses.entrySet().stream()
+            .filter(entry -> entry.getKey().isAfter(from))
+            .map(Map.Entry::getValue)
+            .toList();
+    assertThat(statuses).isNotEmpty().containsOnly(200);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"status, 1", "stream, 3", "plain, 2"})
+  void requestsWithAPartThatCrashesServersStopReachingThem(String route, int gatewayCount)
+      throws Exception {
+    start(gatewayCount, "bad");
+    long laterArrivals = playRequests(route, "first:60,bad:400,third:30", "first:60,third:30");
+    assertThat(laterArrivals).isLessThanOrEqualTo(MAX_LATER_ARRIVALS);
+    assertLastSoundRequestsAreServed();
+  }
+
+  @Test
+  void requestsStopReachingServersIfTheirFirstPartCrashesThem() throws Exception {
+    start(2, "bad");
+    long laterArrivals = playRequests("stream", "bad:60,second:30", "first:60,second:30");
+    assertThat(laterArrivals).isLessThanOrEqualTo(MAX_LATER_ARRIVALS);
+    assertLastSoundRequestsAreServed();
+  }
+}
