--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -96,14 +96,7 @@
   void start(BackendServer server, ServerEstimate estimate) {
     Duration now = core.now();
     Duration remaining = deadline.minus(now);
-    log.addEntry("placed")
-        .put("server", server.id())
-        .put("running", estimate.running())
-        .put("runningElsewhere", estimate.runningAtPeers())
-        .put("slots", estimate.slots())
-        .put("expectedFirstPartMillis", estimate.timeToFirstPart().toMillis())
-        .put("waitedMillis", now.minus(placement.arrivedAt()).toMillis())
-        .put("attempt", attemptCount + 1);
+    log.addPlacement(server, estimate, now.minus(placement.arrivedAt()), attemptCount + 1);
     head = null;
     AttemptFields fields =
         new AttemptFields(
@@ -111,17 +104,11 @@
             remaining,
             inbound.account().map(account -> account.name()),
             response.lastEventId());
-    OutboundCall outbound =
-        new OutboundCall(
-            exchange().method(),
-            exchange().pathAndQuery(),
-            Optional.ofNullable(exchange().header("Host")).orElse(""),
-            core.headerCodec().encodeRequest(inbound.fields(), fields),
-            exchange().body());
     Attempt next = new Attempt(this, core, server, now, estimate.timeToFirstPart());
     attempt = next;
     attemptCount++;
     boolean canBeSentAgain = attemptCount == 1 && route.mayRunMoreThanOnce() && hasAttemptsLeft();
+    OutboundCall outbound = inbound.outboundCall(core.headerCodec(), fields);
     next.send(outbound, connectionSelector.maxIdleTime(server, canBeSentAgain));
   }
 
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -4,7 +4,6 @@
 import com.google.common.collect.Comparators;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -38,7 +37,6 @@
 import org.wigeonstage.placement.Urgency;
 import org.wigeonstage.quota.AccountQuotas;
 import org.wigeonstage.quota.QuotaTolerance;
-import org.wigeonstage.quota.RetryBudget;
 import org.wigeonstage.quota.RetryLimits;
 import org.wigeonstage.request.HeaderFields;
 import org.wigeonstage.routes.Route;
@@ -61,12 +59,11 @@
   private final PooledHttpClient client;
   private final MetricRegistry metrics;
   private final RequestMetrics requestMetrics;
-  private RetryLimits retryLimits;
   private final AccountQuotas quotas;
   private final SplittableRandom random = new SplittableRandom();
   private final RequestLogSampler logSampler;
   private final Map<String, PoolScheduler> pools = new HashMap<>();
-  private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+  private final RetryBudgets retryBudgets;
   private final Map<PlacementRequest, ForwardedRequest> openRequests = new HashMap<>();
   private final PendingResumptions pendingResumptions = new PendingResumptions(this);
   private final ServerListTracker serverListTracker = new ServerListTracker();
@@ -90,7 +87,7 @@
     this.client = client;
     this.metrics = metrics;
     this.requestMetrics = new RequestMetrics(metrics);
-    this.retryLimits = retryLimits;
+    this.retryBudgets = new RetryBudgets(retryLimits);
     this.logSampler = logSampler;
     this.lastTickAt = clock.elapsed();
     this.quotas = quotas;
@@ -165,7 +162,7 @@
     requestMetrics.recordArrival(arrival, now);
     inbound.exchange().onDisconnect(() -> callerDisconnected(request));
     inbound.exchange().onDelivered(offset -> withLock(request::dataDelivered));
-    retryBudget(poolName).recordRequest(arrivedAt);
+    retryBudgets.recordRequest(poolName, arrivedAt);
     pool(poolName).submit(placement, arrivedAt);
   }
 
@@ -228,7 +225,7 @@
 
   /** Acquires a retry from the pool's budget; returns whether the budget allowed one. */
   boolean tryAcquireRetry(String poolName) {
-    return retryBudget(poolName).tryAcquireRetry(gatewayCount, now());
+    return retryBudgets.tryAcquireRetry(poolName, gatewayCount, now());
   }
 
   void recordServed(ForwardedRequest request, Duration timeToFirstPart, Duration totalDuration) {
@@ -348,10 +345,7 @@
 
   /** Applies changed limits. */
   void applyLimits(RetryLimits newRetryLimits, QuotaTolerance tolerance) {
-    if (!newRetryLimits.equals(retryLimits)) {
-      retryLimits = newRetryLimits;
-      retryBudgets.clear();
-    }
+    retryBudgets.applyLimits(newRetryLimits);
     quotas.applyTolerance(tolerance, now());
   }
 
@@ -393,12 +387,7 @@
       Map<String, Integer> running, List<WaitingCount> waiting, boolean hasNonLeavingPeer) {
     this.hasNonLeavingPeer = hasNonLeavingPeer;
     Duration now = now();
-    Map<String, NavigableMap<Urgency, Integer>> byPool = new HashMap<>();
-    for (WaitingCount count : waiting) {
-      byPool
-          .computeIfAbsent(count.pool(), key -> new TreeMap<>())
-          .merge(new Urgency(count.accountRank(), count.routeRank()), count.count(), Integer::sum);
-    }
+    Map<String, NavigableMap<Urgency, Integer>> byPool = GatewayLoads.waitingByPool(waiting);
     pools.forEach(
         (name, pool) ->
             pool.applyPeerLoad(running, byPool.getOrDefault(name, new TreeMap<>()), now));
@@ -406,27 +395,7 @@
 
   /** Returns the complete load and quota usage of this gateway, to be sent to its peers. */
   Message.GatewayLoad load() {
-    Map<String, Integer> running = new HashMap<>();
-    pools.values().forEach(pool -> running.putAll(pool.runningByServer()));
-    List<WaitingCount> waiting = new ArrayList<>();
-    pools.forEach(
-        (name, pool) ->
-            pool.waitingByUrgency()
-                .forEach(
-                    (urgency, count) ->
-                        waiting.add(
-                            new WaitingCount(
-                                name, urgency.accountRank(), urgency.routeRank(), count))));
-    Duration now = now();
-    boolean isEarlierUsageKnown = quotas.isEarlierUsageKnown(now);
-    return new Message.GatewayLoad(
-        true,
-        isLeaving(),
-        running,
-        waiting,
-        quotas.ownUsage(),
-        isEarlierUsageKnown ? quotas.recentUsage(now) : Map.of(),
-        isEarlierUsageKnown ? quotas.toleratedBurstUsed(now) : Map.of());
+    return GatewayLoads.of(pools, quotas, isLeaving(), now());
   }
 
   /**
@@ -447,7 +416,7 @@
   /** Returns whether the budget allows a retry, and another server is expected to accept it. */
   boolean canRetryOnAnotherServer(ForwardedRequest request, Duration startBy) {
     Duration now = now();
-    return retryBudget(request.poolName()).allowsRetry(gatewayCount, now)
+    return retryBudgets.allowsRetry(request.poolName(), gatewayCount, now)
         && pool(request.poolName()).canStartOnAnotherServer(request.placement(), startBy, now);
   }
 
@@ -474,10 +443,6 @@
         name, key -> new PoolScheduler(SchedulingLimits.DEFAULTS, new PlacementExecutor(), random));
   }
 
-  private RetryBudget retryBudget(String poolName) {
-    return retryBudgets.computeIfAbsent(poolName, key -> new RetryBudget(retryLimits));
-  }
-
   /** Executes the decisions of the schedulers. */
   private final class PlacementExecutor implements PlacementEffects {
 
--- a/src/main/java/org/wigeonstage/gateway/InboundRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/InboundRequest.java
@@ -3,7 +3,10 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.forward.AttemptFields;
+import org.wigeonstage.forward.HeaderCodec;
 import org.wigeonstage.forward.RequestFields;
+import org.wigeonstage.http.OutboundCall;
 import org.wigeonstage.http.ServerExchange;
 import org.wigeonstage.routes.ClientAccount;
 import org.wigeonstage.routes.Route;
@@ -57,6 +60,16 @@
     return arrivedAt;
   }
 
+  /** Returns the call to a backend server that forwards the request. */
+  OutboundCall outboundCall(HeaderCodec codec, AttemptFields attemptFields) {
+    return new OutboundCall(
+        exchange.method(),
+        exchange.pathAndQuery(),
+        Optional.ofNullable(exchange.header("Host")).orElse(""),
+        codec.encodeRequest(fields, attemptFields),
+        exchange.body());
+  }
+
   void setTable(RoutingTable currentTable) {
     table = currentTable;
   }
--- a/src/main/java/org/wigeonstage/gateway/RequestLog.java
+++ b/src/main/java/org/wigeonstage/gateway/RequestLog.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.placement.ServerEstimate;
 
 /**
  * Collects the log entries of one request until it ends, so that either all of them are written or
@@ -57,6 +59,19 @@
     return entry;
   }
 
+  /** Adds an entry with the server that was chosen, and what was known about it. */
+  void addPlacement(
+      BackendServer server, ServerEstimate estimate, Duration waited, int attemptNumber) {
+    addEntry("placed")
+        .put("server", server.id())
+        .put("running", estimate.running())
+        .put("runningElsewhere", estimate.runningAtPeers())
+        .put("slots", estimate.slots())
+        .put("expectedFirstPartMillis", estimate.timeToFirstPart().toMillis())
+        .put("waitedMillis", waited.toMillis())
+        .put("attempt", attemptNumber);
+  }
+
   String requestId() {
     return requestId;
   }
