--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -5,10 +5,8 @@
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.fleet.BackendServer;
-import org.wigeonstage.forward.AttemptContext;
 import org.wigeonstage.forward.AttemptFailure;
 import org.wigeonstage.forward.AttemptFields;
-import org.wigeonstage.forward.AttemptPolicy;
 import org.wigeonstage.forward.ResponseFields;
 import org.wigeonstage.forward.Verdict;
 import org.wigeonstage.http.OutboundCall;
@@ -19,7 +17,6 @@
 import org.wigeonstage.placement.RefusalReason;
 import org.wigeonstage.placement.ServerEstimate;
 import org.wigeonstage.routes.Route;
-import org.wigeonstage.routes.RouteKind;
 
 /**
  * A caller's request from its admission to the end of its response, with all attempts to forward
@@ -27,9 +24,6 @@
  */
 final class ForwardedRequest {
 
-  /** Minimum remaining time for which another attempt is worthwhile. */
-  private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(60);
-
   /** A server that declined a request has a free slot again after about this time. */
   private static final Duration DECLINED_RETRY_AFTER = Duration.ofMillis(300);
 
@@ -43,10 +37,9 @@
   private final RequestLog log;
   private final CallerResponse response;
   private final ConnectionSelector connectionSelector;
+  private final AttemptSequence attempts;
   private @Nullable Attempt attempt;
   private @Nullable ResponseHead head;
-  private int attemptCount;
-  private boolean mayHaveRun;
   private boolean finished;
 
   ForwardedRequest(
@@ -65,6 +58,7 @@
     this.deadline = deadline;
     this.log = log;
     this.response = new CallerResponse(core, inbound);
+    this.attempts = new AttemptSequence(core, route, poolName, deadline, response);
     this.connectionSelector = new ConnectionSelector(!inbound.fields().requestId().isEmpty());
   }
 
@@ -85,7 +79,7 @@
   }
 
   boolean mayHaveRun() {
-    return mayHaveRun;
+    return attempts.mayHaveRun();
   }
 
   private ServerExchange exchange() {
@@ -96,7 +90,7 @@
   void start(BackendServer server, ServerEstimate estimate) {
     Duration now = core.now();
     Duration remaining = deadline.minus(now);
-    log.addPlacement(server, estimate, now.minus(placement.arrivedAt()), attemptCount + 1);
+    log.addPlacement(server, estimate, now.minus(placement.arrivedAt()), attempts.count() + 1);
     head = null;
     AttemptFields fields =
         new AttemptFields(
@@ -106,8 +100,8 @@
             response.lastEventId());
     Attempt next = new Attempt(this, core, server, now, estimate.timeToFirstPart());
     attempt = next;
-    attemptCount++;
-    boolean canBeSentAgain = attemptCount == 1 && route.mayRunMoreThanOnce() && hasAttemptsLeft();
+    attempts.recordStart();
+    boolean canBeSentAgain = attempts.count() == 1 && attempts.canRunAgain();
     OutboundCall outbound = inbound.outboundCall(core.headerCodec(), fields);
     next.send(outbound, connectionSelector.maxIdleTime(server, canBeSentAgain));
   }
@@ -151,7 +145,7 @@
       return failure;
     }
     if (ResponseClassifier.isServerError(newHead)
-        && (response.hasStarted() || tryAcquireRetryAfterError())) {
+        && (response.hasStarted() || attempts.tryAcquireRetryAfterError())) {
       return Optional.of(AttemptFailure.FAILED);
     }
     boolean canContinue = ResponseClassifier.isSuccess(newHead) && response.isStream();
@@ -160,10 +154,6 @@
         : Optional.empty();
   }
 
-  private boolean tryAcquireRetryAfterError() {
-    return route.mayRunMoreThanOnce() && hasAttemptsLeft() && core.tryAcquireRetry(poolName);
-  }
-
   /** Handles part of a response's body. */
   void dataReceived(Attempt source, byte[] data) {
     ResponseHead current = head;
@@ -171,7 +161,7 @@
       return;
     }
     source.recordData(core.now());
-    if (!response.applyData(current, data, source, attemptCount == 1)) {
+    if (!response.applyData(current, data, source, attempts.count() == 1)) {
       endAttempt(source, AttemptFailure.INVALID, Attempt.resultOf(AttemptFailure.INVALID));
     }
   }
@@ -220,17 +210,17 @@
 
   /** Ends a failed attempt, and decides how the request continues. */
   private void endAttempt(Attempt source, AttemptFailure failure, AttemptResult result) {
-    if (failure == AttemptFailure.NOT_SENT) { // does not count towards the maximum
-      attemptCount--;
+    if (failure == AttemptFailure.NOT_SENT) {
+      attempts.recordNotSent();
     }
-    endAttempt(source, failure, result, decide(failure));
+    endAttempt(source, failure, result, attempts.decide(failure));
   }
 
   private void endAttempt(
       Attempt source, AttemptFailure failure, AttemptResult result, Verdict verdict) {
     attempt = null;
     response.discardBuffered();
-    mayHaveRun |= !failure.certainlyDidNotRun();
+    attempts.recordEnd(failure);
     RequestLog.Entry entry =
         log.addEntry("attempt-ended")
             .put("server", source.server().id())
@@ -248,40 +238,6 @@
     execute(verdict, failure);
   }
 
-  /** Decides how the request continues, and acquires a retry from the budget if needed. */
-  private Verdict decide(AttemptFailure failure) {
-    // For a server error before the start of the response, headReceived acquired the retry.
-    boolean isAcquired = failure == AttemptFailure.FAILED && !response.hasStarted();
-    boolean needsNoBudget = failure == AttemptFailure.NOT_SENT || isAcquired;
-    boolean hasRetriesLeft =
-        hasAttemptsLeft() && deadline.minus(core.now()).compareTo(MIN_ATTEMPT_TIME) > 0;
-    Verdict preferred = AttemptPolicy.decide(failure, context(hasRetriesLeft));
-    if (!isRetry(preferred) || needsNoBudget || core.tryAcquireRetry(poolName)) {
-      return preferred;
-    }
-    if (preferred == Verdict.RESUME) {
-      return Verdict.RESUME_LATER;
-    }
-    return AttemptPolicy.decide(failure, context(false));
-  }
-
-  private static boolean isRetry(Verdict verdict) {
-    return verdict == Verdict.RETRY || verdict == Verdict.RESUME;
-  }
-
-  private boolean hasAttemptsLeft() {
-    return attemptCount < route.maxAttempts();
-  }
-
-  private AttemptContext context(boolean hasRetriesLeft) {
-    return new AttemptContext(
-        route.mayRunMoreThanOnce(),
-        route.kind() == RouteKind.STREAMING,
-        response.hasStarted(),
-        mayHaveRun,
-        hasRetriesLeft);
-  }
-
   private void execute(Verdict verdict, AttemptFailure failure) {
     switch (verdict) {
       case RETRY -> core.resubmit(this);
@@ -342,7 +298,7 @@
       return current.isConnectTimeoutOver();
     }
     return current.isUnresponsive(route)
-        && isRetry(AttemptPolicy.decide(unansweredFailure(), context(hasAttemptsLeft())))
+        && attempts.wouldRetry(unansweredFailure())
         && (!current.hasMarkedServerSuspect() || canRetryOnAnotherServer());
   }
 
@@ -369,8 +325,8 @@
     }
     boolean isAlreadySuspect = current.hasMarkedServerSuspect(); // an attempt marks it once
     if (canRetryOnAnotherServer()) {
-      Verdict verdict = decide(unansweredFailure());
-      if (isRetry(verdict)) {
+      Verdict verdict = attempts.decide(unansweredFailure());
+      if (AttemptSequence.isRetry(verdict)) {
         endAttempt(
             current,
             unansweredFailure(),
@@ -402,7 +358,7 @@
     if (response.hasStarted()) {
       abort();
     } else {
-      reject(mayHaveRun ? ifMayHaveRun : ifNotRun);
+      reject(mayHaveRun() ? ifMayHaveRun : ifNotRun);
     }
   }
 
@@ -419,7 +375,7 @@
     RequestLog.Entry entry =
         log.addEntry("caller-gone")
             .put("begun", response.hasStarted())
-            .put("attempts", attemptCount)
+            .put("attempts", attempts.count())
             .put("endReadMillisAgo", handlingDelay.toMillis())
             .markNotable();
     cancelAttempt(entry);
@@ -458,7 +414,9 @@
     attempt = null;
     if (current != null) {
       current.logTo(entry);
-      mayHaveRun |= !current.cancelIfUnsent();
+      if (!current.cancelIfUnsent()) {
+        attempts.recordMayHaveRun();
+      }
       current.abandon(AttemptResult.NEUTRAL);
     }
     core.withdraw(this);
