Complete responses that end with their connection, and resume streams that end inside an event

Cause: each end of a connection counted as a loss, because Grizzly's transport filter reports a reset like an orderly end (EOFException for both). The end of a stream inside an event was not looked at. Change: a transport filter of ours keeps the reason of the end. An orderly end completes an unframed response; a reset doesn't. A stream that ends inside an event, or an unframed one before its first event, counts as interrupted. An unframed response clears no part of its prompt, because the end of its connection may be that of its server.

--- a/src/main/java/org/wigeonstage/forward/EventSplitter.java
+++ b/src/main/java/org/wigeonstage/forward/EventSplitter.java
@@ -78,6 +78,20 @@
     return length > MAX_EVENT_BYTES;
   }
 
+  /**
+   * Returns whether an event is incomplete; line breaks between events belong to none.
+   *
+   * @return whether bytes of an incomplete event are buffered
+   */
+  public boolean isInsideEvent() {
+    for (int i = 0; i < length; i++) {
+      if (buffer[i] != '\n' && buffer[i] != '\r') {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Removes and returns the bytes of the incomplete event.
    *
--- a/src/main/java/org/wigeonstage/gateway/CallerResponse.java
+++ b/src/main/java/org/wigeonstage/gateway/CallerResponse.java
@@ -118,6 +118,12 @@
     return isDelivered;
   }
 
+  /** Returns whether the server has ended a stream inside an event, or before its first one. */
+  boolean isIncompleteStream(ResponseHead head) {
+    boolean hasNoEvent = !head.isFramed() && progress.lastEventAt().isEmpty();
+    return isStream && (hasNoEvent || splitter.isInsideEvent());
+  }
+
   /** Sends what is buffered and completes the response. */
   void complete(ResponseHead head) {
     if (isStream) {
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -1,5 +1,6 @@
 package org.wigeonstage.gateway;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -221,9 +222,14 @@
     if (source != attempt || finished || current == null) {
       return;
     }
+    if (response.isIncompleteStream(current)) {
+      attemptLost(source, true, new IOException("the stream ended inside an event"));
+      return;
+    }
     boolean isError = ResponseClassifier.isServerError(current);
     source.report(isError ? AttemptResult.FAILED : AttemptResult.SERVED);
-    if (ResponseClassifier.isSuccess(current)) {
+    // The end of a connection may also be that of its server.
+    if (ResponseClassifier.isSuccess(current) && current.isFramed()) {
       core.promptHolds().recordResponse(this, source.server());
     }
     attempt = null;
--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -39,6 +39,7 @@
   private boolean isAborted;
   private boolean hasEnded;
   private volatile boolean hasResponseStarted;
+  private volatile boolean endsWithConnection;
   private volatile boolean usesNewConnection = true;
   private volatile Runnable lostBeforeResponseAction = () -> {};
   private volatile @Nullable Duration connectionObtainedAt;
@@ -118,8 +119,10 @@
   /** Passes the head of the response to the listener, unless this was done before. */
   void responseStarted(Supplier<ResponseHead> head) {
     if (!hasResponseStarted) {
+      ResponseHead received = head.get();
+      endsWithConnection = !received.isFramed();
       hasResponseStarted = true;
-      listener.onHead(head.get());
+      listener.onHead(received);
     }
   }
 
@@ -165,6 +168,18 @@
     return connection != null;
   }
 
+  /**
+   * Ends the exchange after the end of its connection, unless it has ended already. An orderly end
+   * completes a response that does not show itself where its body ends.
+   */
+  void connectionEnded(Connection<?> source, boolean isOrderly) {
+    if (isOrderly && endsWithConnection) {
+      responseCompleted(source, false);
+    } else {
+      connectionLost(new IOException("connection closed before the end of the response"));
+    }
+  }
+
   /** Ends the exchange after its connection was lost, unless it has ended already. */
   void connectionLost(Throwable cause) {
     if (markEnded()) {
--- a/src/main/java/org/wigeonstage/http/ClientTransport.java
+++ b/src/main/java/org/wigeonstage/http/ClientTransport.java
@@ -6,7 +6,6 @@
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpPacket;
@@ -29,7 +28,7 @@
     this.transport = transport;
     this.filterChain =
         FilterChainBuilder.stateless()
-            .add(new TransportFilter())
+            .add(new ReadingTransportFilter())
             .add(new HttpClientFilter())
             .add(new ResponseFilter())
             .build();
--- a/src/main/java/org/wigeonstage/http/ResponseFilter.java
+++ b/src/main/java/org/wigeonstage/http/ResponseFilter.java
@@ -1,6 +1,5 @@
 package org.wigeonstage.http;
 
-import java.io.IOException;
 import java.util.Locale;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -62,7 +61,8 @@
   public NextAction handleClose(FilterChainContext context) {
     ClientExchange exchange = ClientExchange.ATTRIBUTE.get(context.getConnection());
     if (exchange != null) {
-      exchange.connectionLost(new IOException("connection closed before the end of the response"));
+      boolean isOrderly = ReadingTransportFilter.hasEndedOrderly(context.getConnection());
+      exchange.connectionEnded(context.getConnection(), isOrderly);
     }
     return context.getStopAction();
   }
--- a/src/test/java/org/wigeonstage/gateway/ReplayedResponseIT.java
+++ b/src/test/java/org/wigeonstage/gateway/ReplayedResponseIT.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.wigeonstage.gateway.GatewayFixture.statusOf;
 import static org.wigeonstage.gateway.ScriptedServer.anonymousRefusal;
+import static org.wigeonstage.gateway.ScriptedServer.isWarmUp;
 import static org.wigeonstage.gateway.ScriptedServer.refusal;
 import static org.wigeonstage.gateway.ScriptedServer.response;
 import static org.wigeonstage.gateway.ScriptedServer.success;
@@ -40,10 +41,6 @@
     fixture.awaitStatus("plain", 200);
   }
 
-  private static boolean isWarmUp(String id) {
-    return id.startsWith("wait");
-  }
-
   /** The server runs the request, but the bytes before its response are an earlier refusal. */
   private void assertRefusalBeforeResponseIsNotBelieved(String replayed) throws Exception {
     start((id, position) -> isWarmUp(id) ? success(id) : replayed + success(id));
--- a/src/test/java/org/wigeonstage/gateway/ScriptedServer.java
+++ b/src/test/java/org/wigeonstage/gateway/ScriptedServer.java
@@ -29,17 +29,37 @@
     String respond(String id, int position);
   }
 
+  private static final long READ_MILLIS = 30;
+
   private final ServerSocket serverSocket =
       new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private final List<String> receivedIds = new CopyOnWriteArrayList<>();
   private final Script script;
+  private final Ending ending;
+
+  /** What happens to a connection after a response, except that to a warm-up request. */
+  enum Ending {
+    KEPT,
+    CLOSED,
+    RESET
+  }
 
   ScriptedServer(Script script) throws IOException {
+    this(script, Ending.KEPT);
+  }
+
+  ScriptedServer(Script script, Ending ending) throws IOException {
     this.script = script;
+    this.ending = ending;
     start(this::acceptAll);
   }
 
+  /** Returns whether a request was sent by {@link GatewayFixture#awaitStatus}. */
+  static boolean isWarmUp(String id) {
+    return id.startsWith("wait");
+  }
+
   /** Returns a successful response. */
   static String success(String id) {
     return response("200 OK", "Attempt-Id: " + id + "\r\nResponse-Signature: s\r\n");
@@ -109,12 +129,29 @@
         String id = readRequest(input);
         receivedIds.add(id);
         write(socket, script.respond(id, position));
+        if (ending != Ending.KEPT && !isWarmUp(id)) {
+          end(socket);
+          return;
+        }
       }
     } catch (IOException e) {
       // The gateway has closed the connection.
     }
   }
 
+  /** Ends a connection some time after its bytes were sent, so that they are read before. */
+  private void end(Socket socket) throws IOException {
+    try {
+      Thread.sleep(READ_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    if (ending == Ending.RESET) {
+      socket.setSoLinger(true, 0);
+    }
+    socket.close();
+  }
+
   /** Writes bytes to all connections, for which no request waits. */
   void writeUnasked(String bytes) throws IOException {
     for (Socket socket : sockets) {
