--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -127,6 +127,7 @@
   public static GatewayProcess start(
       GatewaySettings settings, FleetStore store, HeaderCodec headerCodec) {
     GatewayProcess process = new GatewayProcess(settings, store, headerCodec);
+    process.applyPromptOverrides(settings);
     process.storeWatcher.start();
     process.peerSynchronizer.start();
     RepeatedTask.startWithFixedDelay(
@@ -143,6 +144,7 @@
    */
   public void reload(GatewaySettings changed) {
     core.withLock(() -> core.applyLimits(retryLimits(changed), changed.quotaTolerance()));
+    applyPromptOverrides(changed);
     configuration.updateMaxAge(maxConfigurationAge(changed));
     storeWatcher.updateWatchTimes(watchTimes(changed));
     DecisionLog.write(
@@ -152,7 +154,18 @@
         "retryRatio",
         changed.retryRatio(),
         "retryFixed",
-        changed.retryFixed());
+        changed.retryFixed(),
+        "heldPromptParts",
+        PromptHolds.text(changed.heldPromptParts()),
+        "releasedPromptParts",
+        PromptHolds.text(changed.releasedPromptParts()));
+  }
+
+  private void applyPromptOverrides(GatewaySettings current) {
+    core.withLock(
+        () ->
+            core.promptHolds()
+                .applyOverrides(current.heldPromptParts(), current.releasedPromptParts()));
   }
 
   /** Reads the runtime instead of the management beans, because those take long to load. */
--- a/src/main/java/org/wigeonstage/settings/GatewaySettings.java
+++ b/src/main/java/org/wigeonstage/settings/GatewaySettings.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.settings;
 
 import java.time.Duration;
+import java.util.Set;
 import org.wigeonstage.quota.QuotaTolerance;
 
 /**
@@ -36,6 +37,8 @@
  * @param logOneIn the number of ordinary requests of which one is logged; failed and slow requests
  *     are always logged
  * @param log the format of the log: {@code json} or {@code text}
+ * @param heldPromptParts the IDs of parts of prompts whose requests are not sent to servers
+ * @param releasedPromptParts the IDs of parts of prompts that are not held, whatever crashes
  */
 public record GatewaySettings(
     String name,
@@ -57,7 +60,15 @@
     long quotaSlack,
     int graceSeconds,
     int logOneIn,
-    String log) {
+    String log,
+    Set<String> heldPromptParts,
+    Set<String> releasedPromptParts) {
+
+  /** Copies the collections. */
+  public GatewaySettings {
+    heldPromptParts = Set.copyOf(heldPromptParts);
+    releasedPromptParts = Set.copyOf(releasedPromptParts);
+  }
 
   /**
    * Returns the maximum time for which an API key may still be accepted after its removal.
--- a/src/main/java/org/wigeonstage/settings/SettingsLoader.java
+++ b/src/main/java/org/wigeonstage/settings/SettingsLoader.java
@@ -9,7 +9,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.wigeonstage.common.DocumentFault;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.InvalidDocumentException;
@@ -122,6 +124,8 @@
     checkNumber(tree, "quotaSlack", 0, 1e12, faults);
     checkNumber(tree, "logOneIn", 1, 1_000_000, faults);
     checkNumber(tree, "graceSeconds", 1, 3600, faults);
+    checkTexts(tree, "heldPromptParts", faults);
+    checkTexts(tree, "releasedPromptParts", faults);
     if (!tree.path("isFirstStart").isBoolean()) {
       faults.add(new DocumentFault("/isFirstStart", "must be true or false"));
     }
@@ -150,7 +154,29 @@
         tree.path("quotaSlack").asLong(),
         tree.path("graceSeconds").asInt(),
         tree.path("logOneIn").asInt(),
-        tree.path("log").asText());
+        tree.path("log").asText(),
+        texts(tree, "heldPromptParts"),
+        texts(tree, "releasedPromptParts"));
+  }
+
+  private static Set<String> texts(JsonNode tree, String field) {
+    Set<String> texts = new HashSet<>();
+    tree.path(field).forEach(element -> texts.add(element.asText()));
+    return texts;
+  }
+
+  private static void checkTexts(JsonNode tree, String field, List<DocumentFault> faults) {
+    JsonNode value = tree.path(field);
+    if (!value.isArray()) {
+      faults.add(new DocumentFault("/" + field, "must be an array of strings"));
+      return;
+    }
+    for (JsonNode element : value) {
+      if (!element.isTextual() || element.asText().isEmpty()) {
+        faults.add(new DocumentFault("/" + field, "must contain only strings that are not empty"));
+        return;
+      }
+    }
   }
 
   private static void checkText(
--- a/src/test/java/org/wigeonstage/gateway/CrashingPromptIT.java
+++ b/src/test/java/org/wigeonstage/gateway/CrashingPromptIT.java
@@ -187,4 +187,19 @@
     assertThat(laterArrivals).isLessThanOrEqualTo(MAX_LATER_ARRIVALS);
     assertLastSoundRequestsAreServed();
   }
+
+  @Test
+  void operatorsHoldAndReleasePartsWithoutARestart() throws Exception {
+    start(1, "");
+    fixture.reload(settings -> settings.putArray("heldPromptParts").add("banned"));
+    String held = fixture.request("stream", "held", "Prompt-Prefix: first:60,banned:4,own:5");
+    assertThat(GatewayFixture.statusOf(held)).isEqualTo(503);
+    assertThat(held).contains("prompt-held", "Retry-After");
+    assertThat(fixture.runsOf("held")).isEmpty();
+    String other = fixture.request("stream", "other", "Prompt-Prefix: first:60,banned:4");
+    assertThat(GatewayFixture.statusOf(other)).isEqualTo(200);
+    fixture.reload(settings -> settings.putArray("heldPromptParts"));
+    String released = fixture.request("stream", "free", "Prompt-Prefix: first:60,banned:4,own:5");
+    assertThat(GatewayFixture.statusOf(released)).isEqualTo(200);
+  }
 }
--- a/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import org.wigeonstage.common.Polling;
 import org.wigeonstage.fleet.FleetStore;
@@ -78,6 +79,16 @@
 
   /** Starts a gateway whose access to the store is wrapped. */
   GatewayProcess startGateway(String name, UnaryOperator<FleetStore> wrapper) {
+    HttpClient client = closer.register(HttpClient.start("store", 1));
+    PlatformAdapter adapter = new PlatformAdapter(client, store.endpoint());
+    return closer.register(
+        GatewayProcess.start(
+            SettingsLoader.parseGateway(settings(name).toString()),
+            wrapper.apply(adapter.fleetStore()),
+            adapter.headerCodec()));
+  }
+
+  private ObjectNode settings(String name) {
     ObjectNode settings =
         JsonNodeFactory.instance
             .objectNode()
@@ -90,13 +101,14 @@
       settings.put(address, ANY_PORT.toString());
     }
     settings.setAll(additionalSettings);
-    HttpClient client = closer.register(HttpClient.start("store", 1));
-    PlatformAdapter adapter = new PlatformAdapter(client, store.endpoint());
-    return closer.register(
-        GatewayProcess.start(
-            SettingsLoader.parseGateway(settings.toString()),
-            wrapper.apply(adapter.fleetStore()),
-            adapter.headerCodec()));
+    return settings;
+  }
+
+  /** Applies changed settings to the first gateway. */
+  void reload(Consumer<ObjectNode> change) {
+    ObjectNode settings = settings("gateway-1");
+    change.accept(settings);
+    gateway.reload(SettingsLoader.parseGateway(settings.toString()));
   }
 
   /** Sends raw bytes on a new connection, and returns everything that is read until it ends. */
--- a/src/test/java/org/wigeonstage/gateway/GatewayShutdownIT.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayShutdownIT.java
@@ -10,6 +10,8 @@
 import java.net.ConnectException;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -33,6 +35,7 @@
   /** Longer than the grace period, so that only the shutdown ends requests. */
   private static final String DEADLINE_FIELD = "Deadline-Ms: 60000\r\n";
 
+  private static final long SEND_INTERVAL_MILLIS = 50;
   private static final String CLOSE_FIELD = "Connection: close\r\n";
 
   private final DecisionLogCapture decisions = new DecisionLogCapture();
@@ -185,4 +188,39 @@
     }
     assertThat(decisions.linesOf("rejected")).hasSizeGreaterThan(1);
   }
+
+  /** Requests are sent all through the shutdown, to a server that is slower than its rest. */
+  @Test
+  void requestsThatComeLateInTheGraceAreAnsweredAndTruthfully() throws Exception {
+    server().setBehaviour(Behaviour.STALLS);
+    List<Socket> sockets = new ArrayList<>();
+    Thread stop = new Thread(this::drain);
+    stop.start();
+    while (stop.isAlive()) {
+      try {
+        sockets.add(fixture.send("plain", "late-" + sockets.size(), DEADLINE_FIELD + CLOSE_FIELD));
+        Thread.sleep(SEND_INTERVAL_MILLIS);
+      } catch (ConnectException e) {
+        break; // accepted by nobody, so not lost
+      }
+    }
+    for (int i = 0; i < sockets.size(); i++) {
+      try (Socket socket = sockets.get(i)) {
+        int status = GatewayFixture.statusOf(GatewayFixture.readResponse(socket));
+        assertThat(status).as("request %s of %s", i, sockets.size()).isIn(200, 502, 503);
+        if (status == 503) {
+          assertThat(fixture.runsOf("late-" + i)).isEmpty();
+        }
+      }
+    }
+    stop.join();
+  }
+
+  private void drain() {
+    try {
+      fixture.gateway.drain();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/src/test/java/org/wigeonstage/settings/SettingsLoaderTest.java
+++ b/src/test/java/org/wigeonstage/settings/SettingsLoaderTest.java
@@ -44,4 +44,26 @@
     assertThatThrownBy(() -> SettingsLoader.parseEntry(ENTRY.replace("}", ", \"rooting\": 1}")))
         .hasMessageContaining("rooting");
   }
+
+  private static final String GATEWAY =
+      """
+      {"name": "gateway-1", "failureDomain": "fd-a", "callers": "127.0.0.1:8080",
+       "readiness": "127.0.0.1:8081", "peers": "127.0.0.1:8082", "metrics": "127.0.0.1:8083",
+       "store": "127.0.0.1:7000", "heldPromptParts": ["5c1e"]}
+      """;
+
+  @Test
+  void partsOfPromptsAreReadAsTexts() {
+    GatewaySettings settings = SettingsLoader.parseGateway(GATEWAY);
+    assertThat(settings.heldPromptParts()).containsExactly("5c1e");
+    assertThat(settings.releasedPromptParts()).isEmpty();
+  }
+
+  @Test
+  void partsOfPromptsThatAreNoTextsAreRejected() {
+    for (String parts : new String[] {"\"5c1e\"", "[1]", "[\"\"]", "null"}) {
+      assertThatThrownBy(() -> SettingsLoader.parseGateway(GATEWAY.replace("[\"5c1e\"]", parts)))
+          .hasMessageContaining("/heldPromptParts");
+    }
+  }
 }
