--- a/src/main/java/org/wigeonstage/crash/CrashEvidence.java
+++ b/src/main/java/org/wigeonstage/crash/CrashEvidence.java
@@ -119,14 +119,17 @@
    * @return the crash that was refuted, or null if there was none
    */
   @Nullable ServerCrash recordSignOfLife(String serverRun, Duration sentAt, Duration now) {
-    for (ServerCrash crash : crashes.values()) {
-      if ((crash.id().equals(serverRun) || crash.id().startsWith(serverRun + "#"))
-          && now.compareTo(crash.at().plus(MAX_READ_DELAY)) > 0
+    int number = 0;
+    ServerCrash crash = crashes.get(serverRun);
+    while (crash != null) {
+      if (now.compareTo(crash.at().plus(MAX_READ_DELAY)) > 0
           && sentAt.compareTo(crash.at().plus(MIN_RESTART_TIME)) < 0
           && crash.refute()) {
         changeOf(crash);
         return crash;
       }
+      number++;
+      crash = crashes.get(crashId(serverRun, number));
     }
     return null;
   }
--- a/src/test/java/org/wigeonstage/gateway/CrashingPromptIT.java
+++ b/src/test/java/org/wigeonstage/gateway/CrashingPromptIT.java
@@ -119,7 +119,7 @@
         });
   }
 
-  /** Returns the times at which requests with the crashing part reached servers. */
+  /** Returns how often requests with the crashing part have reached servers since. */
   private long crashingRunsSince(Map<String, Integer> runsBefore) {
     return crashingRuns().entrySet().stream()
         .mapToLong(entry -> entry.getValue() - runsBefore.getOrDefault(entry.getKey(), 0))
@@ -188,6 +188,25 @@
     assertLastSoundRequestsAreServed();
   }
 
+  @Test
+  void gatewayThatStartsLaterLearnsFromItsPeersWhatIsHeld() throws Exception {
+    start(2, "bad");
+    playRequests("stream", "first:60,bad:400", "first:60,third:30");
+    gateways.clear();
+    gateways.add(fixture.startGateway("gateway-new"));
+    assertThat(Polling.await(() -> gateways.get(0).peerCount() == 2, TIMEOUT)).isTrue();
+    Thread.sleep(INTERVAL.toMillis());
+    int crashesBefore = crashTimes.size();
+    Map<String, Integer> runsBefore = crashingRuns();
+    for (int i = 0; i < CRASHES_TO_LEARN; i++) {
+      send("stream", "first:60,bad:400", false);
+      Thread.sleep(INTERVAL.toMillis());
+      superviseServers();
+    }
+    assertThat(crashingRunsSince(runsBefore)).isLessThanOrEqualTo(1); // a trial may be due
+    assertThat(crashTimes).hasSizeLessThanOrEqualTo(crashesBefore + 1);
+  }
+
   @Test
   void operatorsHoldAndReleasePartsWithoutARestart() throws Exception {
     start(1, "");
--- /dev/null
+++ b/src/test/java/org/wigeonstage/gateway/EarlierGatewayIT.java
@@ -0,0 +1,84 @@
+package org.wigeonstage.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.io.Closer;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.wigeonstage.common.Polling;
+import org.wigeonstage.handover.Message;
+import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.platform.standin.RunnerStandin.Behaviour;
+import org.wigeonstage.wire.Link;
+import org.wigeonstage.wire.LinkConnector;
+import org.wigeonstage.wire.LinkListener;
+
+/** Tests what a gateway sends to a gateway of an earlier build, during an upgrade. */
+class EarlierGatewayIT {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+  private final Closer closer = Closer.create();
+  private final DecisionLogCapture decisions = closer.register(new DecisionLogCapture());
+
+  /** Records the messages of the gateway. */
+  private static final class RecordingListener implements LinkListener {
+    private final List<Message> received = new CopyOnWriteArrayList<>();
+
+    @Override
+    public void opened(Link link) {}
+
+    @Override
+    public void received(Link link, Message message) {
+      received.add(message);
+    }
+
+    @Override
+    public void closed(Link link) {}
+
+    private boolean hasReceived(Class<? extends Message> type) {
+      return received.stream().anyMatch(type::isInstance);
+    }
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    closer.close();
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {0, Message.CRASH_REPORTS})
+  void crashesAreReportedOnlyToGatewaysThatReadThem(long stated) throws Exception {
+    GatewayFixture fixture = closer.register(new GatewayFixture(1));
+    fixture.awaitStatus("stream", 200);
+    RecordingListener peer = new RecordingListener();
+    LinkConnector connector =
+        closer.register(
+            LinkConnector.start(
+                () -> new Message.Hello(Message.PROTOCOL_VERSION, "gateway", "peer", 1, stated),
+                peer,
+                new MetricRegistry()));
+    connector.connect(peersEndpoint(), cause -> {});
+    assertThat(Polling.await(() -> peer.hasReceived(Message.GatewayLoad.class), TIMEOUT)).isTrue();
+
+    fixture.servers.get(0).setBehaviour(Behaviour.LOSES_RESPONSE);
+    fixture.request("status", "r", "Prompt-Prefix: first:60,own:5");
+    assertThat(Polling.await(() -> !decisions.linesOf("crash-suspected").isEmpty(), TIMEOUT))
+        .isTrue();
+    int countBefore = peer.received.size();
+    assertThat(Polling.await(() -> peer.received.size() > countBefore + 4, TIMEOUT)).isTrue();
+    assertThat(peer.hasReceived(Message.Crash.class)).isEqualTo(stated > 0);
+  }
+
+  /** Returns the address that the gateway has registered. */
+  private Endpoint peersEndpoint() {
+    String line = decisions.linesOf("registered").get(0);
+    return Endpoint.parse(line.replaceAll(".*\"address\":\"([^\"]*)\".*", "$1"));
+  }
+}
