Count a framed stream that ends inside an event against no prompt; log what an interrupted request shared

The server of a framed response goes on, so that its end says nothing about the parts of the prompt. The line of a crash names them, and lists of parts in lines are bounded.

--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -1,6 +1,5 @@
 package org.wigeonstage.gateway;
 
-import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -126,9 +125,7 @@
 
   /** Refuses the request because no backend server can accept it. */
   void refuse(RefusalReason reason, Duration retryAfter) {
-    log.addEntry("refused")
-        .put("reason", reason.name())
-        .put("retryAfterMillis", retryAfter.toMillis());
+    log.addRefusal(reason, retryAfter);
     rejectOrAbort(
         Rejection.of(ErrorCode.ANSWER_LOST, "the request may have run; no other server is free"),
         Rejection.of(reason, retryAfter));
@@ -144,10 +141,9 @@
     isDeferred = admission.kind() == PromptAdmission.Kind.DEFERRED;
     if (admission.kind() == PromptAdmission.Kind.HELD) {
       cancelAttempt(log.addPromptDecision("held", admission));
-      String detail = "a part of the prompt crashes backend servers";
       rejectOrAbort(
-          Rejection.of(ErrorCode.ANSWER_LOST, "the request may have run; " + detail),
-          Rejection.retryable(ErrorCode.PROMPT_HELD, detail, admission.retryAfter()));
+          Rejection.of(ErrorCode.ANSWER_LOST, "the request may have run; its prompt is held"),
+          Rejection.ofHeldPrompt(admission.retryAfter()));
     } else if (isDeferred) {
       cancelAttempt(log.addPromptDecision("deferred", admission));
     }
@@ -223,7 +219,10 @@
       return;
     }
     if (response.isIncompleteStream(current)) {
-      attemptLost(source, true, new IOException("the stream ended inside an event"));
+      if (!current.isFramed()) {
+        recordLoss(source);
+      }
+      endAttempt(source, AttemptFailure.CUT, Attempt.resultOf(AttemptFailure.CUT));
       return;
     }
     boolean isError = ResponseClassifier.isServerError(current);
@@ -235,14 +234,10 @@
     attempt = null;
     finished = true;
     response.complete(current);
-    RequestLog.Entry entry =
-        log.addEntry("answered")
-            .put("status", current.status())
-            .put("server", source.server().id())
-            .put("firstPartMillis", source.timeToFirstPart(arrivedAt).toMillis())
-            .put("totalMillis", core.now().minus(arrivedAt).toMillis());
-    source.logTo(entry);
-    core.recordServed(this, source.timeToFirstPart(arrivedAt), core.now().minus(arrivedAt));
+    Duration firstPart = source.timeToFirstPart(arrivedAt);
+    Duration total = core.now().minus(arrivedAt);
+    source.logTo(log.addResponse(current.status(), source.server(), firstPart, total));
+    core.recordServed(this, firstPart, total);
     core.finish(this, RequestOutcome.SERVED);
   }
 
@@ -251,15 +246,20 @@
     if (source != attempt || finished) {
       return;
     }
-    log.addEntry("connection-lost")
-        .put("server", source.server().id())
-        .put("cause", cause.toString());
+    log.addLoss(source.server(), cause);
     AttemptFailure failure = wasSent ? unansweredFailure() : AttemptFailure.NOT_SENT;
-    if (wasSent && source.isAtBeginning()) {
+    if (wasSent) {
+      recordLoss(source);
+    }
+    endAttempt(source, failure, Attempt.resultOf(failure));
+  }
+
+  /** Records that the connection has ended, perhaps because the prompt crashed the server. */
+  private void recordLoss(Attempt source) {
+    if (source.isAtBeginning()) {
       core.promptHolds().recordLoss(this, source.server());
       isTrial = false;
     }
-    endAttempt(source, failure, Attempt.resultOf(failure));
   }
 
   /** Ends a failed attempt, and decides how the request continues. */
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -173,7 +173,7 @@
         .put("lengthHint", inbound.fields().expectedOutputTokens())
         .put("promptTokens", inbound.fields().promptTokens())
         .put("outputTokens", inbound.fields().maxOutputTokens())
-        .put("sharedPromptParts", String.join(",", inbound.fields().sharedPromptParts()))
+        .put("sharedPromptParts", PromptHolds.text(inbound.fields().sharedPromptParts()))
         .put("configurationVersion", inbound.table().version())
         .put("timeLimitMillis", timeLimit.toMillis());
     ForwardedRequest request =
--- a/src/main/java/org/wigeonstage/gateway/PromptHolds.java
+++ b/src/main/java/org/wigeonstage/gateway/PromptHolds.java
@@ -69,13 +69,13 @@
             request.isTrial(),
             clock.elapsed());
     if (isNew) {
-      recordCrash(server.runId(), OWN);
+      recordCrash(server.runId(), OWN, request.sharedPromptParts());
     }
   }
 
-  private void recordCrash(String crashId, String source) {
+  private void recordCrash(String crashId, String source, List<String> parts) {
     metrics.counter("crashes.suspected").inc();
-    DecisionLog.write("crash-suspected", "crash", crashId, "source", source);
+    DecisionLog.write("crash-suspected", "crash", crashId, "source", source, "parts", text(parts));
   }
 
   /** Records that a server has continued a response past its beginning, or completed it. */
@@ -96,9 +96,10 @@
   }
 
   void applyReport(CrashReport report, String peer) {
+    List<String> parts = report.victims().stream().flatMap(List::stream).distinct().toList();
     guard
         .applyReports(List.of(report), clock.elapsed())
-        .forEach(crashId -> recordCrash(crashId, peer));
+        .forEach(crashId -> recordCrash(crashId, peer, parts));
   }
 
   List<CrashReport> takeOwnChanges() {
@@ -149,7 +150,11 @@
   }
 
   /** Returns the first texts, separated by commas. */
+  static String text(List<String> texts) {
+    return String.join(",", texts.subList(0, Math.min(texts.size(), MAX_LOGGED)));
+  }
+
   static String text(Set<String> texts) {
-    return String.join(",", texts.stream().sorted().limit(MAX_LOGGED).toList());
+    return text(texts.stream().sorted().toList());
   }
 }
--- a/src/main/java/org/wigeonstage/gateway/Rejection.java
+++ b/src/main/java/org/wigeonstage/gateway/Rejection.java
@@ -34,6 +34,12 @@
     return retryable(code, detailOf(reason), retryAfter);
   }
 
+  /** Returns the response to a request that is not sent to a server because of its prompt. */
+  static Rejection ofHeldPrompt(Duration retryAfter) {
+    return retryable(
+        ErrorCode.PROMPT_HELD, "a part of the prompt crashes backend servers", retryAfter);
+  }
+
   /** Returns the header fields of the response. */
   HeaderFields headerFields() {
     HeaderFields fields = HeaderFields.NONE.with("Content-Type", ProblemDetails.MEDIA_TYPE);
--- a/src/main/java/org/wigeonstage/gateway/RequestLog.java
+++ b/src/main/java/org/wigeonstage/gateway/RequestLog.java
@@ -8,6 +8,7 @@
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.crash.PromptAdmission;
 import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.placement.RefusalReason;
 import org.wigeonstage.placement.ServerEstimate;
 
 /**
@@ -73,6 +74,25 @@
         .put("attempt", attemptNumber);
   }
 
+  /** Adds an entry with the loss of the connection to a server. */
+  void addLoss(BackendServer server, Throwable cause) {
+    addEntry("connection-lost").put("server", server.id()).put("cause", cause.toString());
+  }
+
+  /** Adds an entry with the scheduler's refusal. */
+  void addRefusal(RefusalReason reason, Duration retryAfter) {
+    addEntry("refused").put("reason", reason.name()).put("retryAfterMillis", retryAfter.toMillis());
+  }
+
+  /** Adds an entry with the complete response. */
+  Entry addResponse(int status, BackendServer server, Duration firstPart, Duration total) {
+    return addEntry("answered")
+        .put("status", status)
+        .put("server", server.id())
+        .put("firstPartMillis", firstPart.toMillis())
+        .put("totalMillis", total.toMillis());
+  }
+
   /** Adds an entry with a decision about the request's prompt, and what it rests on. */
   Entry addPromptDecision(String event, PromptAdmission admission) {
     return addEntry(event)
