--- a/src/test/java/org/wigeonstage/gateway/BrokenOffResponseIT.java
+++ b/src/test/java/org/wigeonstage/gateway/BrokenOffResponseIT.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonstage.gateway.ScriptedServer.Ending;
-import org.wigeonstage.platform.standin.Rehearsal;
 
 /**
  * Tests responses that a server breaks off. A caller must not find what the next server responds in
@@ -33,17 +32,8 @@
   }
 
   private void start(ScriptedServer.Script script, Ending ending) throws Exception {
-    server =
-        closer.register(
-            new ScriptedServer(
-                (id, position) ->
-                    ScriptedServer.isWarmUp(id)
-                        ? ScriptedServer.success(id)
-                        : script.respond(id, position),
-                ending));
-    fixture = closer.register(new GatewayFixture(0, Rehearsal.configuration()));
-    fixture.store.write("servers", "scripted", server.registration());
-    fixture.awaitStatus("status", 200);
+    server = closer.register(ScriptedServer.afterWarmUp(script, ending));
+    fixture = closer.register(GatewayFixture.with(server));
   }
 
   private static String streamHead(String framing) {
--- a/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -66,6 +66,14 @@
     this(serverCount, Rehearsal.configuration());
   }
 
+  /** Starts a gateway with a server, and awaits that it sends requests to it. */
+  static GatewayFixture with(ScriptedServer server) throws InterruptedException {
+    GatewayFixture fixture = new GatewayFixture(0);
+    fixture.store.write("servers", "scripted", server.registration());
+    fixture.awaitStatus("status", 200);
+    return fixture;
+  }
+
   RunnerStandin addServer(String id) {
     RunnerStandin server = closer.register(RunnerStandin.start(id, ANY_PORT));
     servers.add(server);
--- a/src/test/java/org/wigeonstage/gateway/RequestLogIT.java
+++ b/src/test/java/org/wigeonstage/gateway/RequestLogIT.java
@@ -67,6 +67,15 @@
             "code=answer-lost");
   }
 
+  @Test
+  void heldRequestIsLoggedWithTheHeldParts() throws Exception {
+    fixture.reload(settings -> settings.putArray("heldPromptParts").add("91bd"));
+    fixture.request("stream", "held-1", "Prompt-Prefix: 5c1e:60,91bd:400,e440:20");
+    assertThat(String.join("\n", historyOf("held-1")))
+        .containsSubsequence("accepted", "held", "parts=91bd", "rejected", "code=prompt-held")
+        .doesNotContain("placed");
+  }
+
   @Test
   void lostStreamIsLoggedWithItsSharedPromptPartsAndItsProgress() throws Exception {
     fixture.servers.get(0).setBehaviour(Behaviour.TRUNCATES_RESPONSE);
--- a/src/test/java/org/wigeonstage/gateway/ScriptedServer.java
+++ b/src/test/java/org/wigeonstage/gateway/ScriptedServer.java
@@ -55,6 +55,12 @@
     start(this::acceptAll);
   }
 
+  /** Starts a server that serves warm-up requests, and answers the others by a script. */
+  static ScriptedServer afterWarmUp(Script script, Ending ending) throws IOException {
+    return new ScriptedServer(
+        (id, position) -> isWarmUp(id) ? success(id) : script.respond(id, position), ending);
+  }
+
   /** Returns whether a request was sent by {@link GatewayFixture#awaitStatus}. */
   static boolean isWarmUp(String id) {
     return id.startsWith("wait");
--- a/src/test/java/org/wigeonstage/gateway/UnframedResponseIT.java
+++ b/src/test/java/org/wigeonstage/gateway/UnframedResponseIT.java
@@ -10,7 +10,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonstage.gateway.ScriptedServer.Ending;
-import org.wigeonstage.platform.standin.Rehearsal;
 
 /** Tests responses without a length and without chunks, which end with their connection. */
 class UnframedResponseIT {
@@ -40,17 +39,8 @@
   }
 
   private void start(ScriptedServer.Script script, Ending ending) throws Exception {
-    ScriptedServer server =
-        closer.register(
-            new ScriptedServer(
-                (id, position) ->
-                    ScriptedServer.isWarmUp(id)
-                        ? ScriptedServer.success(id)
-                        : script.respond(id, position),
-                ending));
-    fixture = closer.register(new GatewayFixture(0, Rehearsal.configuration()));
-    fixture.store.write("servers", "scripted", server.registration());
-    fixture.awaitStatus("status", 200);
+    ScriptedServer server = closer.register(ScriptedServer.afterWarmUp(script, ending));
+    fixture = closer.register(GatewayFixture.with(server));
   }
 
   @ParameterizedTest
