Resume a stream only within the retry budget, also after its prompt was held for a moment

Callers: none saw it yet; found while reading the change. A stream that waited for the retry budget was also deferred when a hold began that applied to it, and was then submitted without a retry of the budget, and once more when the budget allowed it. Cause: it counts as waiting in two places. A deferred request whose connection came up between two checks would have been sent again, too, although it may have run. Change: streams that wait for the budget are checked when they are submitted again; an attempt is cancelled only if nothing was sent, and then doesn't count. Result: StreamResumptionIT.isNotResumedBeyondTheRetryBudgetAfterItsPromptWasHeld failed before.

--- a/src/main/java/org/wigeonstage/crash/PromptAdmission.java
+++ b/src/main/java/org/wigeonstage/crash/PromptAdmission.java
@@ -17,6 +17,15 @@
   static final PromptAdmission ADMITTED =
       new PromptAdmission(Kind.ADMITTED, Set.of(), Set.of(), Duration.ZERO);
 
+  /**
+   * Returns whether the request may be sent to a server now.
+   *
+   * @return whether it is admitted, perhaps as a trial
+   */
+  public boolean maySend() {
+    return kind == Kind.ADMITTED || kind == Kind.TRIAL;
+  }
+
   /** The possible decisions. */
   public enum Kind {
     /** Nothing speaks against the request. */
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -26,9 +26,6 @@
  */
 final class ForwardedRequest {
 
-  /** A server that declined a request has a free slot again after about this time. */
-  private static final Duration DECLINED_RETRY_AFTER = Duration.ofMillis(300);
-
   private final GatewayCore core;
   private final InboundRequest inbound;
   private final Route route;
@@ -133,11 +130,16 @@
 
   /** Ends or defers the request if its prompt is held, unless it may have reached a server. */
   void checkPrompt() {
-    if (finished || isTrial || (attempt != null && attempt.isConnected())) {
+    Attempt current = attempt;
+    if (finished || isTrial || (current != null && current.isConnected())) {
       return;
     }
     PromptAdmission admission = core.promptHolds().decide(this);
     isTrial = admission.kind() == PromptAdmission.Kind.TRIAL;
+    if (admission.maySend() || (current != null && !current.cancelIfUnsent())) {
+      isDeferred = false;
+      return;
+    }
     isDeferred = admission.kind() == PromptAdmission.Kind.DEFERRED;
     if (admission.kind() == PromptAdmission.Kind.HELD) {
       cancelAttempt(log.addPromptDecision("held", admission));
@@ -303,12 +305,7 @@
         prepareResumption();
         core.resubmitWithinBudget(this);
       }
-      case REFUSE ->
-          reject(
-              Rejection.retryable(
-                  ErrorCode.NO_BACKEND_SERVER,
-                  "no backend server accepted the request",
-                  DECLINED_RETRY_AFTER));
+      case REFUSE -> reject(Rejection.ofDeclined());
       case REPORT_UNKNOWN, PASS_ON ->
           reject(
               ErrorCode.ANSWER_LOST,
@@ -468,7 +465,9 @@
     attempt = null;
     if (current != null) {
       current.logTo(entry);
-      if (!current.cancelIfUnsent()) {
+      if (current.cancelIfUnsent()) {
+        attempts.recordNotSent();
+      } else {
         attempts.recordMayHaveRun();
       }
       current.abandon(AttemptResult.NEUTRAL);
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -128,7 +128,11 @@
 
   /** Ends or defers the open requests that must not be sent to a server any more. */
   private void checkPrompts() {
-    List.copyOf(openRequests.values()).forEach(ForwardedRequest::checkPrompt);
+    // Streams that wait for the retry budget are checked when they are submitted again.
+    openRequests.values().stream()
+        .filter(request -> !pendingResumptions.contains(request))
+        .toList()
+        .forEach(ForwardedRequest::checkPrompt);
   }
 
   /** Decides again about the requests that wait because of their prompts. */
--- a/src/main/java/org/wigeonstage/gateway/PendingResumptions.java
+++ b/src/main/java/org/wigeonstage/gateway/PendingResumptions.java
@@ -34,6 +34,10 @@
     waiting.remove(request);
   }
 
+  boolean contains(ForwardedRequest request) {
+    return waiting.contains(request);
+  }
+
   /** Resumes as many streams as the budget allows, and refuses those that have waited too long. */
   void tick(Duration now) {
     if (waiting.isEmpty()) {
--- a/src/main/java/org/wigeonstage/gateway/Rejection.java
+++ b/src/main/java/org/wigeonstage/gateway/Rejection.java
@@ -19,6 +19,9 @@
 
   private static final double MILLIS_PER_SECOND = 1000;
 
+  /** A server that declined a request has a free slot again after about this time. */
+  private static final Duration DECLINED_RETRY_AFTER = Duration.ofMillis(300);
+
   static Rejection of(ErrorCode code, String detail) {
     return new Rejection(code, detail, Optional.empty());
   }
@@ -34,6 +37,14 @@
     return retryable(code, detailOf(reason), retryAfter);
   }
 
+  /** Returns the response to a request that all tried backend servers declined. */
+  static Rejection ofDeclined() {
+    return retryable(
+        ErrorCode.NO_BACKEND_SERVER,
+        "no backend server accepted the request",
+        DECLINED_RETRY_AFTER);
+  }
+
   /** Returns the response to a request that is not sent to a server because of its prompt. */
   static Rejection ofHeldPrompt(Duration retryAfter) {
     return retryable(
--- a/src/test/java/org/wigeonstage/gateway/StreamResumptionIT.java
+++ b/src/test/java/org/wigeonstage/gateway/StreamResumptionIT.java
@@ -8,11 +8,14 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.wigeonstage.common.Polling;
+import org.wigeonstage.crash.CrashReport;
 import org.wigeonstage.platform.standin.Rehearsal;
 import org.wigeonstage.platform.standin.RunnerStandin.Behaviour;
 
@@ -21,6 +24,7 @@
 
   private static final Duration DEADLINE = Duration.ofSeconds(15);
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final long TIME_TO_TRUNCATION_MILLIS = 150;
 
   private GatewayFixture fixture;
 
@@ -49,7 +53,7 @@
     return CompletableFuture.supplyAsync(
         () -> {
           try {
-            return fixture.request("stream", id, DEADLINE);
+            return fixture.request("stream", id, DEADLINE, "Prompt-Prefix: first:60,own:4");
           } catch (IOException e) {
             throw new UncheckedIOException(e);
           }
@@ -87,4 +91,35 @@
     assertThat(stream).contains("id: 3\n").doesNotContain("id: 4\n").doesNotEndWith("0\r\n\r\n");
     assertThat(fixture.runsOf("cut")).hasSize(2);
   }
+
+  /** Its prompt is held and cleared again while it waits for the retry budget. */
+  @Test
+  void isNotResumedBeyondTheRetryBudgetAfterItsPromptWasHeld() throws Exception {
+    start(0, 1);
+    CompletableFuture<String> response = requestStream("cut");
+    assertThat(Polling.await(() -> !fixture.runsOf("cut").isEmpty(), TIMEOUT)).isTrue();
+    Thread.sleep(TIME_TO_TRUNCATION_MILLIS);
+    reportCrashes(Set.of());
+    Thread.sleep(TIME_TO_TRUNCATION_MILLIS);
+    reportCrashes(Set.of("first"));
+    assertThat(response.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS)).doesNotContain("id: 4\n");
+    assertThat(fixture.runsOf("cut")).hasSize(1);
+  }
+
+  /** Reports three crashes in which requests with the part "first" were interrupted. */
+  private void reportCrashes(Set<String> cleared) {
+    for (int i = 0; i < 3; i++) {
+      CrashReport report =
+          new CrashReport(
+              "run-" + i,
+              "engines",
+              Duration.ofMillis(100L * i),
+              false,
+              false,
+              List.of(List.of("first")),
+              cleared);
+      GatewayCore core = fixture.gateway.core();
+      core.withLock(() -> core.promptHolds().applyReport(report, "peer"));
+    }
+  }
 }
