--- a/review/standins/LongPrefix.java
+++ b/review/standins/LongPrefix.java
@@ -19,7 +19,7 @@
   private static final int LATE_MILLIS = TIMEOUT_MILLIS + 500;
   private static final int PATIENCE_MILLIS = 20_000;
   private static final int SHORT_REQUEST_INTERVAL_MILLIS = 40;
-  private static final int DURATION_MILLIS = 15_000;
+  private static final int DURATION_MILLIS = 45_000;
   private static final int AUDITS = 6;
   private static final int CRASHES = 3;
   private static final int CRASH_INTERVAL_MILLIS = 150;
