--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -115,6 +115,12 @@
 
   /** Starts a gateway with the command of the deploy file, and waits until it is ready. */
   GatewayProcessHandle startGateway(String name) throws IOException, InterruptedException {
+    return startGateway(name, store.endpoint());
+  }
+
+  /** Starts a gateway that reaches the store at the given address. */
+  GatewayProcessHandle startGateway(String name, Endpoint storeAddress)
+      throws IOException, InterruptedException {
     int callers = freePort();
     int readiness = freePort();
     int metrics = freePort();
@@ -128,7 +134,7 @@
             .put("readiness", "127.0.0.1:" + readiness)
             .put("peers", "127.0.0.1:" + freePort())
             .put("metrics", "127.0.0.1:" + metrics)
-            .put("store", store.endpoint().toString())
+            .put("store", storeAddress.toString())
             .put("isFirstStart", true)
             .put("revocationMillis", 5000)
             .put("configurationMillis", 2000)
