Send nothing new to backend servers that announce in a response that they are leaving

Callers saw orders lost (502 after the order had run) when a gateway was turned away by the store: it went on sending to a server whose responses carried Server-Leaving, until that server ended.

Cause: a gateway learned that a server leaves from the store's list only; no class read the field. The list doesn't change while the store can't be reached.

Announcements are now decoded on every response, held by run of the server apart from the list, and told to the peers at once. A response that doesn't belong to the request, or a 421, announces nothing.

--- a/src/main/java/org/wigeonstage/fleet/BackendServer.java
+++ b/src/main/java/org/wigeonstage/fleet/BackendServer.java
@@ -31,6 +31,15 @@
     return id + "@" + startedAtMillis;
   }
 
+  /**
+   * Returns the same server while it is shutting down.
+   *
+   * @return a server that gets no new requests
+   */
+  public BackendServer leaving() {
+    return new BackendServer(id, pool, address, failureDomain, slots, true, startedAtMillis);
+  }
+
   /**
    * Returns whether another registration names the same address.
    *
--- a/src/main/java/org/wigeonstage/forward/ResponseFields.java
+++ b/src/main/java/org/wigeonstage/forward/ResponseFields.java
@@ -11,6 +11,7 @@
  * @param declaresNotRun whether the server declares that it did not run the request
  * @param isEncoded whether the body has a content encoding, such as compression
  * @param closesConnection whether the server closes the connection after the response
+ * @param announcesLeaving whether the server announces that it is shutting down
  * @param forwardedFields the header fields that are forwarded to the caller unchanged
  */
 public record ResponseFields(
@@ -19,4 +20,5 @@
     boolean declaresNotRun,
     boolean isEncoded,
     boolean closesConnection,
+    boolean announcesLeaving,
     HeaderFields forwardedFields) {}
--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -139,9 +139,14 @@
     }
   }
 
-  void recordHead(Duration now, ResponseFields fields) {
+  void recordHead(Duration now, ResponseHead head, ResponseFields fields) {
     hasResponseId = fields.requestId().isPresent();
     recordRead(now);
+    String requestId = request.inbound().fields().requestId();
+    if (ResponseClassifier.announcesLeaving(head, fields, requestId, usesNewConnection())) {
+      request.log().addEntry("leaving-announced").put("server", server.id()).markNotable();
+      core.recordLeaving(server.runId(), Duration.ZERO, KnownServers.OWN);
+    }
   }
 
   private void recordRead(Duration now) {
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -104,7 +104,8 @@
   void start(BackendServer server, ServerEstimate estimate) {
     Duration now = core.now();
     Duration remaining = deadline.minus(now);
-    log.addPlacement(server, estimate, now.minus(placement.arrivedAt()), attempts.count() + 1);
+    log.addPlacement(server, estimate, now.minus(placement.arrivedAt()), attempts.count() + 1)
+        .put("leftOut", core.knownServers().leftOut(poolName));
     head = null;
     AttemptFields fields =
         new AttemptFields(
@@ -165,7 +166,7 @@
     connectionSelector.recordResponse(source.server());
     head = newHead;
     response.applyHead(newHead, fields.forwardedFields());
-    source.recordHead(core.now(), fields);
+    source.recordHead(core.now(), newHead, fields);
     if (fields.closesConnection()) {
       core.recordClosingServer(source.server());
     }
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -67,7 +67,7 @@
   private final Map<PlacementRequest, ForwardedRequest> openRequests = new HashMap<>();
   private final PendingResumptions pendingResumptions = new PendingResumptions(this);
   private final PromptHolds promptHolds;
-  private final ServerListTracker serverListTracker = new ServerListTracker();
+  private final KnownServers knownServers;
   private int gatewayCount = 1;
   private boolean hasNonLeavingPeer;
   private boolean stoppedAccepting;
@@ -93,6 +93,7 @@
     this.lastTickAt = clock.elapsed();
     this.quotas = quotas;
     this.promptHolds = new PromptHolds(clock, metrics, this::checkPrompts);
+    this.knownServers = new KnownServers(clock, metrics);
   }
 
   /** Runs an action with the lock held. */
@@ -126,6 +127,10 @@
     return promptHolds;
   }
 
+  KnownServers knownServers() {
+    return knownServers;
+  }
+
   /** Ends or defers the open requests that must not be sent to a server any more. */
   private void checkPrompts() {
     // Streams that wait for the retry budget are checked when they are submitted again.
@@ -164,22 +169,7 @@
     Arrival arrival = inbound.exchange().arrival();
     Duration now = now();
     RequestLog log = new RequestLog(inbound.fields().requestId(), arrivedAt, clock);
-    log.addEntry("accepted")
-        .put("connectionAgeMillis", now.minus(arrival.acceptedAt()).toMillis())
-        .put("unreadMillis", arrival.maxReadDelay().toMillis())
-        .put("sinceReadMillis", now.minus(arrival.readAt()).toMillis())
-        .put("route", route.name())
-        .put("kind", route.kind().name())
-        .put("pool", poolName)
-        .put("account", inbound.account().map(account -> account.name()).orElse(""))
-        .put("accountRank", placement.urgency().accountRank())
-        .put("routeRank", placement.urgency().routeRank())
-        .put("lengthHint", inbound.fields().expectedOutputTokens())
-        .put("promptTokens", inbound.fields().promptTokens())
-        .put("outputTokens", inbound.fields().maxOutputTokens())
-        .put("sharedPromptParts", PromptHolds.text(inbound.fields().sharedPromptParts()))
-        .put("configurationVersion", inbound.table().version())
-        .put("timeLimitMillis", timeLimit.toMillis());
+    log.addAcceptance(inbound, placement, poolName, timeLimit);
     ForwardedRequest request =
         new ForwardedRequest(this, inbound, poolName, placement, arrivedAt.plus(timeLimit), log);
     openRequests.put(placement, request);
@@ -354,7 +344,7 @@
 
   /** Returns whether the list of backend servers is known. */
   boolean hasServerList() {
-    return serverListTracker.hasList();
+    return knownServers.hasList();
   }
 
   int openRequestCount() {
@@ -388,9 +378,20 @@
 
   /** Applies a new list of backend servers. */
   void applyServers(ServerList list) {
-    serverListTracker.update(list);
+    knownServers.update(list);
+    applyKnownServers();
+  }
+
+  /** Records that a run of a server has announced in a response that it is leaving. */
+  void recordLeaving(String runId, Duration age, String source) {
+    if (knownServers.recordLeaving(runId, age, source)) {
+      applyKnownServers();
+    }
+  }
+
+  private void applyKnownServers() {
     Map<String, List<BackendServer>> byPool =
-        list.servers().stream().collect(Collectors.groupingBy(BackendServer::pool));
+        knownServers.servers().stream().collect(Collectors.groupingBy(BackendServer::pool));
     Duration now = now();
     Set<String> poolNames = new HashSet<>(pools.keySet());
     poolNames.addAll(byPool.keySet());
--- a/src/main/java/org/wigeonstage/gateway/PeerState.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerState.java
@@ -26,6 +26,9 @@
   /** The link on which all crashes that count were reported. */
   @Nullable Link crashReportLink;
 
+  /** The link on which all announcements of leaving servers were reported. */
+  @Nullable Link leavingServersLink;
+
   /** When the complete load is sent again. */
   Duration completeReportAt = Duration.ZERO;
 
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -100,7 +100,7 @@
 
   private Message.Hello hello() {
     return new Message.Hello(
-        Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.CRASH_REPORTS);
+        Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.LEAVING_SERVERS);
   }
 
   void start() {
@@ -180,6 +180,7 @@
     peers.entrySet().removeIf(entry -> isExpired(entry.getValue(), now) && expire(entry, now));
     core.updateGatewayCount(1 + peers.size());
     sendCrashReports(now);
+    sendLeavingServers();
     if (now.minus(lastSentAt).compareTo(REPORT_INTERVAL) < 0) {
       return;
     }
@@ -219,6 +220,19 @@
     reports.forEach(report -> link.send(new Message.Crash(report)));
   }
 
+  /** Sends own observations of leaving servers at once, and on a new link all that are known. */
+  private void sendLeavingServers() {
+    List<Message.ServerLeaving> unreported = core.knownServers().takeUnreported();
+    for (PeerState peer : peers.values()) {
+      Link link = peer.link;
+      if (link != null && link.peerHello().configVersion() >= Message.LEAVING_SERVERS) {
+        boolean isNewLink = peer.leavingServersLink != link;
+        peer.leavingServersLink = link;
+        (isNewLink ? core.knownServers().announcements() : unreported).forEach(link::send);
+      }
+    }
+  }
+
   /** Returns whether a turn, of which each belongs to one connected gateway, is this gateway's. */
   private boolean isOwnTurn(String turn) {
     List<String> connected = new ArrayList<>(List.of(name));
@@ -321,6 +335,9 @@
       core.withLock(() -> applyReport(link, load));
     } else if (message instanceof Message.Crash crash) {
       core.withLock(() -> core.promptHolds().applyReport(crash.report(), link.peerHello().name()));
+    } else if (message instanceof Message.ServerLeaving leaving) {
+      core.withLock(
+          () -> core.recordLeaving(leaving.runId(), leaving.age(), link.peerHello().name()));
     }
   }
 
--- a/src/main/java/org/wigeonstage/gateway/RequestLog.java
+++ b/src/main/java/org/wigeonstage/gateway/RequestLog.java
@@ -8,6 +8,8 @@
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.crash.PromptAdmission;
 import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.http.Arrival;
+import org.wigeonstage.placement.PlacementRequest;
 import org.wigeonstage.placement.RefusalReason;
 import org.wigeonstage.placement.ServerEstimate;
 
@@ -61,10 +63,33 @@
     return entry;
   }
 
+  /** Adds an entry with what is known about a request that passed all filters. */
+  void addAcceptance(
+      InboundRequest inbound, PlacementRequest placement, String poolName, Duration timeLimit) {
+    Arrival arrival = inbound.exchange().arrival();
+    Duration now = clock.elapsed();
+    addEntry("accepted")
+        .put("connectionAgeMillis", now.minus(arrival.acceptedAt()).toMillis())
+        .put("unreadMillis", arrival.maxReadDelay().toMillis())
+        .put("sinceReadMillis", now.minus(arrival.readAt()).toMillis())
+        .put("route", inbound.route().name())
+        .put("kind", inbound.route().kind().name())
+        .put("pool", poolName)
+        .put("account", inbound.account().map(account -> account.name()).orElse(""))
+        .put("accountRank", placement.urgency().accountRank())
+        .put("routeRank", placement.urgency().routeRank())
+        .put("lengthHint", inbound.fields().expectedOutputTokens())
+        .put("promptTokens", inbound.fields().promptTokens())
+        .put("outputTokens", inbound.fields().maxOutputTokens())
+        .put("sharedPromptParts", PromptHolds.text(inbound.fields().sharedPromptParts()))
+        .put("configurationVersion", inbound.table().version())
+        .put("timeLimitMillis", timeLimit.toMillis());
+  }
+
   /** Adds an entry with the server that was chosen, and what was known about it. */
-  void addPlacement(
+  Entry addPlacement(
       BackendServer server, ServerEstimate estimate, Duration waited, int attemptNumber) {
-    addEntry("placed")
+    return addEntry("placed")
         .put("server", server.id())
         .put("running", estimate.running())
         .put("runningElsewhere", estimate.runningAtPeers())
--- a/src/main/java/org/wigeonstage/gateway/ResponseClassifier.java
+++ b/src/main/java/org/wigeonstage/gateway/ResponseClassifier.java
@@ -44,6 +44,14 @@
     return impliesNotRun(head) ? Optional.of(AttemptFailure.INVALID) : Optional.empty();
   }
 
+  /** Returns whether the server that was asked announces that it is leaving. */
+  static boolean announcesLeaving(
+      ResponseHead head, ResponseFields fields, String requestId, boolean isFirstOnConnection) {
+    return fields.announcesLeaving()
+        && head.status() != MISDIRECTED_REQUEST // from another server at its address
+        && ResponseOrigin.belongsTo(requestId, fields.requestId(), isFirstOnConnection);
+  }
+
   /** Returns whether callers conclude from the status that the request did not run. */
   private static boolean impliesNotRun(ResponseHead head) {
     return switch (head.status()) {
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -1,5 +1,6 @@
 package org.wigeonstage.handover;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +23,12 @@
    */
   long CRASH_REPORTS = 1;
 
+  /**
+   * The value of {@link Hello#configVersion} of gateways that accept {@link ServerLeaving}
+   * messages, too.
+   */
+  long LEAVING_SERVERS = 2;
+
   /** A message about one request. */
   sealed interface RequestMessage extends Message {
     /**
@@ -40,7 +47,7 @@
    * @param name the name of the sender
    * @param incarnation a number that grows with each start of the sender
    * @param configVersion the version of the configuration in force at the sender; a gateway, whose
-   *     peers do not need it, states {@link #CRASH_REPORTS}
+   *     peers do not need it, states {@link #LEAVING_SERVERS}
    */
   record Hello(int protocolVersion, String role, String name, long incarnation, long configVersion)
       implements Message {}
@@ -199,12 +206,21 @@
 
   /**
    * Reports what a gateway knows about a crash of a backend server. Sent only to gateways whose
-   * hello message states {@link #CRASH_REPORTS}.
+   * hello message states at least {@link #CRASH_REPORTS}.
    *
    * @param report the report
    */
   record Crash(CrashReport report) implements Message {}
 
+  /**
+   * Reports that a backend server has announced in a response that it is leaving. Sent only to
+   * gateways whose hello message states at least {@link #LEAVING_SERVERS}.
+   *
+   * @param runId identifies the run of the server
+   * @param age the time since the announcement was received
+   */
+  record ServerLeaving(String runId, Duration age) implements Message {}
+
   /**
    * The load and the quota usage of a gateway, which it sends to its peers periodically: first
    * completely, then as the changes since the previous message on the same link (see {@link
--- a/src/main/java/org/wigeonstage/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformHeaderCodec.java
@@ -29,6 +29,10 @@
   private static final String EXPECTED_SERVER = "Target-Instance";
   private static final String NOT_RUN = "Not-Executed";
   private static final String SIGNATURE = "Response-Signature";
+
+  /** A positive number states that the server is shutting down; anything else is ignored. */
+  private static final String LEAVING = "Server-Leaving";
+
   private static final String LENGTH_HINT = "Length-Hint";
   private static final String LAST_EVENT_ID = "Last-Event-Id";
 
@@ -134,9 +138,16 @@
         fields.first(NOT_RUN).isPresent(),
         fields.first("Content-Encoding").isPresent(),
         fields.hasToken(CONNECTION, "close"),
+        announcesLeaving(fields),
         withoutHopByHop(fields));
   }
 
+  private static boolean announcesLeaving(HeaderFields fields) {
+    return fields.fields().stream()
+        .filter(field -> field.name().equalsIgnoreCase(LEAVING))
+        .anyMatch(field -> WholeNumber.parse(field.value().trim()).orElse(0) > 0);
+  }
+
   private static HeaderFields withoutHopByHop(HeaderFields fields) {
     Set<String> connectionOptions = new HashSet<>();
     for (HeaderFields.Field field : fields.fields()) {
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -59,6 +59,8 @@
       case CONFIG_SNAPSHOT -> new Message.ConfigSnapshot(in.unpackLong(), in.unpackString());
       case GATEWAY_LOAD -> readGatewayLoad(in);
       case CRASH -> new Message.Crash(readCrashReport(in));
+      case SERVER_LEAVING ->
+          new Message.ServerLeaving(in.unpackString(), Duration.ofMillis(in.unpackLong()));
       default -> readRequestMessage(type, RequestId.of(in.unpackString()), in);
     };
   }
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -60,6 +60,10 @@
       writeGatewayLoad(packType(packer, MessageType.GATEWAY_LOAD), load);
     } else if (message instanceof Message.Crash crash) {
       writeCrash(packType(packer, MessageType.CRASH), crash.report());
+    } else if (message instanceof Message.ServerLeaving leaving) {
+      packType(packer, MessageType.SERVER_LEAVING)
+          .packString(leaving.runId())
+          .packLong(leaving.age().toMillis());
     }
   }
 
--- a/src/main/java/org/wigeonstage/wire/MessageType.java
+++ b/src/main/java/org/wigeonstage/wire/MessageType.java
@@ -20,5 +20,6 @@
   LEAVING,
   CONFIG_SNAPSHOT,
   GATEWAY_LOAD,
-  CRASH
+  CRASH,
+  SERVER_LEAVING
 }
--- a/src/test/java/org/wigeonstage/gateway/EarlierGatewayIT.java
+++ b/src/test/java/org/wigeonstage/gateway/EarlierGatewayIT.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonstage.common.Polling;
+import org.wigeonstage.gateway.ScriptedServer.Ending;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.platform.standin.RunnerStandin.Behaviour;
@@ -52,11 +53,8 @@
     closer.close();
   }
 
-  @ParameterizedTest
-  @ValueSource(longs = {0, Message.CRASH_REPORTS})
-  void crashesAreReportedOnlyToGatewaysThatReadThem(long stated) throws Exception {
-    GatewayFixture fixture = closer.register(new GatewayFixture(1));
-    fixture.awaitStatus("stream", 200);
+  /** Connects to the gateway as a peer whose hello message states a number. */
+  private RecordingListener connectPeer(long stated) throws InterruptedException {
     RecordingListener peer = new RecordingListener();
     LinkConnector connector =
         closer.register(
@@ -66,16 +64,48 @@
                 new MetricRegistry()));
     connector.connect(peersEndpoint(), cause -> {});
     assertThat(Polling.await(() -> peer.hasReceived(Message.GatewayLoad.class), TIMEOUT)).isTrue();
+    return peer;
+  }
 
-    fixture.servers.get(0).setBehaviour(Behaviour.LOSES_RESPONSE);
-    fixture.request("status", "r", "Prompt-Prefix: first:60,own:5");
-    assertThat(Polling.await(() -> !decisions.linesOf("crash-suspected").isEmpty(), TIMEOUT))
-        .isTrue();
+  private void awaitDecisionAndReports(String event, RecordingListener peer)
+      throws InterruptedException {
+    assertThat(Polling.await(() -> !decisions.linesOf(event).isEmpty(), TIMEOUT)).isTrue();
     int countBefore = peer.received.size();
     assertThat(Polling.await(() -> peer.received.size() > countBefore + 4, TIMEOUT)).isTrue();
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {0, Message.CRASH_REPORTS})
+  void crashesAreReportedOnlyToGatewaysThatReadThem(long stated) throws Exception {
+    GatewayFixture fixture = closer.register(new GatewayFixture(1));
+    fixture.awaitStatus("stream", 200);
+    RecordingListener peer = connectPeer(stated);
+    fixture.servers.get(0).setBehaviour(Behaviour.LOSES_RESPONSE);
+    fixture.request("status", "r", "Prompt-Prefix: first:60,own:5");
+    awaitDecisionAndReports("crash-suspected", peer);
     assertThat(peer.hasReceived(Message.Crash.class)).isEqualTo(stated > 0);
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {0, Message.CRASH_REPORTS, Message.LEAVING_SERVERS})
+  void leavingServersAreReportedOnlyToGatewaysThatReadThem(long stated) throws Exception {
+    ScriptedServer server =
+        closer.register(
+            ScriptedServer.afterWarmUp(
+                (id, position) ->
+                    ScriptedServer.response(
+                        "200 OK",
+                        "Attempt-Id: %s\r\nResponse-Signature: s\r\nServer-Leaving: 1\r\n"
+                            .formatted(id)),
+                Ending.KEPT));
+    GatewayFixture fixture = closer.register(GatewayFixture.with(server));
+    RecordingListener peer = connectPeer(stated);
+    fixture.request("status", "r");
+    awaitDecisionAndReports("server-leaving", peer);
+    assertThat(peer.hasReceived(Message.ServerLeaving.class))
+        .isEqualTo(stated == Message.LEAVING_SERVERS);
+  }
+
   /** Returns the address that the gateway has registered. */
   private Endpoint peersEndpoint() {
     String line = decisions.linesOf("registered").get(0);
--- a/src/test/java/org/wigeonstage/platform/PlatformHeaderCodecTest.java
+++ b/src/test/java/org/wigeonstage/platform/PlatformHeaderCodecTest.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.wigeonstage.forward.AttemptFields;
 import org.wigeonstage.forward.RequestFields;
 import org.wigeonstage.forward.ResponseFields;
@@ -121,4 +123,30 @@
     assertThat(codec.decodeResponse(HeaderFields.NONE.with("Not-Executed", "1")).declaresNotRun())
         .isTrue();
   }
+
+  @ParameterizedTest
+  @CsvSource({
+    "1, true",
+    "' 1 ', true",
+    "01, true",
+    "2, true",
+    "0, false",
+    "-1, false",
+    "0.5, false",
+    "true, false",
+    "'1, 1', false",
+    "9999999999999999999, false",
+    "'', false"
+  })
+  void onlyAPositiveNumberAnnouncesThatAServerIsLeaving(String value, boolean isLeaving) {
+    HeaderFields fields = HeaderFields.NONE.with("server-leaving", value);
+    assertThat(codec.decodeResponse(fields).announcesLeaving()).isEqualTo(isLeaving);
+  }
+
+  @Test
+  void anyOfSeveralFieldsAnnouncesThatAServerIsLeaving() {
+    HeaderFields fields = HeaderFields.NONE.with("Server-Leaving", "0").with("Server-Leaving", "1");
+    assertThat(codec.decodeResponse(fields).announcesLeaving()).isTrue();
+    assertThat(codec.decodeResponse(HeaderFields.NONE).announcesLeaving()).isFalse();
+  }
 }
