--- a/src/main/java/org/wigeonstage/crash/CrashEvidence.java
+++ b/src/main/java/org/wigeonstage/crash/CrashEvidence.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -43,6 +44,11 @@
   private static final Duration REPORTED_AGE = Duration.ofSeconds(30);
 
   private final Map<String, ServerCrash> crashes = new LinkedHashMap<>();
+  private final SuspectCounts suspectCounts = new SuspectCounts();
+
+  /** For each set of crashes that holds rest on, one of these holds. */
+  private List<PartHold> explanations = List.of();
+
   private final Map<String, Change> ownChanges = new LinkedHashMap<>();
 
   /** What the peers do not know about a crash. */
@@ -55,6 +61,25 @@
     return crashes.values();
   }
 
+  Set<String> crashIds() {
+    return Set.copyOf(crashes.keySet());
+  }
+
+  /** Returns the number of crashes in which a part is a suspect. */
+  int suspectCount(String part) {
+    return suspectCounts.count(part);
+  }
+
+  /**
+   * Searches for parts that explain the crashes. Until the next search, the crashes that they
+   * explain are dropped last.
+   */
+  HoldSearch findHolds() {
+    HoldSearch search = HoldFinder.find(crashes.values(), suspectCounts);
+    explanations = search.explanations();
+    return search;
+  }
+
   boolean isEmpty() {
     return crashes.isEmpty();
   }
@@ -70,11 +95,24 @@
     if (!crash.addVictim(parts, isTrial)) {
       return Optional.empty();
     }
-    crashes.put(crash.id(), crash);
     changeOf(crash).victims.add(parts);
+    add(crash);
     return Optional.of(crash);
   }
 
+  /** Adds a crash, and drops another one if there are too many. */
+  private void add(ServerCrash crash) {
+    crashes.put(crash.id(), crash);
+    if (crashes.size() > MAX_CRASHES) {
+      remove(leastUseful());
+    }
+  }
+
+  private void remove(ServerCrash crash) {
+    crash.removeSuspects();
+    crashes.remove(crash.id());
+  }
+
   /** Returns the crash that a loss belongs to: the run's latest one, or a new one. */
   private ServerCrash crashOf(String serverRun, String pool, Duration now) {
     int number = 0;
@@ -84,7 +122,11 @@
       number++;
       crash = crashes.get(crashId(serverRun, number));
     }
-    return crash != null ? crash : new ServerCrash(crashId(serverRun, number), pool, now);
+    return crash != null ? crash : newCrash(crashId(serverRun, number), pool, now);
+  }
+
+  private ServerCrash newCrash(String id, String pool, Duration at) {
+    return new ServerCrash(id, pool, at, suspectCounts);
   }
 
   private static String crashId(String serverRun, int number) {
@@ -98,10 +140,10 @@
   /** Clears the parts of a response that its server continued; returns whether any was suspect. */
   boolean clear(List<String> parts, String pool) {
     boolean changed = false;
-    for (ServerCrash crash : crashes.values()) {
-      if (!crash.isRefuted() && crash.pool().equals(pool)) {
-        for (String part : parts) {
-          if (crash.clear(part)) {
+    for (String part : parts) {
+      if (suspectCounts.count(part) > 0) {
+        for (ServerCrash crash : crashes.values()) {
+          if (crash.pool().equals(pool) && crash.clear(part)) {
             changeOf(crash).cleared.add(part);
             changed = true;
           }
@@ -140,10 +182,14 @@
    * @return whether this changed anything
    */
   boolean merge(CrashReport report, Duration now) {
-    ServerCrash crash =
-        crashes.computeIfAbsent(
-            report.crashId(), id -> new ServerCrash(id, report.pool(), now.minus(report.age())));
-    return crash.merge(report, now);
+    ServerCrash crash = crashes.get(report.crashId());
+    if (crash != null) {
+      return crash.merge(report, now);
+    }
+    ServerCrash added = newCrash(report.crashId(), report.pool(), now.minus(report.age()));
+    boolean changed = added.merge(report, now);
+    add(added);
+    return changed;
   }
 
   /** Returns the changes by own observations since the last call. */
@@ -161,8 +207,9 @@
   }
 
   /** Returns all that a gateway needs that may have missed reports. */
-  List<CrashReport> fullReports(Collection<PartHold> holds, Duration now) {
-    Set<String> supporting = supportingCrashes(holds);
+  List<CrashReport> fullReports(Duration now) {
+    Set<String> supporting = new HashSet<>();
+    explanations.forEach(explanation -> supporting.addAll(explanation.crashIds()));
     return crashes.values().stream()
         .filter(
             crash ->
@@ -172,47 +219,39 @@
         .toList();
   }
 
-  private static Set<String> supportingCrashes(Collection<PartHold> holds) {
-    Set<String> supporting = new HashSet<>();
-    holds.forEach(hold -> supporting.addAll(hold.crashIds()));
-    return supporting;
-  }
-
   /** Drops crashes that no longer count; returns whether there were any. */
-  boolean dropOld(Collection<PartHold> holds, Duration now) {
+  boolean dropOld(Duration now) {
     Set<String> supporting = new HashSet<>();
-    for (PartHold hold : holds) {
-      if (now.minus(hold.lastCrashAt()).compareTo(HELD_LIFETIME) < 0) {
-        supporting.addAll(hold.crashIds());
+    for (PartHold explanation : explanations) {
+      if (now.minus(explanation.lastCrashAt()).compareTo(HELD_LIFETIME) < 0) {
+        supporting.addAll(explanation.crashIds());
       }
     }
-    boolean changed =
-        crashes
-            .values()
-            .removeIf(
-                crash -> {
-                  Duration age = now.minus(crash.at());
-                  Duration lifetime = crash.isResolved() ? RESOLVED_LIFETIME : LIFETIME;
-                  return !supporting.contains(crash.id()) && age.compareTo(lifetime) > 0;
-                });
-    while (crashes.size() > MAX_CRASHES) {
-      crashes.remove(leastUseful(holds).id());
-      changed = true;
-    }
-    return changed;
+    List<ServerCrash> old =
+        crashes.values().stream()
+            .filter(crash -> !supporting.contains(crash.id()) && isOld(crash, now))
+            .toList();
+    old.forEach(this::remove);
+    return !old.isEmpty();
+  }
+
+  private static boolean isOld(ServerCrash crash, Duration now) {
+    Duration lifetime = crash.isResolved() ? RESOLVED_LIFETIME : LIFETIME;
+    return now.minus(crash.at()).compareTo(lifetime) > 0;
   }
 
   /** Returns the crash to drop first: the oldest one that supports no hold, or the largest hold. */
-  private ServerCrash leastUseful(Collection<PartHold> holds) {
-    Map<String, Integer> holdSizes = new LinkedHashMap<>();
-    holds.forEach(
-        hold ->
-            hold.crashIds().forEach(id -> holdSizes.merge(id, hold.crashIds().size(), Math::max)));
+  private ServerCrash leastUseful() {
+    Map<String, Integer> explanationSizes = new HashMap<>();
+    for (PartHold explanation : explanations) {
+      int size = explanation.crashIds().size();
+      explanation.crashIds().forEach(id -> explanationSizes.merge(id, size, Math::max));
+    }
     return crashes.values().stream()
         .min(
             Comparator.comparing((ServerCrash crash) -> !crash.isResolved())
-                .thenComparing(crash -> holdSizes.containsKey(crash.id()))
-                .thenComparing(crash -> -holdSizes.getOrDefault(crash.id(), 0))
+                .thenComparing(crash -> explanationSizes.containsKey(crash.id()))
+                .thenComparing(crash -> -explanationSizes.getOrDefault(crash.id(), 0))
                 .thenComparing(ServerCrash::at))
         .orElseThrow();
   }
--- a/src/main/java/org/wigeonstage/crash/HoldListener.java
+++ b/src/main/java/org/wigeonstage/crash/HoldListener.java
@@ -18,4 +18,7 @@
    * @param parts the parts of the hold
    */
   void released(Set<String> parts);
+
+  /** Called after all calls that follow from one change of the evidence. */
+  default void updated() {}
 }
--- a/src/main/java/org/wigeonstage/crash/PartHold.java
+++ b/src/main/java/org/wigeonstage/crash/PartHold.java
@@ -29,8 +29,11 @@
     crashIds = Set.copyOf(crashIds);
   }
 
-  /** Returns whether a request of the pool whose prompt has the given parts is held. */
-  boolean appliesTo(Set<String> promptParts, String pool) {
-    return pools.contains(pool) && promptParts.containsAll(parts);
+  /** Returns whether another hold on the same parts rests on the same number of crashes. */
+  boolean hasSameEvidence(PartHold other) {
+    return occasions == other.occasions
+        && failedTrials == other.failedTrials
+        && crashIds.size() == other.crashIds.size()
+        && lastCrashAt.equals(other.lastCrashAt);
   }
 }
--- a/src/main/java/org/wigeonstage/crash/PromptGuard.java
+++ b/src/main/java/org/wigeonstage/crash/PromptGuard.java
@@ -1,15 +1,14 @@
 package org.wigeonstage.crash;
 
 import com.google.common.collect.Comparators;
+import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -43,15 +42,31 @@
   /** A request that is held for long is not worth another try by its caller before this time. */
   private static final Duration LONG_RETRY_AFTER = Duration.ofSeconds(60);
 
+  /** The interval at which evidence that no longer counts is dropped. */
+  private static final Duration DROP_INTERVAL = Duration.ofSeconds(1);
+
+  /**
+   * The next search for parts follows no sooner than the last one's steps take at this rate, so
+   * that searches leave most of the processor time to requests, however many parts the evidence
+   * has.
+   */
+  static final long STEPS_PER_MILLI = 1000;
+
   private final HoldListener listener;
   private final CrashEvidence evidence = new CrashEvidence();
 
   /** Returns whether it is this gateway's turn, by a text that identifies the turn. */
   private Predicate<String> ownTurn = turn -> true;
 
-  private List<PartHold> holds = List.of();
+  private HoldIndex holds = HoldIndex.EMPTY;
   private final Map<Set<String>, Duration> heldSince = new HashMap<>();
   private @Nullable Duration lastTrialAt;
+
+  /** When the evidence changed for the first time since the last search, or null. */
+  private @Nullable Duration changedAt;
+
+  private Duration nextSearchAt = Duration.ZERO;
+  private Duration nextDropAt = Duration.ZERO;
   private Set<String> heldByOperator = Set.of();
   private Set<String> releasedByOperator = Set.of();
 
@@ -84,7 +99,7 @@
   public void applyOverrides(Set<String> held, Set<String> released, Duration now) {
     heldByOperator = Set.copyOf(held);
     releasedByOperator = Set.copyOf(released);
-    updateHolds(now);
+    search(now, now);
   }
 
   /**
@@ -96,6 +111,7 @@
    * @return the decision
    */
   public PromptAdmission decide(List<String> parts, String pool, Duration now) {
+    searchIfChanged(now);
     if (parts.isEmpty() || (holds.isEmpty() && heldByOperator.isEmpty())) {
       return PromptAdmission.ADMITTED;
     }
@@ -105,9 +121,8 @@
       return new PromptAdmission(
           PromptAdmission.Kind.HELD, Set.of(byOperator.get()), Set.of(), LONG_RETRY_AFTER);
     }
-    return holds.stream()
-        .filter(hold -> hold.appliesTo(promptParts, pool))
-        .findFirst()
+    return holds
+        .find(promptParts, pool)
         .map(hold -> decide(hold, promptParts, now))
         .orElse(PromptAdmission.ADMITTED);
   }
@@ -151,12 +166,8 @@
 
   /** Returns whether another part would leave it unclear what a trial has shown. */
   private boolean hasOtherSuspect(PartHold hold, Set<String> promptParts) {
-    Map<String, Long> crashCounts =
-        evidence.crashes().stream()
-            .flatMap(crash -> crash.suspects().stream())
-            .collect(Collectors.groupingBy(part -> part, Collectors.counting()));
     return promptParts.stream()
-        .anyMatch(part -> !hold.parts().contains(part) && crashCounts.getOrDefault(part, 0L) > 1);
+        .anyMatch(part -> !hold.parts().contains(part) && evidence.suspectCount(part) > 1);
   }
 
   /**
@@ -171,16 +182,15 @@
    */
   public boolean recordLoss(
       String serverRun, String pool, List<String> parts, boolean isTrial, Duration now) {
-    int countBefore = evidence.crashes().size();
     if (parts.isEmpty()) {
       return false;
     }
+    Set<String> known = evidence.crashIds();
     Optional<ServerCrash> crash = evidence.recordLoss(serverRun, pool, parts, isTrial, now);
-    boolean isNew = evidence.crashes().size() > countBefore;
     if (crash.isPresent()) {
-      updateHolds(now);
+      evidenceChanged(now);
     }
-    return isNew;
+    return crash.filter(changed -> !known.contains(changed.id())).isPresent();
   }
 
   /**
@@ -193,7 +203,7 @@
   public void recordResponse(List<String> parts, String pool, Duration now) {
     // Without holds, no part occurs often enough, and fewer suspects don't change that.
     if (!evidence.isEmpty() && evidence.clear(parts, pool) && !holds.isEmpty()) {
-      updateHolds(now);
+      evidenceChanged(now);
     }
   }
 
@@ -209,7 +219,7 @@
     if (evidence.isEmpty() || evidence.recordSignOfLife(serverRun, sentAt, now) == null) {
       return false;
     }
-    updateHolds(now);
+    evidenceChanged(now);
     return true;
   }
 
@@ -221,19 +231,15 @@
    * @return the IDs of crashes that were not known before
    */
   public Set<String> applyReports(List<CrashReport> reports, Duration now) {
-    Set<String> known = new HashSet<>();
-    evidence.crashes().forEach(crash -> known.add(crash.id()));
+    Set<String> known = evidence.crashIds();
     boolean changed = false;
     for (CrashReport report : reports) {
       changed |= evidence.merge(report, now);
     }
     if (changed) {
-      updateHolds(now);
+      evidenceChanged(now);
     }
-    return evidence.crashes().stream()
-        .map(ServerCrash::id)
-        .filter(id -> !known.contains(id))
-        .collect(Collectors.toSet());
+    return Set.copyOf(Sets.difference(evidence.crashIds(), known));
   }
 
   /**
@@ -253,7 +259,7 @@
    * @return the reports
    */
   public List<CrashReport> fullReports(Duration now) {
-    return evidence.fullReports(holds, now);
+    return evidence.fullReports(now);
   }
 
   /**
@@ -266,36 +272,58 @@
   }
 
   /**
-   * Drops evidence that no longer counts. To be called periodically.
+   * Drops evidence that no longer counts, and updates the holds. To be called periodically.
    *
    * @param now the current time
    */
   public void tick(Duration now) {
-    if (!evidence.isEmpty() && evidence.dropOld(holds, now)) {
-      updateHolds(now);
+    if (!evidence.isEmpty() && now.compareTo(nextDropAt) >= 0) {
+      nextDropAt = now.plus(DROP_INTERVAL);
+      if (evidence.dropOld(now)) {
+        evidenceChanged(now);
+      }
+    }
+    searchIfChanged(now);
+  }
+
+  private void evidenceChanged(Duration now) {
+    changedAt = changedAt == null ? now : changedAt;
+    searchIfChanged(now);
+  }
+
+  private void searchIfChanged(Duration now) {
+    Duration since = changedAt;
+    if (since != null && now.compareTo(nextSearchAt) >= 0) {
+      search(since, now);
     }
   }
 
-  private void updateHolds(Duration now) {
-    evidence.dropOld(holds, now);
-    Map<Set<String>, PartHold> before = byParts(holds);
+  /**
+   * Updates the holds.
+   *
+   * @param since when the evidence changed, which is when new holds begin
+   */
+  private void search(Duration since, Duration now) {
+    changedAt = null;
+    HoldSearch search = evidence.findHolds();
+    nextSearchAt = now.plusMillis(search.steps() / STEPS_PER_MILLI);
+    Map<Set<String>, PartHold> before = holds.byParts();
     holds =
-        HoldFinder.find(evidence.crashes()).stream()
-            .filter(hold -> hold.parts().stream().noneMatch(releasedByOperator::contains))
-            .toList();
-    Map<Set<String>, PartHold> after = byParts(holds);
+        new HoldIndex(
+            search.holds().stream()
+                .filter(hold -> hold.parts().stream().noneMatch(releasedByOperator::contains))
+                .toList());
+    Map<Set<String>, PartHold> after = holds.byParts();
     heldSince.keySet().retainAll(after.keySet());
-    after.keySet().forEach(parts -> heldSince.putIfAbsent(parts, now));
+    after.keySet().forEach(parts -> heldSince.putIfAbsent(parts, since));
     before.keySet().stream().filter(key -> !after.containsKey(key)).forEach(listener::released);
     after.forEach(
         (parts, hold) -> {
-          if (!hold.equals(before.get(parts))) {
+          PartHold previous = before.get(parts);
+          if (previous == null || !hold.hasSameEvidence(previous)) {
             listener.held(hold);
           }
         });
-  }
-
-  private static Map<Set<String>, PartHold> byParts(List<PartHold> holds) {
-    return holds.stream().collect(Collectors.toMap(PartHold::parts, hold -> hold));
+    listener.updated();
   }
 }
--- a/src/main/java/org/wigeonstage/crash/ServerCrash.java
+++ b/src/main/java/org/wigeonstage/crash/ServerCrash.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.crash;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -26,15 +27,22 @@
   private final Set<List<String>> victims = new LinkedHashSet<>();
   private final Set<String> cleared = new HashSet<>();
 
-  /** The parts of the victims that are not cleared. */
+  /** The parts of the victims that are not cleared; empty once the crash is refuted. */
   private final Set<String> suspects = new HashSet<>();
 
+  private final SuspectCounts suspectCounts;
   private int partCount;
 
-  ServerCrash(String id, String pool, Duration at) {
+  /**
+   * Creates a crash without victims.
+   *
+   * @param suspectCounts counts the suspects of this crash until {@link #removeSuspects}
+   */
+  ServerCrash(String id, String pool, Duration at, SuspectCounts suspectCounts) {
     this.id = id;
     this.pool = pool;
     this.at = at;
+    this.suspectCounts = suspectCounts;
   }
 
   String id() {
@@ -66,25 +74,45 @@
       return changed;
     }
     partCount += bounded.size();
-    bounded.stream().filter(part -> !cleared.contains(part)).forEach(suspects::add);
-    while (partCount > MAX_PARTS) {
+    bounded.forEach(this::addSuspect);
+    if (partCount > MAX_PARTS) {
       dropLargestVictim();
     }
     return changed || victims.contains(bounded);
   }
 
+  private void addSuspect(String part) {
+    if (!refuted && !cleared.contains(part) && suspects.add(part)) {
+      suspectCounts.increment(part);
+    }
+  }
+
+  private boolean removeSuspect(String part) {
+    boolean wasSuspect = suspects.remove(part);
+    if (wasSuspect) {
+      suspectCounts.decrement(part);
+    }
+    return wasSuspect;
+  }
+
+  /** Drops all suspects, also before the crash is forgotten. */
+  void removeSuspects() {
+    suspects.forEach(suspectCounts::decrement);
+    suspects.clear();
+  }
+
   private void dropLargestVictim() {
     List<String> largest = Collections.max(victims, Comparator.comparingInt(List::size));
     victims.remove(largest);
     partCount -= largest.size();
-    suspects.clear();
-    victims.forEach(suspects::addAll);
-    suspects.removeAll(cleared);
+    Set<String> remaining = new HashSet<>();
+    victims.forEach(remaining::addAll);
+    largest.stream().filter(part -> !remaining.contains(part)).forEach(this::removeSuspect);
   }
 
   /** Clears a part; returns whether it was a suspect. */
   boolean clear(String part) {
-    boolean wasSuspect = suspects.remove(part);
+    boolean wasSuspect = removeSuspect(part);
     if (wasSuspect) {
       cleared.add(part);
     }
@@ -95,23 +123,22 @@
   boolean refute() {
     boolean changed = !refuted;
     refuted = true;
+    removeSuspects();
     return changed;
   }
 
-  /** Returns whether one of the victims had all the parts, and none of them has been cleared. */
-  boolean hasSuspects(Set<String> parts) {
-    return suspects().containsAll(parts)
-        && (parts.size() == 1 || victims.stream().anyMatch(victim -> victim.containsAll(parts)));
+  Set<List<String>> victims() {
+    return victims;
   }
 
   /** Returns the parts that may have caused the crash. */
   Set<String> suspects() {
-    return refuted ? Set.of() : suspects;
+    return suspects;
   }
 
   /** Returns whether no part can have caused the crash. */
   boolean isResolved() {
-    return suspects().isEmpty();
+    return suspects.isEmpty();
   }
 
   /** Merges the observations of another gateway; returns whether this changed anything. */
@@ -125,7 +152,7 @@
     for (String part : report.cleared()) {
       // The victims with this part may be reported later, by another gateway.
       if (cleared.size() < MAX_PARTS) {
-        changed |= cleared.add(part) & suspects.remove(part);
+        changed |= cleared.add(part) & removeSuspect(part);
       }
     }
     return changed;
@@ -133,11 +160,12 @@
 
   /** Returns a report of everything that is known. */
   CrashReport report(Duration now) {
-    return report(List.copyOf(victims), cleared, now);
+    return report(victims, cleared, now);
   }
 
-  /** Returns a report with only some of the victims and of the cleared parts. */
-  CrashReport report(List<List<String>> someVictims, Set<String> someCleared, Duration now) {
-    return new CrashReport(id, pool, now.minus(at), refuted, trial, someVictims, someCleared);
+  /** Returns a report with only some of the victims, if they still count, and cleared parts. */
+  CrashReport report(Collection<List<String>> someVictims, Set<String> someCleared, Duration now) {
+    List<List<String>> reported = someVictims.stream().filter(victims::contains).toList();
+    return new CrashReport(id, pool, now.minus(at), refuted, trial, reported, someCleared);
   }
 }
--- a/src/main/java/org/wigeonstage/gateway/CallerRequestHandler.java
+++ b/src/main/java/org/wigeonstage/gateway/CallerRequestHandler.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.wigeonstage.forward.RequestFields;
 import org.wigeonstage.http.RequestHandler;
 import org.wigeonstage.http.ServerExchange;
 import org.wigeonstage.telemetry.DecisionLog;
@@ -62,16 +63,13 @@
 
   @Override
   public void handle(ServerExchange exchange) {
-    core.withLock(() -> receive(exchange));
+    RequestFields fields = core.headerCodec().decodeRequest(exchange.fields());
+    core.withLock(() -> receive(exchange, fields));
   }
 
-  private void receive(ServerExchange exchange) {
+  private void receive(ServerExchange exchange, RequestFields fields) {
     InboundRequest request =
-        new InboundRequest(
-            exchange,
-            core.headerCodec().decodeRequest(exchange.fields()),
-            readLag.estimatedArrival(),
-            core.now());
+        new InboundRequest(exchange, fields, readLag.estimatedArrival(), core.now());
     exchange.onDisconnect(request::markDisconnected);
     readLag.recordRequest(exchange::afterPendingReads);
     undecided.add(request);
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.gateway;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.base.Suppliers;
 import com.google.common.io.Closer;
 import java.io.Closeable;
 import java.io.IOException;
@@ -13,6 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
 import org.wigeonstage.common.ControlExecutors;
 import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.common.WigeonstageException;
@@ -199,7 +201,9 @@
 
   /** Sends own observations of crashes at once, and at times all that are known. */
   private void sendCrashReports(Duration now) {
-    List<CrashReport> changes = core.promptHolds().takeOwnChanges();
+    List<EncodedMessage> changes = encoded(core.promptHolds().takeOwnChanges());
+    Supplier<List<EncodedMessage>> fullReports =
+        Suppliers.memoize(() -> encoded(core.promptHolds().fullReports()));
     boolean mustRepeat = now.compareTo(crashReportsRepeatAt) >= 0;
     if (mustRepeat) {
       crashReportsRepeatAt = now.plus(CRASH_REPORT_INTERVAL);
@@ -209,15 +213,15 @@
       if (link != null && link.peerHello().configVersion() >= Message.CRASH_REPORTS) {
         if (mustRepeat || peer.crashReportLink != link) {
           peer.crashReportLink = link;
-          send(core.promptHolds().fullReports(), link);
+          fullReports.get().forEach(link::send);
         }
-        send(changes, link);
+        changes.forEach(link::send);
       }
     }
   }
 
-  private static void send(List<CrashReport> reports, Link link) {
-    reports.forEach(report -> link.send(new Message.Crash(report)));
+  private static List<EncodedMessage> encoded(List<CrashReport> reports) {
+    return reports.stream().map(report -> EncodedMessage.of(new Message.Crash(report))).toList();
   }
 
   /** Sends own observations of leaving servers at once, and on a new link all that are known. */
--- a/src/main/java/org/wigeonstage/gateway/PendingResumptions.java
+++ b/src/main/java/org/wigeonstage/gateway/PendingResumptions.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import org.wigeonstage.placement.RefusalReason;
 
 /**
@@ -20,7 +22,7 @@
           .thenComparing(request -> request.placement().startBy());
 
   private final GatewayCore core;
-  private final List<ForwardedRequest> waiting = new ArrayList<>();
+  private final Set<ForwardedRequest> waiting = new LinkedHashSet<>();
 
   PendingResumptions(GatewayCore core) {
     this.core = core;
--- a/src/main/java/org/wigeonstage/gateway/PromptHolds.java
+++ b/src/main/java/org/wigeonstage/gateway/PromptHolds.java
@@ -24,7 +24,7 @@
   /** The source of crashes that this gateway has observed itself. */
   private static final String OWN = "own";
 
-  /** A line names at most this many parts or crashes. */
+  /** A line names at most this many parts or crashes, and a change has at most as many lines. */
   private static final int MAX_LOGGED = 16;
 
   private final MonotonicClock clock;
@@ -33,6 +33,11 @@
   private final PromptGuard guard = new PromptGuard(this);
   private volatile int holdCount;
 
+  /** What the guard has changed since {@link #updated} was last called. */
+  private int changeCount;
+
+  private boolean hasNewHolds;
+
   /**
    * Creates an object without holds.
    *
@@ -127,26 +132,42 @@
 
   @Override
   public void held(PartHold hold) {
-    holdCount = guard.holdCount();
-    DecisionLog.write(
-        "prompt-held",
-        "parts",
-        text(hold.parts()),
-        "pools",
-        text(hold.pools()),
-        "crashes",
-        text(hold.crashIds()),
-        "occasions",
-        hold.occasions(),
-        "failedTrials",
-        hold.failedTrials());
-    onHeld.run();
+    hasNewHolds = true;
+    if (changeCount++ < MAX_LOGGED) {
+      DecisionLog.write(
+          "prompt-held",
+          "parts",
+          text(hold.parts()),
+          "pools",
+          text(hold.pools()),
+          "crashes",
+          text(hold.crashIds()),
+          "occasions",
+          hold.occasions(),
+          "failedTrials",
+          hold.failedTrials());
+    }
   }
 
   @Override
   public void released(Set<String> parts) {
+    if (changeCount++ < MAX_LOGGED) {
+      DecisionLog.write("prompt-released", "parts", text(parts));
+    }
+  }
+
+  @Override
+  public void updated() {
     holdCount = guard.holdCount();
-    DecisionLog.write("prompt-released", "parts", text(parts));
+    if (changeCount > MAX_LOGGED) {
+      DecisionLog.write("prompt-holds-changed", "notLogged", changeCount - MAX_LOGGED);
+    }
+    boolean mustCheckRequests = hasNewHolds;
+    changeCount = 0;
+    hasNewHolds = false;
+    if (mustCheckRequests) {
+      onHeld.run();
+    }
   }
 
   /** Returns the first texts, separated by commas. */
--- a/src/test/java/org/wigeonstage/crash/PromptGuardTest.java
+++ b/src/test/java/org/wigeonstage/crash/PromptGuardTest.java
@@ -27,6 +27,7 @@
   private static final class RecordingListener implements HoldListener {
     private final List<Set<String>> held = new ArrayList<>();
     private final List<Set<String>> released = new ArrayList<>();
+    private int updateCount;
 
     @Override
     public void held(PartHold hold) {
@@ -37,6 +38,11 @@
     public void released(Set<String> parts) {
       released.add(parts);
     }
+
+    @Override
+    public void updated() {
+      updateCount++;
+    }
   }
 
   private void pass(Duration time) {
@@ -294,6 +300,31 @@
     assertThat(decide("bad")).isEqualTo(HELD);
   }
 
+  /** Guards against gateways that stop responding while they search long prompts. */
+  @Test
+  void searchesFollowNoFasterThanTheirStepsAllow() {
+    List<String> document = new ArrayList<>();
+    for (int part = 0; part < ServerCrash.MAX_PARTS / 2; part++) {
+      document.add("document-" + part);
+    }
+    for (int i = 0; i < CrashEvidence.MAX_CRASHES; i++) {
+      crash(document, List.of("victim-" + i));
+    }
+    pass(Duration.ofSeconds(1));
+    int updatesBefore = listener.updateCount;
+    Duration length = Duration.ofSeconds(2);
+    for (int milli = 0; milli < length.toMillis(); milli++) {
+      pass(Duration.ofMillis(1));
+      guard.recordResponse(List.of("victim-" + milli % CrashEvidence.MAX_CRASHES), POOL, now);
+      guard.recordLoss("run-x" + milli % 2, POOL, List.of("late-" + milli), false, now);
+      guard.decide(document, POOL, now);
+    }
+    long leastSteps = (long) (CrashEvidence.MAX_CRASHES - 2) * document.size();
+    long allowed = length.toMillis() * PromptGuard.STEPS_PER_MILLI / leastSteps + 1;
+    assertThat((long) listener.updateCount - updatesBefore).isBetween(1L, allowed);
+    assertThat(guard.decide(document, POOL, now).kind()).isNotEqualTo(ADMITTED);
+  }
+
   @Test
   void crashesWithoutHoldCountForTenMinutes() {
     crash(GUILTY);
--- a/src/test/java/org/wigeonstage/gateway/CrashingPromptIT.java
+++ b/src/test/java/org/wigeonstage/gateway/CrashingPromptIT.java
@@ -14,6 +14,9 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -40,6 +43,17 @@
   private static final Duration LENGTH = Duration.ofSeconds(9);
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+  /** The number of parts that fit into the head of a request. */
+  private static final int SHARED_PARTS = 1150;
+
+  /** The number of crashes after which a part can be held. */
+  private static final int HOLD_AFTER = 3;
+
+  /**
+   * The deadline of a request, and the half of a second in which its final response must follow.
+   */
+  private static final Duration MAX_TIME = Duration.ofMillis(1500);
+
   private final ExecutorService callers = Executors.newCachedThreadPool();
   private final List<GatewayProcess> gateways = new ArrayList<>();
   private final List<Instant> crashTimes = new CopyOnWriteArrayList<>();
@@ -207,6 +221,43 @@
     assertThat(crashTimes).hasSizeLessThanOrEqualTo(crashesBefore + 1);
   }
 
+  /** Guards against a gateway that responds to nobody while it searches long prompts. */
+  @Test
+  void requestsAreAnsweredWhilePromptsWithManySharedPartsCrashServers() throws Exception {
+    start(2, "p0");
+    String document =
+        IntStream.range(0, SHARED_PARTS)
+            .mapToObj(i -> "p" + Integer.toString(i, Character.MAX_RADIX) + ":1")
+            .collect(Collectors.joining(","));
+    List<Duration> durations = new CopyOnWriteArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      if (i % 10 == 0) {
+        send("stream", document, false);
+      }
+      String id = "short-" + i;
+      GatewayProcess gateway = gateways.get(i % gateways.size());
+      callers.execute(() -> durations.add(timeOf(gateway, id)));
+      Thread.sleep(INTERVAL.toMillis() / 4);
+      superviseServers();
+    }
+    callers.shutdown();
+    assertThat(callers.awaitTermination(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(crashTimes).hasSizeGreaterThanOrEqualTo(HOLD_AFTER);
+    assertThat(durations).hasSize(100).allMatch(duration -> duration.compareTo(MAX_TIME) < 0);
+  }
+
+  /** Returns how long a request with a deadline of one second takes, whatever its response is. */
+  private static Duration timeOf(GatewayProcess gateway, String id) {
+    Instant sentAt = Instant.now();
+    try (Socket socket =
+        GatewayFixture.send(gateway, "status", id, "Deadline-Ms: 1000\r\nConnection: close\r\n")) {
+      GatewayFixture.readResponse(socket);
+      return Duration.between(sentAt, Instant.now());
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   @Test
   void operatorsHoldAndReleasePartsWithoutARestart() throws Exception {
     start(1, "");
