Pass on only events that can follow those a stream has sent

Cause: what was framed correctly was believed. A gateway split a stream at blank lines, took an ID where there was one, also one that went back, and passed everything on.

EventValidator now checks each event before it is sent: known fields, one whole-number ID, greater than the one before. An invalid event ends the attempt; a resumable stream goes on after its last sound event at another server, others are broken off. It counts for no part of a prompt, and is logged by request, server and defect.

UnwillingServerIT now awaits the log line that it asserts, which is written after the response.

--- a/src/main/java/org/wigeonstage/forward/HeaderCodec.java
+++ b/src/main/java/org/wigeonstage/forward/HeaderCodec.java
@@ -29,4 +29,13 @@
    * @return the decoded values
    */
   ResponseFields decodeResponse(HeaderFields fields);
+
+  /**
+   * Returns whether a line is a header field that a backend server repeats in a stream, before the
+   * fields of an event.
+   *
+   * @param line the line, without its end
+   * @return whether it is such a field with a valid value
+   */
+  boolean isRepeatedField(String line);
 }
--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -5,6 +5,7 @@
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.forward.AttemptFailure;
+import org.wigeonstage.forward.EventDefect;
 import org.wigeonstage.forward.ResponseFields;
 import org.wigeonstage.http.ClientExchange;
 import org.wigeonstage.http.OutboundCall;
@@ -170,6 +171,18 @@
     }
   }
 
+  /** Logs that the server has sent an event that can't be part of the stream. */
+  void recordInvalidEvent(EventDefect defect, int length) {
+    request
+        .log()
+        .addEntry("invalid-event")
+        .put("server", server.id())
+        .put("defect", defect.name())
+        .put("bytes", length)
+        .markNotable();
+    core.count("servers.invalidEvents");
+  }
+
   /** Returns whether the server has not continued the response past its beginning. */
   boolean isAtBeginning() {
     return eventCount < BEGINNING_EVENTS;
--- a/src/main/java/org/wigeonstage/gateway/CallerResponse.java
+++ b/src/main/java/org/wigeonstage/gateway/CallerResponse.java
@@ -4,7 +4,9 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.wigeonstage.forward.EventDefect;
 import org.wigeonstage.forward.EventSplitter;
+import org.wigeonstage.forward.EventValidator;
 import org.wigeonstage.http.ResponseHead;
 import org.wigeonstage.http.ServerExchange;
 import org.wigeonstage.request.HeaderFields;
@@ -23,6 +25,7 @@
   private final ServerExchange exchange;
   private final Route route;
   private final StreamProgress progress;
+  private final EventValidator validator;
   private final EventSplitter splitter = new EventSplitter();
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private HeaderFields fields = HeaderFields.NONE;
@@ -35,6 +38,7 @@
     this.exchange = inbound.exchange();
     this.route = inbound.route();
     this.progress = new StreamProgress(inbound.fields().lastEventId());
+    this.validator = new EventValidator(core.headerCodec()::isRepeatedField);
   }
 
   /** Returns whether part of the response has been sent to the caller. */
@@ -71,16 +75,22 @@
    * Buffers or sends part of the body.
    *
    * @param isFirstAttempt whether no earlier attempt can have started the response
-   * @return false if the part is invalid because its event is too long
+   * @return false if the part is invalid; what precedes the invalid event is sent
    */
   boolean applyData(ResponseHead head, byte[] data, Attempt source, boolean isFirstAttempt) {
     if (isStream) {
       for (EventSplitter.Event event : splitter.feed(data)) {
+        Optional<EventDefect> defect = validator.defectOf(event, progress.lastEventId());
+        if (defect.isPresent()) {
+          source.recordInvalidEvent(defect.get(), event.bytes().length);
+          return false;
+        }
         progress.recordEvent(event, core.now());
         source.recordEvent();
         write(head, event.bytes(), isFirstAttempt);
       }
       if (splitter.isTooLong()) {
+        source.recordInvalidEvent(EventDefect.TOO_LONG, EventSplitter.MAX_EVENT_BYTES);
         return false;
       }
     } else if (started) {
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -168,7 +168,7 @@
     response.applyHead(newHead, fields.forwardedFields());
     source.recordHead(core.now(), newHead, fields);
     if (fields.closesConnection()) {
-      core.recordClosingServer(source.server());
+      core.count("servers.closing");
     }
     Optional<AttemptFailure> failure = classifyOrAcquireRetry(source, newHead, fields);
     if (failure.isPresent()) {
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -239,9 +239,9 @@
     pool(request.poolName()).endAttempt(request.placement(), server.id(), result, now());
   }
 
-  /** Counts a response after which its server closes the connection. */
-  void recordClosingServer(BackendServer server) {
-    metrics.counter("servers.closing").inc();
+  /** Increments a counter of what servers send. */
+  void count(String counter) {
+    metrics.counter(counter).inc();
   }
 
   /** Acquires a retry from the pool's budget; returns whether the budget allowed one. */
--- a/src/main/java/org/wigeonstage/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformHeaderCodec.java
@@ -34,6 +34,10 @@
   private static final String LEAVING = "Server-Leaving";
 
   private static final String LENGTH_HINT = "Length-Hint";
+
+  /** The version of a model's weights; repeated in lower case by an event at which it changes. */
+  private static final String WEIGHTS_VERSION = "weight-versions:";
+
   private static final String LAST_EVENT_ID = "Last-Event-Id";
 
   /** The tokens of the prompt, a comma, and the maximum number of tokens to generate. */
@@ -142,6 +146,12 @@
         withoutHopByHop(fields));
   }
 
+  @Override
+  public boolean isRepeatedField(String line) {
+    return line.startsWith(WEIGHTS_VERSION)
+        && WholeNumber.parse(line.substring(WEIGHTS_VERSION.length()).trim()).isPresent();
+  }
+
   private static boolean announcesLeaving(HeaderFields fields) {
     return fields.fields().stream()
         .filter(field -> field.name().equalsIgnoreCase(LEAVING))
--- a/src/test/java/org/wigeonstage/gateway/ScriptedServer.java
+++ b/src/test/java/org/wigeonstage/gateway/ScriptedServer.java
@@ -11,6 +11,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.wigeonstage.http.Endpoint;
 
@@ -35,6 +38,7 @@
       new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
   private final List<Socket> sockets = new CopyOnWriteArrayList<>();
   private final List<String> receivedIds = new CopyOnWriteArrayList<>();
+  private final Map<String, Integer> lastEventIds = new ConcurrentHashMap<>();
   private final Script script;
   private final Ending ending;
 
@@ -103,6 +107,11 @@
     return receivedIds.stream().filter(id::equals).count();
   }
 
+  /** Returns the event after which a request was last asked to resume. */
+  Optional<Integer> lastEventId(String id) {
+    return Optional.ofNullable(lastEventIds.get(id));
+  }
+
   int connectionCount() {
     return sockets.size();
   }
@@ -173,14 +182,17 @@
   }
 
   /** Reads a request, and returns its ID. */
-  private static String readRequest(BufferedReader input) throws IOException {
+  private String readRequest(BufferedReader input) throws IOException {
     String id = "";
+    Integer lastEventId = null;
     int length = 0;
     String line = input.readLine();
     while (line != null && !line.isEmpty()) {
       String[] nameAndValue = line.split(":", 2);
       if (nameAndValue[0].equalsIgnoreCase("Attempt-Id")) {
         id = nameAndValue[1].trim();
+      } else if (nameAndValue[0].equalsIgnoreCase("Last-Event-Id")) {
+        lastEventId = Integer.valueOf(nameAndValue[1].trim());
       } else if (nameAndValue[0].equalsIgnoreCase("Content-Length")) {
         length = Integer.parseInt(nameAndValue[1].trim());
       }
@@ -189,6 +201,9 @@
     if (line == null || input.skip(length) < length) {
       throw new IOException("the connection has ended");
     }
+    if (lastEventId != null) {
+      lastEventIds.put(id, lastEventId);
+    }
     return id;
   }
 
--- a/src/test/java/org/wigeonstage/gateway/UnwillingServerIT.java
+++ b/src/test/java/org/wigeonstage/gateway/UnwillingServerIT.java
@@ -122,8 +122,14 @@
     assertThat(decisions.linesOf("server-leaving"))
         .anyMatch(line -> line.contains("\"source\":\"own\""));
     fixture.request("status", FAILING, Duration.ofMillis(100));
-    assertThat(decisions.linesOf("placed"))
-        .anyMatch(line -> line.contains(FAILING) && line.contains("\"leftOut\":\"unwilling\""));
+    assertThat(
+            Polling.await(
+                () ->
+                    decisions.linesOf("placed").stream()
+                        .filter(line -> line.contains(FAILING))
+                        .anyMatch(line -> line.contains("\"leftOut\":\"unwilling\"")),
+                TIMEOUT))
+        .isTrue();
   }
 
   @Test
