Write Grizzly's exception records at most once in 10 s for each kind

Each broken frame of a server wrote warnings with an exception (GRIZZLY0013), as many as the server sent. The lines of the request already name server and cause. RepeatedRecordFilterTest shows the bound.

--- a/src/main/java/org/wigeonstage/telemetry/LogSetup.java
+++ b/src/main/java/org/wigeonstage/telemetry/LogSetup.java
@@ -11,6 +11,7 @@
 import java.util.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.Json;
+import org.wigeonstage.common.MonotonicClock;
 
 /** Configures logging to standard error or output, as JSON lines or as text for a terminal. */
 public final class LogSetup {
@@ -18,6 +19,10 @@
   /** The log manager refers to loggers weakly; without this reference, the level would be lost. */
   private static final Logger GRIZZLY_LOGGER = Logger.getLogger("org.glassfish.grizzly");
 
+  /** Logs each exception in a filter; the filters report what concerns a request themselves. */
+  private static final Logger FILTER_CHAIN_LOGGER =
+      Logger.getLogger("org.glassfish.grizzly.filterchain.DefaultFilterChain");
+
   /** The name of the logger whose messages already are JSON objects. */
   private static final String DECISION_LOGGER_NAME = DecisionLog.class.getName();
 
@@ -59,6 +64,7 @@
     handler.setLevel(Level.INFO);
     root.addHandler(handler);
     GRIZZLY_LOGGER.setLevel(Level.WARNING);
+    FILTER_CHAIN_LOGGER.setFilter(new RepeatedRecordFilter(MonotonicClock.system()));
   }
 
   private static boolean isJson(String format) {
