Take no server out for a version that a caller requires

Two requests with Required-Version took all servers of a service out at a gateway for 25 s: a 421 was taken for the word of another server at the address, also where it answered to the caller's version. Such a 421 now says nothing about the server.

--- a/src/main/java/org/wigeonstage/forward/RequestFields.java
+++ b/src/main/java/org/wigeonstage/forward/RequestFields.java
@@ -22,6 +22,7 @@
  * @param sharedPromptParts identifies the parts of the prompt that other requests may share, in
  *     order: all but the last one, which belongs to the request or its session
  * @param lastEventId the ID of the last event that the caller received of a stream that it resumes
+ * @param requiresVersion whether only servers with a certain version may run the request
  * @param forwardedFields the header fields that are forwarded to the backend server unchanged
  */
 public record RequestFields(
@@ -34,6 +35,7 @@
     long declaredTokens,
     List<String> sharedPromptParts,
     OptionalLong lastEventId,
+    boolean requiresVersion,
     HeaderFields forwardedFields) {
 
   /** Copies the list. */
--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -68,12 +68,16 @@
     this.activeTimeAtLastData = activeTimeAtStart;
   }
 
-  /** Returns what the failure of an attempt says about its server. */
-  static AttemptResult resultOf(AttemptFailure failure) {
+  /** Returns what the failure of the attempt says about its server. */
+  AttemptResult resultOf(AttemptFailure failure) {
     return switch (failure) {
       case NOT_SENT, LOST -> AttemptResult.UNREACHABLE;
       case TIMED_OUT -> AttemptResult.NEUTRAL;
-      case MISDIRECTED -> AttemptResult.REPLACED;
+      // A server also responds so to a version that the caller has chosen.
+      case MISDIRECTED ->
+          request.inbound().fields().requiresVersion()
+              ? AttemptResult.NEUTRAL
+              : AttemptResult.REPLACED;
       case DECLINED -> AttemptResult.DECLINED;
       case INVALID, FAILED, CUT -> AttemptResult.FAILED;
     };
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -172,7 +172,7 @@
     }
     Optional<AttemptFailure> failure = classifyOrAcquireRetry(source, newHead, fields);
     if (failure.isPresent()) {
-      endAttempt(source, failure.get(), Attempt.resultOf(failure.get()));
+      endAttempt(source, failure.get(), source.resultOf(failure.get()));
     }
   }
 
@@ -203,7 +203,7 @@
     }
     source.recordData(core.now());
     if (!response.applyData(current, data, source, attempts.count() == 1)) {
-      endAttempt(source, AttemptFailure.INVALID, Attempt.resultOf(AttemptFailure.INVALID));
+      endAttempt(source, AttemptFailure.INVALID, source.resultOf(AttemptFailure.INVALID));
     }
   }
 
@@ -225,7 +225,7 @@
       if (!current.isFramed()) {
         recordLoss(source);
       }
-      endAttempt(source, AttemptFailure.CUT, Attempt.resultOf(AttemptFailure.CUT));
+      endAttempt(source, AttemptFailure.CUT, source.resultOf(AttemptFailure.CUT));
       return;
     }
     boolean isError = ResponseClassifier.isServerError(current);
@@ -254,7 +254,7 @@
     if (wasSent) {
       recordLoss(source);
     }
-    endAttempt(source, failure, Attempt.resultOf(failure));
+    endAttempt(source, failure, source.resultOf(failure));
   }
 
   /** Records that the connection has ended, perhaps because the prompt crashed the server. */
--- a/src/main/java/org/wigeonstage/platform/PlatformHeaderCodec.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformHeaderCodec.java
@@ -33,6 +33,9 @@
   /** A positive number states that the server is shutting down; anything else is ignored. */
   private static final String LEAVING = "Server-Leaving";
 
+  /** The version of the model's weights that a server must have; others decline the request. */
+  private static final String REQUIRED_VERSION = "Required-Version";
+
   private static final String LENGTH_HINT = "Length-Hint";
 
   /** The version of a model's weights; repeated in lower case by an event at which it changes. */
@@ -100,6 +103,7 @@
         hasTokenCounts ? tokenCounts.get(0) + tokenCounts.get(1) : -1,
         sharedPartsOf(fields.first(PROMPT_PARTS).orElse("")),
         parseNumber(fields, LAST_EVENT_ID),
+        fields.first(REQUIRED_VERSION).isPresent(),
         withoutHopByHop(fields).without(RESERVED_FIELDS::contains));
   }
 
