--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -71,7 +71,8 @@
   /** Returns what the failure of the attempt says about its server. */
   AttemptResult resultOf(AttemptFailure failure) {
     return switch (failure) {
-      case NOT_SENT, LOST -> AttemptResult.UNREACHABLE;
+      case NOT_SENT -> AttemptResult.NOT_CONNECTED;
+      case LOST -> AttemptResult.UNREACHABLE;
       case TIMED_OUT -> AttemptResult.NEUTRAL;
       // A server also responds so to a version that the caller has chosen.
       case MISDIRECTED ->
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -372,7 +372,7 @@
       return;
     }
     if (current.cancelIfUnsent()) {
-      endAttempt(current, AttemptFailure.NOT_SENT, AttemptResult.UNREACHABLE);
+      endAttempt(current, AttemptFailure.NOT_SENT, AttemptResult.NOT_CONNECTED);
       return;
     }
     boolean isAlreadySuspect = current.hasMarkedServerSuspect(); // an attempt marks it once
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -233,7 +233,7 @@
 
   /** Reports the result of an attempt to the scheduler, which frees the attempt's slot. */
   void endAttempt(ForwardedRequest request, BackendServer server, AttemptResult result) {
-    if (result == AttemptResult.UNREACHABLE) {
+    if (result == AttemptResult.UNREACHABLE || result == AttemptResult.NOT_CONNECTED) {
       client.closeIdle(server.address());
     }
     pool(request.poolName()).endAttempt(request.placement(), server.id(), result, now());
--- a/src/main/java/org/wigeonstage/placement/AttemptResult.java
+++ b/src/main/java/org/wigeonstage/placement/AttemptResult.java
@@ -14,8 +14,13 @@
   /** Another server responded at the server's address, so the attempt was misdirected. */
   REPLACED,
   /**
-   * The server could not be reached, closed the connection before the head of a response, or became
-   * unresponsive; it becomes suspect.
+   * No connection to the server could be established; it becomes suspect, and is tried by one
+   * request at a time after a pause.
+   */
+  NOT_CONNECTED,
+  /**
+   * The server closed the connection before the head of a response, or became unresponsive; it
+   * becomes suspect.
    */
   UNREACHABLE,
   /** The attempt ended for a reason that says nothing about the server. */
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -229,8 +229,9 @@
             state -> {
               state.recordEnd(request);
               switch (result) {
+                case NOT_CONNECTED -> state.recordConnectFailure(now);
                 case SERVED -> state.recordSuccess();
-                case FAILED -> state.recordFailure();
+                case FAILED -> state.recordFailedResponse();
                 case UNREACHABLE -> state.markSuspect(now);
                 case DECLINED -> state.recordDecline(now);
                 case REPLACED -> state.markReplaced();
@@ -443,7 +444,7 @@
     int freeSlots = 0;
     for (ServerState state : servers.values()) {
       int free = state.freeSlots(routeRank);
-      if (free > 0 && !state.isDeclining(now) && (allSuspect || !state.isSuspect(now))) {
+      if (free > 0 && !state.isAvoided(now) && (allSuspect || !state.isSuspect(now))) {
         freeSlots += free;
         available.add(state);
       }
--- a/src/main/java/org/wigeonstage/placement/ServerState.java
+++ b/src/main/java/org/wigeonstage/placement/ServerState.java
@@ -62,9 +62,11 @@
   private double failureRate;
   private int consecutiveSuspicions;
   private int consecutiveDeclines;
+  private int consecutiveConnectFailures;
   private boolean isReplaced;
   private Duration suspectUntil = Duration.ZERO;
   private Duration decliningUntil = Duration.ZERO;
+  private Duration pausedUntil = Duration.ZERO;
 
   ServerState(BackendServer server, SchedulingLimits limits) {
     this.server = server;
@@ -101,6 +103,7 @@
     firstPartMillis += SMOOTHING_FACTOR * (Math.max(withoutPrefillMillis, 0) - firstPartMillis);
     consecutiveSuspicions = 0;
     consecutiveDeclines = 0;
+    consecutiveConnectFailures = 0;
   }
 
   void recordEventGap(double millis) {
@@ -119,12 +122,18 @@
   }
 
   void recordSuccess() {
+    consecutiveConnectFailures = 0;
     failureRate -= SMOOTHING_FACTOR * failureRate;
     consecutiveSuspicions = 0;
     consecutiveDeclines = 0;
   }
 
-  void recordFailure() {
+  void recordFailedResponse() {
+    consecutiveConnectFailures = 0;
+    recordFailure();
+  }
+
+  private void recordFailure() {
     failureRate += FAILURE_SMOOTHING_FACTOR * (1 - failureRate);
   }
 
@@ -148,11 +157,29 @@
 
   /** Records that the server declined a request, and avoids it for a backoff. */
   void recordDecline(Duration now) {
+    consecutiveConnectFailures = 0;
     recordFailure();
     decliningUntil = now.plus(backoff(limits.declineBackoff(), consecutiveDeclines));
     consecutiveDeclines++;
   }
 
+  /**
+   * Records that no connection could be established, and avoids the server for a pause. The failure
+   * of several attempts at once counts once.
+   */
+  void recordConnectFailure(Duration now) {
+    markSuspect(now);
+    if (!isPaused(now)) {
+      Duration pause = backoff(limits.declineBackoff(), consecutiveConnectFailures);
+      pausedUntil = now.plus(Comparators.min(pause, limits.suspectBackoff()));
+      consecutiveConnectFailures++;
+    }
+  }
+
+  private boolean isPaused(Duration now) {
+    return now.compareTo(pausedUntil) < 0;
+  }
+
   /** Returns a backoff that doubles with each previous occurrence, up to the longest one. */
   private Duration backoff(Duration initial, int previousOccurrences) {
     Duration doubled = initial.multipliedBy(1L << Math.min(previousOccurrences, MAX_DOUBLINGS));
@@ -170,9 +197,14 @@
     return !server.isLeaving() && !isReplaced;
   }
 
-  /** Returns whether the server is avoided because it recently declined a request. */
-  boolean isDeclining(Duration now) {
-    return now.compareTo(decliningUntil) < 0;
+  /** Returns whether no request may be sent to the server, also if no other one is available. */
+  boolean isAvoided(Duration now) {
+    return now.compareTo(decliningUntil) < 0 || isPaused(now) || isBeingTried();
+  }
+
+  /** Returns whether a request tries a server to which no connection could be established. */
+  private boolean isBeingTried() {
+    return consecutiveConnectFailures > 0 && firstPartArrivedByRequest.containsValue(Boolean.FALSE);
   }
 
   /** Returns whether the server is avoided because it recently failed to respond. */
