--- a/src/main/java/org/wigeonstage/forward/EventSplitter.java
+++ b/src/main/java/org/wigeonstage/forward/EventSplitter.java
@@ -23,6 +23,9 @@
   private static final int INITIAL_CAPACITY_BYTES = 512;
   private static final String ID_FIELD = "id:";
 
+  /** The end of a line within an event. */
+  static final Pattern LINE_END = Pattern.compile("\r?\n");
+
   private byte[] buffer = new byte[INITIAL_CAPACITY_BYTES];
   private int length;
   private int scanPosition;
