--- a/src/main/java/org/wigeonstage/forward/EventSplitter.java
+++ b/src/main/java/org/wigeonstage/forward/EventSplitter.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.regex.Pattern;
 import org.wigeonstage.common.WholeNumber;
 
 /**
@@ -117,7 +118,7 @@
 
   private static Event parse(byte[] bytes) {
     String text = new String(bytes, StandardCharsets.ISO_8859_1);
-    for (String line : text.split("\r?\n", -1)) {
+    for (String line : LINE_END.split(text, -1)) {
       if (line.startsWith(ID_FIELD)) {
         return new Event(bytes, WholeNumber.parse(line.substring(ID_FIELD.length()).trim()));
       }
--- a/src/main/java/org/wigeonstage/forward/EventValidator.java
+++ b/src/main/java/org/wigeonstage/forward/EventValidator.java
@@ -43,7 +43,7 @@
     int idCount = 0;
     boolean needsId = false;
     boolean isFirst = true;
-    for (String line : text.split("\r?\n", -1)) {
+    for (String line : EventSplitter.LINE_END.split(text, -1)) {
       if (hasControlCharacter(line)) {
         return Optional.of(EventDefect.UNKNOWN_LINE);
       }
@@ -74,6 +74,11 @@
   }
 
   private static boolean hasControlCharacter(String line) {
-    return line.chars().anyMatch(character -> character < ' ' && character != '\t');
+    for (int i = 0; i < line.length(); i++) {
+      if (line.charAt(i) < ' ' && line.charAt(i) != '\t') {
+        return true;
+      }
+    }
+    return false;
   }
 }
