Bound the memory of request bodies over all connections

A burst of bodies within the operators' limit filled the heap: the gateway answered nobody for seconds and cut the requests.

Cause: a limit for each body and none for all of them; each was doubled past its length and copied once more. An array grows to the declared length only, and isn't copied.

--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -107,6 +107,7 @@
     closer.register(
         HttpServer.start(
             "metrics", Endpoint.parse(settings.metrics()), probeOptions, probeHandler));
+    metrics.register("callers.reservedBodyBytes", (Gauge<Long>) callerServer::reservedBodyBytes);
     metrics.register("jvm.memory.heap.used", (Gauge<Long>) GatewayProcess::heapUsed);
     metrics.register("jvm.memory.heap.max", (Gauge<Long>) Runtime.getRuntime()::maxMemory);
     metrics.register(
--- a/src/main/java/org/wigeonstage/http/CallerConnection.java
+++ b/src/main/java/org/wigeonstage/http/CallerConnection.java
@@ -6,7 +6,6 @@
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -45,11 +44,15 @@
    */
   private static final Duration LINGER_TIMEOUT = Duration.ofSeconds(2);
 
+  /** Callers may read the refusal of a body only after they have sent the rest of it. */
+  private static final Duration REFUSED_BODY_LINGER_TIMEOUT = Duration.ofSeconds(10);
+
   private final Connection<?> connection;
   private final TimingSelectorHandler.Acceptance acceptance;
   private final MonotonicClock clock;
   private final ScheduledExecutorService timer;
   private final RequestHandler handler;
+  private final BodyMemory.Share bodyMemory;
   private final RequestPipeline<ServerExchange> pipeline;
   private final AtomicReference<@Nullable Reason> endReason = new AtomicReference<>();
   private volatile @Nullable ServerExchange currentExchange;
@@ -61,12 +64,14 @@
       TimingSelectorHandler.Acceptance acceptance,
       MonotonicClock clock,
       ScheduledExecutorService timer,
+      BodyMemory.Share bodyMemory,
       RequestHandler handler) {
     this.connection = connection;
     this.acceptance = acceptance;
     this.clock = clock;
     this.timer = timer;
     this.handler = handler;
+    this.bodyMemory = bodyMemory;
     this.pipeline = new RequestPipeline<>(clock.elapsed());
     ATTRIBUTE.set(connection, this);
   }
@@ -84,6 +89,11 @@
     return acceptance;
   }
 
+  /** Returns the memory for the bodies of this connection. */
+  BodyMemory.Share bodyMemory() {
+    return bodyMemory;
+  }
+
   /** Returns the request being read, or null if there is none; call on the selector thread. */
   @Nullable CallerRequest incoming() {
     return incoming;
@@ -126,10 +136,7 @@
     Optional<CallerRequest.Refusal> refusal = exchange.refusal();
     if (refusal.isPresent()) {
       ProblemDetails.respond(
-          exchange,
-          refusal.get().code(),
-          refusal.get().detail(),
-          Map.of("Connection", "close", "Wigeonstage-Outcome", "not-run"));
+          exchange, refusal.get().code(), refusal.get().detail(), refusal.get().responseFields());
     } else {
       handler.handle(exchange);
     }
@@ -140,6 +147,10 @@
     if (!keepsConnection) {
       recordEndReason(callerAskedToClose ? Reason.CALLER_ASKED : Reason.ANNOUNCED);
     }
+    ServerExchange completed = currentExchange;
+    if (completed != null) {
+      bodyMemory.release(completed.reservedBytes());
+    }
     currentExchange = null;
     ServerExchange next = pipeline.completeCurrent(keepsConnection, clock.elapsed());
     if (next != null) {
@@ -195,7 +206,7 @@
     hasDeliveredAll = true;
     try {
       ((SocketChannel) ((NIOConnection) connection).getChannel()).shutdownOutput();
-      timer.schedule(connection::closeSilently, LINGER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+      timer.schedule(connection::closeSilently, lingerTimeout().toMillis(), TimeUnit.MILLISECONDS);
     } catch (IOException | RejectedExecutionException e) {
       logger.atFine().withCause(e).log(
           "cannot wait for the caller to close the connection; closing it now");
@@ -203,6 +214,12 @@
     }
   }
 
+  private Duration lingerTimeout() {
+    Reason reason = endReason.get();
+    boolean hasRefusedBody = reason == Reason.OVERLOADED || reason == Reason.BODY_TOO_LARGE;
+    return hasRefusedBody ? REFUSED_BODY_LINGER_TIMEOUT : LINGER_TIMEOUT;
+  }
+
   /** Returns whether the response to the current request is the last one on the connection. */
   boolean isCurrentLast() {
     return pipeline.isCurrentLast();
--- a/src/main/java/org/wigeonstage/http/CallerRequest.java
+++ b/src/main/java/org/wigeonstage/http/CallerRequest.java
@@ -1,8 +1,9 @@
 package org.wigeonstage.http;
 
-import java.io.ByteArrayOutputStream;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
@@ -23,7 +24,22 @@
    * @param code the error code of the response
    * @param detail what is wrong with the request
    */
-  record Refusal(ErrorCode code, String detail) {}
+  record Refusal(ErrorCode code, String detail) {
+
+    /** Returns the header fields of the response; the connection closes after it. */
+    Map<String, String> responseFields() {
+      Map<String, String> fields = new HashMap<>();
+      fields.put("Connection", "close");
+      fields.put("Wigeonstage-Outcome", "not-run");
+      if (code == ErrorCode.OVERLOADED) {
+        fields.put("Retry-After", RETRY_AFTER_SECONDS);
+      }
+      return fields;
+    }
+  }
+
+  /** In this time, some of the bodies that are being read are complete. */
+  private static final String RETRY_AFTER_SECONDS = "1";
 
   private static final String FORM_MEDIA_TYPE = "application/x-www-form-urlencoded";
 
@@ -37,7 +53,10 @@
   private final Arrival arrival;
   private final HttpResponsePacket response;
   private @Nullable Refusal refusal;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final BodyBuffer body;
+
+  /** The memory that is reserved for the body at the {@link BodyMemory}. */
+  private long reservedBytes;
 
   CallerRequest(HttpRequestPacket head, Arrival arrival) {
     this.method = head.getMethod().getMethodString();
@@ -50,6 +69,7 @@
         supportsChunking && fields.first("Connection").filter("close"::equalsIgnoreCase).isEmpty();
     this.arrival = arrival;
     this.response = head.getResponse();
+    this.body = new BodyBuffer(head.isChunked() ? -1 : head.getContentLength());
   }
 
   private CallerRequest(HttpResponsePacket response, Arrival arrival) {
@@ -62,6 +82,7 @@
     this.keepsConnection = false;
     this.arrival = arrival;
     this.response = response;
+    this.body = new BodyBuffer(0);
   }
 
   /** Creates a refused request in place of one whose head or body could not be parsed. */
@@ -72,7 +93,7 @@
   }
 
   void appendBody(byte[] data) {
-    body.writeBytes(data);
+    body.append(data);
   }
 
   /** Marks the request as refused. */
@@ -85,12 +106,28 @@
     return Optional.ofNullable(refusal);
   }
 
+  /** Reserves memory for a body of the given length; returns false if there is too little. */
+  boolean tryReserve(long bodyLength, BodyMemory.Share memory) {
+    if (bodyLength <= Math.max(reservedBytes, BodyMemory.SMALL_BODY_BYTES)) {
+      return true;
+    }
+    // A body without a declared length is reserved in growing steps.
+    long additional = Math.max(bodyLength - reservedBytes, reservedBytes);
+    boolean isReserved = memory.tryReserve(additional);
+    reservedBytes += isReserved ? additional : 0;
+    return isReserved;
+  }
+
+  long reservedBytes() {
+    return reservedBytes;
+  }
+
   int bodyBytes() {
-    return body.size();
+    return body.length();
   }
 
   byte[] body() {
-    return body.toByteArray();
+    return body.toBytes();
   }
 
   String method() {
@@ -136,7 +173,7 @@
     String value = query == null ? null : findParameter(query, name);
     boolean isForm = contentType != null && contentType.startsWith(FORM_MEDIA_TYPE);
     return value == null && isForm
-        ? findParameter(body.toString(StandardCharsets.UTF_8), name)
+        ? findParameter(new String(body.toBytes(), StandardCharsets.UTF_8), name)
         : value;
   }
 
--- a/src/main/java/org/wigeonstage/http/ConnectionEnd.java
+++ b/src/main/java/org/wigeonstage/http/ConnectionEnd.java
@@ -25,6 +25,8 @@
     TOO_FAR_AHEAD,
     /** The body of a request was too large. */
     BODY_TOO_LARGE,
+    /** There was too little memory for the body of a request. */
+    OVERLOADED,
     /** A request violated the HTTP protocol. */
     MALFORMED,
     /** A response was aborted. */
--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -173,6 +173,15 @@
     }
   }
 
+  /**
+   * Returns the memory that is reserved for the bodies of requests.
+   *
+   * @return the number of bytes, not counting small bodies
+   */
+  public long reservedBodyBytes() {
+    return requestFilter.reservedBodyBytes();
+  }
+
   /**
    * Returns the address that the server listens on.
    *
--- a/src/main/java/org/wigeonstage/http/RequestFilter.java
+++ b/src/main/java/org/wigeonstage/http/RequestFilter.java
@@ -31,6 +31,7 @@
   private final ScheduledExecutorService timer;
   private final ConnectionListener listener;
   private final RequestHandler handler;
+  private final BodyMemory bodyMemory = BodyMemory.ofHeap();
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
   private volatile boolean isDraining;
   private volatile long acceptedCount;
@@ -54,7 +55,12 @@
   public NextAction handleAccept(FilterChainContext context) {
     CallerConnection connection =
         new CallerConnection(
-            context.getConnection(), selectorHandler.acceptance(), clock, timer, handler);
+            context.getConnection(),
+            selectorHandler.acceptance(),
+            clock,
+            timer,
+            bodyMemory.new Share(),
+            handler);
     connections.add(connection);
     acceptedCount = acceptedCount + 1;
     if (isDraining) {
@@ -67,6 +73,7 @@
   public NextAction handleClose(FilterChainContext context) {
     CallerConnection connection = CallerConnection.of(context.getConnection());
     if (connection != null && connections.remove(connection)) {
+      connection.bodyMemory().close();
       listener.onClose(connection.currentEnd());
     }
     return context.getInvokeAction();
@@ -81,8 +88,12 @@
       request = startRequest(connection, (HttpRequestPacket) content.getHttpHeader());
     }
     long bodyBytes = (long) request.bodyBytes() + content.getContent().remaining();
+    long expectedBytes = Math.max(bodyBytes, content.getHttpHeader().getContentLength());
     if (bodyBytes > maxBodyBytes) {
       refuseTooLarge(connection, request);
+    } else if (!request.tryReserve(
+        Math.min(expectedBytes, maxBodyBytes), connection.bodyMemory())) {
+      refuseForMemory(connection, request);
     } else {
       request.appendBody(PacketCopies.copyBytes(content));
       if (content.isLast()) {
@@ -110,6 +121,17 @@
     connection.addRefused(request, Reason.BODY_TOO_LARGE);
   }
 
+  /** Refuses a request without reading the rest of its body, and closes the connection. */
+  private void refuseForMemory(CallerConnection connection, CallerRequest request) {
+    request.refuse(ErrorCode.OVERLOADED, "too many large request bodies are being handled");
+    connection.addRefused(request, Reason.OVERLOADED);
+  }
+
+  /** Returns the memory that is reserved for the bodies of requests. */
+  long reservedBodyBytes() {
+    return bodyMemory.reservedBytes();
+  }
+
   /** Refuses a request that violates the HTTP protocol, and closes the connection. */
   void refuseMalformed(CallerConnection connection, HttpRequestPacket head, String detail) {
     Arrival arrival = selectorHandler.arrival(connection.acceptance());
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -322,6 +322,11 @@
     removeListeners();
   }
 
+  /** Returns the memory that is reserved for the request's body. */
+  long reservedBytes() {
+    return request.reservedBytes();
+  }
+
   /** Returns why the request is refused, or empty if it is to be handled. */
   Optional<CallerRequest.Refusal> refusal() {
     return request.refusal();
