--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -165,7 +165,7 @@
     recordRead(now);
     if (firstPartAt == null) {
       firstPartAt = now;
-      core.recordFirstPart(request, server, now.minus(startedAt));
+      core.recordFirstPart(request, server, now.minus(startedAt), expectedFirstPart);
     }
   }
 
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -218,7 +218,12 @@
     pool(request.poolName()).withdraw(request.placement());
   }
 
-  void recordFirstPart(ForwardedRequest request, BackendServer server, Duration timeToFirstPart) {
+  void recordFirstPart(
+      ForwardedRequest request,
+      BackendServer server,
+      Duration timeToFirstPart,
+      Duration expectedTime) {
+    requestMetrics.recordFirstPartExcess(timeToFirstPart.minus(expectedTime));
     pool(request.poolName()).recordFirstPart(request.placement(), server.id(), timeToFirstPart);
   }
 
--- a/src/main/java/org/wigeonstage/gateway/RequestMetrics.java
+++ b/src/main/java/org/wigeonstage/gateway/RequestMetrics.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.gateway;
 
 import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.Locale;
 import org.wigeonstage.common.ErrorCode;
@@ -48,6 +49,11 @@
     registry.timer("attempts.written").update(writeTime);
   }
 
+  /** Records how much later than expected the first part of a response arrived, if it did. */
+  void recordFirstPartExcess(Duration excess) {
+    registry.timer("attempts.firstPartExcess").update(Comparators.max(excess, Duration.ZERO));
+  }
+
   /** Counts a request that a backend server responded to, and records the response times. */
   void recordServed(ForwardedRequest request, Duration timeToFirstPart, Duration totalDuration) {
     count(request.inbound(), request.poolName(), "served");
