Apply the loads of peers between own reports, too

Callers saw late first parts: servers had more requests than they run at once. A gateway added up what its peers had reported only when it sent its own report, each 50 ms (with a tick of 20 ms, each 60 ms), so a count was up to two such intervals old when it was used. It is now added up in each tick, from sums that are updated with each changed load.

--- a/src/main/java/org/wigeonstage/gateway/PeerState.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerState.java
@@ -39,6 +39,9 @@
   Message.GatewayLoad load =
       new Message.GatewayLoad(true, true, Map.of(), List.of(), Map.of(), Map.of(), Map.of());
 
+  /** The running requests that the sums of the peers' loads include for this peer. */
+  Map<String, Integer> includedRunning = Map.of();
+
   Duration lastReportAt;
   Duration lastConnectAt = Duration.ZERO;
 
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -75,6 +75,7 @@
   private final ScheduledExecutorService storeExecutor =
       ControlExecutors.newSingleThreadExecutor("peer-calls");
   private final Map<String, PeerState> peers = new HashMap<>();
+  private final PeerLoadSums loadSums = new PeerLoadSums();
 
   /**
    * Names of peers that expired. Registrations outlive their gateways, so an expired peer counts
@@ -183,10 +184,14 @@
     core.updateGatewayCount(1 + peers.size());
     sendCrashReports(now);
     sendLeavingServers();
-    if (now.minus(lastSentAt).compareTo(REPORT_INTERVAL) < 0) {
-      return;
+    if (now.minus(lastSentAt).compareTo(REPORT_INTERVAL) >= 0) {
+      lastSentAt = now;
+      reportLoad(now);
     }
-    lastSentAt = now;
+    applyPeerLoads(now);
+  }
+
+  private void reportLoad(Duration now) {
     Message.GatewayLoad load = core.load();
     EncodedMessage changes = EncodedMessage.of(LoadChanges.between(lastLoad, load));
     lastLoad = load;
@@ -196,7 +201,6 @@
             (peerName, peer) ->
                 RepeatedTask.runPart(
                     "exchange with " + peerName, () -> synchronize(peer, load, changes, now)));
-    applyPeerLoads(now);
   }
 
   /** Sends own observations of crashes at once, and at times all that are known. */
@@ -254,7 +258,9 @@
   }
 
   private boolean expire(Map.Entry<String, PeerState> entry, Duration now) {
-    entry.getValue().usage.forget(now);
+    PeerState peer = entry.getValue();
+    peer.usage.forget(now);
+    loadSums.replace(peer.includedRunning, Map.of());
     return expired.add(entry.getKey());
   }
 
@@ -302,23 +308,24 @@
 
   /**
    * Sums up the running and waiting requests that were last reported by the peers whose usage is
-   * known. This includes stopped peers, with their last report before they stopped.
+   * known. This includes stopped peers, with their last report before they stopped. Done between
+   * own reports, too: the older the loads, the more gateways start requests in the same slot.
    */
   private void applyPeerLoads(Duration now) {
-    Map<String, Integer> running = new HashMap<>();
     List<WaitingCount> waiting = new ArrayList<>();
     for (PeerState peer : peers.values()) {
-      if (peer.usage.isUsageKnown(now)) {
-        peer.load
-            .runningByServer()
-            .forEach((server, count) -> running.merge(server, count, Integer::sum));
+      boolean isKnown = peer.usage.isUsageKnown(now);
+      Map<String, Integer> running = isKnown ? peer.load.runningByServer() : Map.of();
+      loadSums.replace(peer.includedRunning, running);
+      peer.includedRunning = running;
+      if (isKnown) {
         waiting.addAll(peer.load.waiting());
       }
     }
     boolean hasNonLeavingPeer =
         peers.values().stream()
             .anyMatch(peer -> peer.usage.isUsageKnown(now) && !peer.load.isLeaving());
-    core.applyPeerLoad(running, waiting, hasNonLeavingPeer);
+    core.applyPeerLoad(loadSums.runningByServer(), waiting, hasNonLeavingPeer);
   }
 
   @Override
