Take only a part of the slots that other gateways wait for, too

A gateway compared the free slots only with the more urgent requests that wait at peers. When one slot became free, each gateway with a waiting request of the same urgency saw it within one report and started its request there, so servers got far more than they run at once, and the slots reserved for urgent requests were gone.

While at least as many requests of the same urgency wait at peers as slots are free, a gateway now starts a request only in a slot that its own request has left, or in its part of the free ones, drawn anew with each update of the peers' load.

CrowdedSlotsTest failed before: 20 gateways filled one free slot with all of their requests.

--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -23,7 +23,8 @@
  * free slot. The most urgent ones start first; of those, the ones that can still be on time at the
  * servers' current speed. A server receives no more requests than it runs at once, except for a few
  * of route rank 0 (see {@link SchedulingLimits#maxQueuedAtServer}). Less urgent requests leave
- * slots free for more urgent ones.
+ * slots free for more urgent ones. While many gateways wait for few free slots, each takes only its
+ * part of them (see {@link SlotClaims}).
  *
  * <p>All times are readings of the monotonic clock. Not thread-safe.
  */
@@ -49,6 +50,7 @@
   private final TreeMap<Urgency, List<PlacementRequest>> queues = new TreeMap<>();
   private final Map<String, ServerState> servers = new HashMap<>();
   private final StartRateEstimator startRates;
+  private final SlotClaims claims;
   private Map<String, Integer> runningAtPeers = Map.of();
   private NavigableMap<Urgency, Integer> waitingAtPeers = new TreeMap<>();
   private int tokensPerEvent = 1;
@@ -67,6 +69,7 @@
     this.selector = new ServerSelector(random);
     this.effects = effects;
     this.startRates = new StartRateEstimator(limits.rateWindow());
+    this.claims = new SlotClaims(random);
   }
 
   /**
@@ -100,9 +103,21 @@
     runningAtPeers = Map.copyOf(running);
     waitingAtPeers = waiting;
     servers.forEach((id, state) -> state.updateRunningAtPeers(running.getOrDefault(id, 0)));
+    updateClaims(now);
     startWaiting(now);
   }
 
+  private void updateClaims(Duration now) {
+    claims.clear();
+    queues.forEach(
+        (urgency, queue) -> {
+          if (!queue.isEmpty()) {
+            int free = countFreeSlots(usableServers(now), urgency) - moreUrgentAtPeers(urgency);
+            claims.assign(urgency, free, queue.size(), waitingAtPeers.getOrDefault(urgency, 0));
+          }
+        });
+  }
+
   /**
    * Returns how many requests of each urgency wait at this gateway.
    *
@@ -228,6 +243,7 @@
         .ifPresent(
             state -> {
               state.recordEnd(request);
+              claims.recordRelease();
               switch (result) {
                 case NOT_CONNECTED -> state.recordConnectFailure(now);
                 case SERVED -> state.recordSuccess();
@@ -418,6 +434,7 @@
 
   private void start(PlacementRequest request, ServerState state, Duration now) {
     startRates.recordStart(request.urgency(), now);
+    claims.recordStart(request.urgency());
     ServerEstimate estimate = state.estimate(request);
     request.markTried(state.server().id());
     state.recordStart(request);
@@ -436,20 +453,41 @@
     return selector.selectCheapest(untried.isEmpty() ? candidates : untried, request, now);
   }
 
-  /** Returns the servers with a free slot, unless more urgent requests at peers need all slots. */
+  /**
+   * Returns the servers with a free slot, unless more urgent requests at peers need all slots, or
+   * equally urgent ones compete for them and this gateway has taken its part.
+   */
   private List<ServerState> availableServers(PlacementRequest request, Duration now) {
-    int routeRank = request.urgency().routeRank();
-    boolean allSuspect = areAllSuspect(now);
+    Urgency urgency = request.urgency();
     List<ServerState> available = new ArrayList<>();
-    int freeSlots = 0;
-    for (ServerState state : servers.values()) {
-      int free = state.freeSlots(routeRank);
-      if (free > 0 && !state.isAvoided(now) && (allSuspect || !state.isSuspect(now))) {
-        freeSlots += free;
+    for (ServerState state : usableServers(now)) {
+      if (state.freeSlots(urgency.routeRank()) > 0) {
         available.add(state);
       }
     }
-    return freeSlots > moreUrgentAtPeers(request.urgency()) ? available : List.of();
+    int free = countFreeSlots(available, urgency) - moreUrgentAtPeers(urgency);
+    boolean isContended = free <= waitingAtPeers.getOrDefault(urgency, 0);
+    return free > 0 && (!isContended || claims.mayStart(urgency)) ? available : List.of();
+  }
+
+  /** Returns the servers that may get requests if they have a free slot. */
+  private List<ServerState> usableServers(Duration now) {
+    boolean allSuspect = areAllSuspect(now);
+    List<ServerState> usable = new ArrayList<>();
+    for (ServerState state : servers.values()) {
+      if (!state.isAvoided(now) && (allSuspect || !state.isSuspect(now))) {
+        usable.add(state);
+      }
+    }
+    return usable;
+  }
+
+  private static int countFreeSlots(List<ServerState> states, Urgency urgency) {
+    int free = 0;
+    for (ServerState state : states) {
+      free += state.freeSlots(urgency.routeRank());
+    }
+    return free;
   }
 
   private boolean areAllSuspect(Duration now) {
