Tell callers to return while they can still be served

Retry-After followed from the queue alone. It is now at most a third of the time that the caller has left.

PoolSchedulerTest.tellsCallerToReturnWithinAThirdOfItsRemainingTime failed before.

--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -44,6 +44,9 @@
   private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
   private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(3);
 
+  /** The share of a caller's remaining time after which it can still be served when it returns. */
+  private static final int RETRY_AFTER_DIVISOR = 3;
+
   private final SchedulingLimits limits;
   private final PlacementEffects effects;
   private final ServerSelector selector;
@@ -145,7 +148,7 @@
   public void submit(PlacementRequest request, Duration now) {
     if (!request.hasResponseStarted()
         && servers.values().stream().noneMatch(ServerState::acceptsRequests)) {
-      effects.refuse(request, RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER);
+      refuse(request, RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER, now);
       return;
     }
     List<PlacementRequest> queue =
@@ -154,7 +157,7 @@
     if (!request.wasPlacedBefore()
         && now.plus(wait).compareTo(request.startBy()) > 0
         && !(queue.isEmpty() && canStartNow(request, now))) {
-      effects.refuse(request, RefusalReason.QUEUE_TOO_LONG, retryAfter(wait));
+      refuse(request, RefusalReason.QUEUE_TOO_LONG, wait, now);
       return;
     }
     queue.add(request);
@@ -362,10 +365,8 @@
     }
     expired.forEach(
         request ->
-            effects.refuse(
-                request,
-                RefusalReason.WAITED_TOO_LONG,
-                retryAfter(expectedWait(request.urgency(), now))));
+            refuse(
+                request, RefusalReason.WAITED_TOO_LONG, expectedWait(request.urgency(), now), now));
   }
 
   /**
@@ -390,8 +391,11 @@
         }
       }
     }
-    refused.forEach(
-        (request, wait) -> effects.refuse(request, RefusalReason.QUEUE_TOO_LONG, retryAfter(wait)));
+    refused.forEach((request, wait) -> refuse(request, RefusalReason.QUEUE_TOO_LONG, wait, now));
+  }
+
+  private void refuse(PlacementRequest request, RefusalReason reason, Duration wait, Duration now) {
+    effects.refuse(request, reason, retryAfter(request, wait, now));
   }
 
   /** Returns whether a request would find a free slot, and no more urgent one waits for it. */
@@ -516,7 +520,10 @@
         : startRates.expectedTimeToStart(queue.size(), urgency, now);
   }
 
-  private static Duration retryAfter(Duration wait) {
-    return Comparators.max(MIN_RETRY_AFTER, Comparators.min(wait, MAX_RETRY_AFTER));
+  /** Returns when the caller is to return, so that it still has time to be served then. */
+  private static Duration retryAfter(PlacementRequest request, Duration wait, Duration now) {
+    Duration remaining = request.deadline().minus(now);
+    Duration longest = Comparators.min(MAX_RETRY_AFTER, remaining.dividedBy(RETRY_AFTER_DIVISOR));
+    return Comparators.max(MIN_RETRY_AFTER, Comparators.min(wait, longest));
   }
 }
--- a/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
+++ b/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
@@ -21,6 +21,7 @@
 
   private final Map<String, String> started = new LinkedHashMap<>();
   private final Map<String, RefusalReason> refused = new LinkedHashMap<>();
+  private final Map<String, Duration> retryAfters = new LinkedHashMap<>();
   private final PoolScheduler scheduler =
       new PoolScheduler(
           SchedulingLimits.DEFAULTS,
@@ -35,6 +36,7 @@
             public void refuse(
                 PlacementRequest request, RefusalReason reason, Duration retryAfter) {
               refused.put(request.id(), reason);
+              retryAfters.put(request.id(), retryAfter);
               assertThat(retryAfter).isPositive();
             }
           },
@@ -488,4 +490,25 @@
     scheduler.applyServers(List.of(server("b", 1, false)), millis(1600));
     assertThat(started).containsEntry("stream", "b");
   }
+
+  /** A caller that returns later than that has too little time left to be served. */
+  @Test
+  void tellsCallerToReturnWithinAThirdOfItsRemainingTime() {
+    register(server("a", 1, false));
+    submit("first", 1, 0);
+    submit("waiting", 1, 1);
+    PlacementRequest hurried =
+        new PlacementRequest(
+            "hurried",
+            new Urgency(0, 1),
+            millis(600),
+            millis(1000),
+            millis(1100),
+            100,
+            10,
+            millis(2400));
+    scheduler.submit(hurried, millis(600));
+    assertThat(refused).containsEntry("hurried", RefusalReason.QUEUE_TOO_LONG);
+    assertThat(retryAfters.get("hurried")).isLessThanOrEqualTo(millis(600));
+  }
 }
