Start short requests in reserved slots when their rank is hardly served

The middle rank took every slot that it may use, the lowest rank may use one less of each server, and nothing of it started while more urgent requests waited anywhere: so its rate of starts was near zero, from which followed that new ones would wait too long, and were refused on arrival. That holds also at times in which hardly any order was refused.

--- a/src/main/java/org/wigeonstage/gateway/RequestLog.java
+++ b/src/main/java/org/wigeonstage/gateway/RequestLog.java
@@ -94,6 +94,7 @@
         .put("running", estimate.running())
         .put("runningElsewhere", estimate.runningAtPeers())
         .put("slots", estimate.slots())
+        .put("reservedSlot", estimate.isReserved())
         .put("expectedFirstPartMillis", estimate.timeToFirstPart().toMillis())
         .put("waitedMillis", waited.toMillis())
         .put("attempt", attemptNumber);
--- a/src/main/java/org/wigeonstage/placement/PlacementRequest.java
+++ b/src/main/java/org/wigeonstage/placement/PlacementRequest.java
@@ -119,6 +119,11 @@
     return firstPartAt.compareTo(firstPartDueBy) > 0;
   }
 
+  /** Returns the time after the arrival within which the first part is on time. */
+  Duration firstPartObjective() {
+    return firstPartDueBy.minus(arrivedAt);
+  }
+
   long promptTokens() {
     return promptTokens;
   }
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -5,12 +5,14 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.wigeonstage.fleet.BackendServer;
@@ -23,8 +25,9 @@
  * free slot. The most urgent ones start first; of those, the ones that can still be on time at the
  * servers' current speed. A server receives no more requests than it runs at once, except for a few
  * of route rank 0 (see {@link SchedulingLimits#maxQueuedAtServer}). Less urgent requests leave
- * slots free for more urgent ones. While many gateways wait for few free slots, each takes only its
- * part of them (see {@link SlotClaims}).
+ * slots free for more urgent ones, except for short ones that are started in such slots in limited
+ * numbers (see {@link BackfillPolicy}). While many gateways wait for few free slots, each takes
+ * only its part of them (see {@link SlotClaims}).
  *
  * <p>All times are readings of the monotonic clock. Not thread-safe.
  */
@@ -53,6 +56,7 @@
   private final TreeMap<Urgency, List<PlacementRequest>> queues = new TreeMap<>();
   private final Map<String, ServerState> servers = new HashMap<>();
   private final StartRateEstimator startRates;
+  private final BackfillPolicy backfill = new BackfillPolicy();
   private final SlotClaims claims;
   private Map<String, Integer> runningAtPeers = Map.of();
   private NavigableMap<Urgency, Integer> waitingAtPeers = new TreeMap<>();
@@ -151,6 +155,7 @@
       refuse(request, RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER, now);
       return;
     }
+    backfill.recordSubmission(request);
     List<PlacementRequest> queue =
         queues.computeIfAbsent(request.urgency(), key -> new ArrayList<>());
     Duration wait = startRates.expectedTimeToStart(queue.size() + 1, request.urgency(), now);
@@ -270,6 +275,7 @@
     Duration sinceDecay = now.minus(decayedAt);
     if (sinceDecay.compareTo(DECAY_INTERVAL) >= 0) {
       servers.values().forEach(state -> state.decay(sinceDecay));
+      backfill.decay(sinceDecay);
       decayedAt = now;
     }
     refuseExpired(now);
@@ -395,34 +401,63 @@
   }
 
   private void refuse(PlacementRequest request, RefusalReason reason, Duration wait, Duration now) {
+    backfill.recordRefusal(request);
     effects.refuse(request, reason, retryAfter(request, wait, now));
   }
 
   /** Returns whether a request would find a free slot, and no more urgent one waits for it. */
   private boolean canStartNow(PlacementRequest request, Duration now) {
-    return queues.headMap(request.urgency(), false).values().stream().allMatch(List::isEmpty)
-        && !availableServers(request, now).isEmpty();
+    return (!isMoreUrgentWaiting(request.urgency()) && !availableServers(request, now).isEmpty())
+        || !backfillServers(request, now).isEmpty();
   }
 
-  /** Starts waiting requests in order of urgency, until one finds no free slot. */
+  private boolean isMoreUrgentWaiting(Urgency urgency) {
+    return !queues.headMap(urgency, false).values().stream().allMatch(List::isEmpty);
+  }
+
+  /**
+   * Starts waiting requests in order of urgency. Once one finds no free slot, less urgent ones
+   * start only in slots that it may not use.
+   */
   private void startWaiting(Duration now) {
     startWhileSlotsAreFree(now);
     queues.forEach((urgency, queue) -> startRates.updateWaiting(urgency, !queue.isEmpty(), now));
   }
 
   private void startWhileSlotsAreFree(Duration now) {
+    boolean isMoreUrgentWaiting = false;
     for (List<PlacementRequest> queue : List.copyOf(queues.values())) {
-      while (!queue.isEmpty()) {
-        PlacementRequest first = queue.get(0);
-        Optional<ServerState> server = choose(first, now);
-        if (server.isEmpty()) {
-          return;
-        }
-        PlacementRequest next =
-            firstOnTime(queue, now.plus(server.get().expectedTimeToFirstPart(first)));
-        queue.remove(next);
-        start(next, next == first ? server.get() : choose(next, now).orElse(server.get()), now);
+      if (!isMoreUrgentWaiting) {
+        startInFreeSlots(queue, now);
       }
+      backfill(queue, now);
+      isMoreUrgentWaiting |= !queue.isEmpty();
+    }
+  }
+
+  private void startInFreeSlots(List<PlacementRequest> queue, Duration now) {
+    while (!queue.isEmpty()) {
+      PlacementRequest first = queue.get(0);
+      Optional<ServerState> server = choose(first, now);
+      if (server.isEmpty()) {
+        return;
+      }
+      PlacementRequest next =
+          firstOnTime(queue, now.plus(server.get().expectedTimeToFirstPart(first)));
+      queue.remove(next);
+      start(next, next == first ? server.get() : choose(next, now).orElse(server.get()), now);
+    }
+  }
+
+  private void backfill(List<PlacementRequest> queue, Duration now) {
+    while (!queue.isEmpty()) {
+      PlacementRequest first = queue.get(0);
+      Optional<ServerState> server = chooseAmong(backfillServers(first, now), first, now);
+      if (server.isEmpty()) {
+        return;
+      }
+      queue.remove(0);
+      start(first, server.get(), now);
     }
   }
 
@@ -438,6 +473,7 @@
 
   private void start(PlacementRequest request, ServerState state, Duration now) {
     startRates.recordStart(request.urgency(), now);
+    backfill.recordStart(request);
     claims.recordStart(request.urgency());
     ServerEstimate estimate = state.estimate(request);
     request.markTried(state.server().id());
@@ -447,7 +483,11 @@
 
   /** Returns the cheapest server with a free slot, and prefers servers not tried before. */
   private Optional<ServerState> choose(PlacementRequest request, Duration now) {
-    List<ServerState> candidates = availableServers(request, now);
+    return chooseAmong(availableServers(request, now), request, now);
+  }
+
+  private Optional<ServerState> chooseAmong(
+      List<ServerState> candidates, PlacementRequest request, Duration now) {
     List<ServerState> untried = new ArrayList<>();
     for (ServerState candidate : candidates) {
       if (!request.hasTried(candidate.server().id())) {
@@ -474,6 +514,48 @@
     return free > 0 && (!isContended || claims.mayStart(urgency)) ? available : List.of();
   }
 
+  /**
+   * Returns the servers on which a short request may use a slot that is reserved for more urgent
+   * ones, and that no waiting request may use.
+   */
+  private List<ServerState> backfillServers(PlacementRequest request, Duration now) {
+    Optional<Duration> maxDuration = backfill.maxDuration(request.urgency());
+    if (maxDuration.isEmpty()) {
+      return List.of();
+    }
+    Set<Integer> waitingRanks = moreUrgentWaitingRanks(request.urgency());
+    List<ServerState> available = new ArrayList<>();
+    for (ServerState state : usableServers(now)) {
+      if (state.canBackfill(waitingRanks)
+          && state.expectedDuration(request).compareTo(maxDuration.get()) <= 0) {
+        available.add(state);
+      }
+    }
+    return available;
+  }
+
+  /** Returns the route ranks of the more urgent requests that wait here or at peers. */
+  private Set<Integer> moreUrgentWaitingRanks(Urgency urgency) {
+    Set<Integer> ranks = new HashSet<>();
+    queues
+        .headMap(urgency, false)
+        .forEach(
+            (moreUrgent, queue) -> {
+              if (!queue.isEmpty()) {
+                ranks.add(moreUrgent.routeRank());
+              }
+            });
+    waitingAtPeers
+        .headMap(urgency, false)
+        .forEach(
+            (moreUrgent, count) -> {
+              if (count > 0) {
+                ranks.add(moreUrgent.routeRank());
+              }
+            });
+    return ranks;
+  }
+
   /** Returns the servers that may get requests if they have a free slot. */
   private List<ServerState> usableServers(Duration now) {
     boolean allSuspect = areAllSuspect(now);
--- a/src/main/java/org/wigeonstage/placement/ServerState.java
+++ b/src/main/java/org/wigeonstage/placement/ServerState.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.wigeonstage.fleet.BackendServer;
 
 /** The load, speed and availability of one backend server, as estimated by this gateway. */
@@ -225,11 +226,27 @@
     if (!acceptsRequests()) {
       return 0;
     }
-    int limit =
-        routeRank == 0
-            ? server.slots() + limits.maxQueuedAtServer()
-            : Math.max(1, server.slots() - limits.reservedSlotsPerRank() * routeRank);
-    return Math.max(0, limit - occupied());
+    return Math.max(0, maxOccupied(routeRank) - occupied());
+  }
+
+  /** Returns how many requests may occupy the server when one of a route rank is added. */
+  private int maxOccupied(int routeRank) {
+    return routeRank == 0
+        ? server.slots() + limits.maxQueuedAtServer()
+        : Math.max(1, server.slots() - limits.reservedSlotsPerRank() * routeRank);
+  }
+
+  /** Returns whether a slot is free that requests of none of the given route ranks may use. */
+  boolean canBackfill(Set<Integer> waitingRanks) {
+    if (!acceptsRequests() || occupied() >= server.slots()) {
+      return false;
+    }
+    for (int routeRank : waitingRanks) {
+      if (freeSlots(routeRank) > 0) {
+        return false;
+      }
+    }
+    return true;
   }
 
   /** Returns the expected time until the first part of the response to the request. */
@@ -255,12 +272,19 @@
    * its first part arrives at the given time.
    */
   private Duration expectedOverrun(PlacementRequest request, Duration firstPartAt) {
-    Duration events =
-        Duration.ofNanos((long) (request.expectedEvents() * eventGapMillis() * NANOS_PER_MILLI));
-    Duration overrun = firstPartAt.plus(events).minus(request.deadline());
+    Duration overrun = firstPartAt.plus(expectedTimeForEvents(request)).minus(request.deadline());
     return overrun.isNegative() ? Duration.ZERO : overrun;
   }
 
+  private Duration expectedTimeForEvents(PlacementRequest request) {
+    return Duration.ofNanos((long) (request.expectedEvents() * eventGapMillis() * NANOS_PER_MILLI));
+  }
+
+  /** Returns the expected time until the response to the request is complete. */
+  Duration expectedDuration(PlacementRequest request) {
+    return expectedTimeToFirstPart(request).plus(expectedTimeForEvents(request));
+  }
+
   /**
    * Returns the expected cost of running the request on this server: the time to the first part,
    * the weighted failure rate and the expected overrun of the deadline.
@@ -277,6 +301,7 @@
         firstPartArrivedByRequest.size(),
         runningAtPeers,
         server.slots(),
-        expectedTimeToFirstPart(request));
+        expectedTimeToFirstPart(request),
+        freeSlots(request.urgency().routeRank()) == 0);
   }
 }
--- a/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
+++ b/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
@@ -491,6 +491,34 @@
     assertThat(started).containsEntry("stream", "b");
   }
 
+  /** Tags of rank 2 take 0.1 s each; one was refused, and no order of rank 1 yet. */
+  @Test
+  void startsShortRequestInSlotThatWaitingMoreUrgentOnesMayNotUse() {
+    register(server("a", 4, false));
+    scheduler.applyPeerLoad(Map.of("a", 2), new TreeMap<>(), millis(0));
+    submit("order", 1, 0);
+    submit("waitingOrder", 1, 0);
+    scheduler.submit(tag("refused", 0, 0), millis(0));
+    scheduler.tick(millis(1));
+    scheduler.submit(tag("tag", 10, 2000), millis(10));
+    assertThat(started.keySet()).containsExactly("order", "tag");
+    submit("secondOrder", 1, 11);
+    scheduler.submit(tag("secondTag", 12, 2000), millis(12));
+    assertThat(started.keySet()).containsExactly("order", "tag");
+  }
+
+  private static PlacementRequest tag(String id, long atMillis, long maxWaitMillis) {
+    return new PlacementRequest(
+        id,
+        new Urgency(0, 2),
+        millis(atMillis),
+        millis(atMillis + 500),
+        millis(atMillis + maxWaitMillis),
+        100,
+        2,
+        millis(atMillis + 10_000));
+  }
+
   /** A caller that returns later than that has too little time left to be served. */
   @Test
   void tellsCallerToReturnWithinAThirdOfItsRemainingTime() {
