--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -50,15 +50,13 @@
   /** The share of a caller's remaining time after which it can still be served when it returns. */
   private static final int RETRY_AFTER_DIVISOR = 3;
 
-  private final SchedulingLimits limits;
   private final PlacementEffects effects;
   private final ServerSelector selector;
   private final TreeMap<Urgency, List<PlacementRequest>> queues = new TreeMap<>();
-  private final Map<String, ServerState> servers = new HashMap<>();
+  private final ServerStates servers;
   private final StartRateEstimator startRates;
   private final BackfillPolicy backfill = new BackfillPolicy();
   private final SlotClaims claims;
-  private Map<String, Integer> runningAtPeers = Map.of();
   private NavigableMap<Urgency, Integer> waitingAtPeers = new TreeMap<>();
   private int tokensPerEvent = 1;
   private Duration decayedAt = Duration.ZERO;
@@ -72,7 +70,7 @@
    * @param random chooses among equivalent servers
    */
   public PoolScheduler(SchedulingLimits limits, PlacementEffects effects, RandomGenerator random) {
-    this.limits = limits;
+    this.servers = new ServerStates(limits);
     this.selector = new ServerSelector(random);
     this.effects = effects;
     this.startRates = new StartRateEstimator(limits.rateWindow());
@@ -86,15 +84,7 @@
    * @param now the current time
    */
   public void applyServers(List<BackendServer> registered, Duration now) {
-    Map<String, BackendServer> byId = new HashMap<>();
-    registered.forEach(server -> byId.put(server.id(), server));
-    servers.values().removeIf(state -> !byId.containsKey(state.server().id()));
-    byId.forEach(
-        (id, server) -> {
-          ServerState state = servers.computeIfAbsent(id, key -> new ServerState(server, limits));
-          state.applyRegistration(server);
-          state.updateRunningAtPeers(runningAtPeers.getOrDefault(id, 0));
-        });
+    servers.applyServers(registered);
     startWaiting(now);
   }
 
@@ -107,9 +97,8 @@
    */
   public void applyPeerLoad(
       Map<String, Integer> running, NavigableMap<Urgency, Integer> waiting, Duration now) {
-    runningAtPeers = Map.copyOf(running);
+    servers.applyRunningAtPeers(running);
     waitingAtPeers = waiting;
-    servers.forEach((id, state) -> state.updateRunningAtPeers(running.getOrDefault(id, 0)));
     updateClaims(now);
     startWaiting(now);
   }
@@ -119,8 +108,11 @@
     queues.forEach(
         (urgency, queue) -> {
           if (!queue.isEmpty()) {
-            int free = countFreeSlots(usableServers(now), urgency) - moreUrgentAtPeers(urgency);
-            claims.assign(urgency, free, queue.size(), waitingAtPeers.getOrDefault(urgency, 0));
+            claims.assign(
+                urgency,
+                countUnclaimedSlots(urgency, now),
+                queue.size(),
+                waitingAtPeers.getOrDefault(urgency, 0));
           }
         });
   }
@@ -150,8 +142,7 @@
    * @param now the current time
    */
   public void submit(PlacementRequest request, Duration now) {
-    if (!request.hasResponseStarted()
-        && servers.values().stream().noneMatch(ServerState::acceptsRequests)) {
+    if (!request.hasResponseStarted() && !servers.isAnyAccepting()) {
       refuse(request, RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER, now);
       return;
     }
@@ -189,7 +180,7 @@
    * @param sinceStart the time since the request was sent to the server
    */
   public void recordFirstPart(PlacementRequest request, String serverId, Duration sinceStart) {
-    find(serverId).ifPresent(state -> state.recordFirstPart(request, sinceStart));
+    servers.find(serverId).ifPresent(state -> state.recordFirstPart(request, sinceStart));
   }
 
   /**
@@ -199,7 +190,9 @@
    * @param meanGap the mean time between two events
    */
   public void recordEventGap(String serverId, Duration meanGap) {
-    find(serverId).ifPresent(state -> state.recordEventGap(meanGap.toNanos() / NANOS_PER_MILLI));
+    servers
+        .find(serverId)
+        .ifPresent(state -> state.recordEventGap(meanGap.toNanos() / NANOS_PER_MILLI));
   }
 
   /**
@@ -211,7 +204,7 @@
    */
   public Duration expectedDuration(long promptTokens, long outputTokens) {
     double meanGapMillis =
-        servers.values().stream().mapToDouble(ServerState::eventGapMillis).average().orElse(0);
+        servers.all().stream().mapToDouble(ServerState::eventGapMillis).average().orElse(0);
     double millis =
         (double) outputTokens / tokensPerEvent * meanGapMillis
             + promptTokens * ServerState.PREFILL_MILLIS_PER_TOKEN;
@@ -247,7 +240,8 @@
    */
   public void endAttempt(
       PlacementRequest request, String serverId, AttemptResult result, Duration now) {
-    find(serverId)
+    servers
+        .find(serverId)
         .ifPresent(
             state -> {
               state.recordEnd(request);
@@ -274,7 +268,7 @@
   public void tick(Duration now) {
     Duration sinceDecay = now.minus(decayedAt);
     if (sinceDecay.compareTo(DECAY_INTERVAL) >= 0) {
-      servers.values().forEach(state -> state.decay(sinceDecay));
+      servers.decay(sinceDecay);
       backfill.decay(sinceDecay);
       decayedAt = now;
     }
@@ -293,7 +287,7 @@
    * @param now the current time
    */
   public void markSuspect(String serverId, Duration now) {
-    find(serverId).ifPresent(state -> state.markSuspect(now));
+    servers.find(serverId).ifPresent(state -> state.markSuspect(now));
   }
 
   /**
@@ -306,8 +300,7 @@
    */
   public boolean canStartOnAnotherServer(PlacementRequest request, Duration startBy, Duration now) {
     boolean isInTime = now.plus(expectedWait(request.urgency(), now)).compareTo(startBy) < 0;
-    Collection<ServerState> candidates =
-        isInTime ? servers.values() : availableServers(request, now);
+    Collection<ServerState> candidates = isInTime ? servers.all() : availableServers(request, now);
     return candidates.stream()
         .filter(ServerState::acceptsRequests)
         .anyMatch(state -> !state.isSuspect(now) && !request.hasTried(state.server().id()));
@@ -321,7 +314,7 @@
    * @return whether the server is suspect
    */
   public boolean isSuspect(String serverId, Duration now) {
-    return find(serverId).map(state -> state.isSuspect(now)).orElse(false);
+    return servers.find(serverId).map(state -> state.isSuspect(now)).orElse(false);
   }
 
   /**
@@ -343,18 +336,7 @@
    * @return the counts by server
    */
   public Map<String, Integer> runningByServer() {
-    Map<String, Integer> counts = new HashMap<>();
-    servers.forEach(
-        (id, state) -> {
-          if (state.running() > 0) {
-            counts.put(id, state.running());
-          }
-        });
-    return counts;
-  }
-
-  private Optional<ServerState> find(String serverId) {
-    return Optional.ofNullable(servers.get(serverId));
+    return servers.runningByServer();
   }
 
   private void refuseExpired(Duration now) {
@@ -503,15 +485,16 @@
    */
   private List<ServerState> availableServers(PlacementRequest request, Duration now) {
     Urgency urgency = request.urgency();
-    List<ServerState> available = new ArrayList<>();
-    for (ServerState state : usableServers(now)) {
-      if (state.freeSlots(urgency.routeRank()) > 0) {
-        available.add(state);
-      }
-    }
-    int free = countFreeSlots(available, urgency) - moreUrgentAtPeers(urgency);
-    boolean isContended = free <= waitingAtPeers.getOrDefault(urgency, 0);
-    return free > 0 && (!isContended || claims.mayStart(urgency)) ? available : List.of();
+    int unclaimed = countUnclaimedSlots(urgency, now);
+    boolean isContended = unclaimed <= waitingAtPeers.getOrDefault(urgency, 0);
+    return unclaimed > 0 && (!isContended || claims.mayStart(urgency))
+        ? servers.withFreeSlot(urgency.routeRank(), now)
+        : List.of();
+  }
+
+  /** Returns how many free slots are left if all more urgent requests at peers get one. */
+  private int countUnclaimedSlots(Urgency urgency, Duration now) {
+    return servers.countFreeSlots(urgency.routeRank(), now) - moreUrgentAtPeers(urgency);
   }
 
   /**
@@ -519,19 +502,13 @@
    * ones, and that no waiting request may use.
    */
   private List<ServerState> backfillServers(PlacementRequest request, Duration now) {
-    Optional<Duration> maxDuration = backfill.maxDuration(request.urgency());
-    if (maxDuration.isEmpty()) {
-      return List.of();
-    }
-    Set<Integer> waitingRanks = moreUrgentWaitingRanks(request.urgency());
-    List<ServerState> available = new ArrayList<>();
-    for (ServerState state : usableServers(now)) {
-      if (state.canBackfill(waitingRanks)
-          && state.expectedDuration(request).compareTo(maxDuration.get()) <= 0) {
-        available.add(state);
-      }
-    }
-    return available;
+    return backfill
+        .maxDuration(request.urgency())
+        .map(
+            maxDuration ->
+                servers.withReservedSlot(
+                    request, moreUrgentWaitingRanks(request.urgency()), maxDuration, now))
+        .orElse(List.of());
   }
 
   /** Returns the route ranks of the more urgent requests that wait here or at peers. */
@@ -556,35 +533,6 @@
     return ranks;
   }
 
-  /** Returns the servers that may get requests if they have a free slot. */
-  private List<ServerState> usableServers(Duration now) {
-    boolean allSuspect = areAllSuspect(now);
-    List<ServerState> usable = new ArrayList<>();
-    for (ServerState state : servers.values()) {
-      if (!state.isAvoided(now) && (allSuspect || !state.isSuspect(now))) {
-        usable.add(state);
-      }
-    }
-    return usable;
-  }
-
-  private static int countFreeSlots(List<ServerState> states, Urgency urgency) {
-    int free = 0;
-    for (ServerState state : states) {
-      free += state.freeSlots(urgency.routeRank());
-    }
-    return free;
-  }
-
-  private boolean areAllSuspect(Duration now) {
-    for (ServerState state : servers.values()) {
-      if (state.acceptsRequests() && !state.isSuspect(now)) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   /** Returns how many more urgent requests wait at peers. */
   private int moreUrgentAtPeers(Urgency urgency) {
     int total = 0;
--- a/src/main/java/org/wigeonstage/placement/ServerState.java
+++ b/src/main/java/org/wigeonstage/placement/ServerState.java
@@ -237,7 +237,7 @@
   }
 
   /** Returns whether a slot is free that requests of none of the given route ranks may use. */
-  boolean canBackfill(Set<Integer> waitingRanks) {
+  boolean hasReservedSlot(Set<Integer> waitingRanks) {
     if (!acceptsRequests() || occupied() >= server.slots()) {
       return false;
     }
