--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -219,12 +219,9 @@
   }
 
   void recordFirstPart(
-      ForwardedRequest request,
-      BackendServer server,
-      Duration timeToFirstPart,
-      Duration expectedTime) {
-    requestMetrics.recordFirstPartExcess(timeToFirstPart.minus(expectedTime));
-    pool(request.poolName()).recordFirstPart(request.placement(), server.id(), timeToFirstPart);
+      ForwardedRequest request, BackendServer server, Duration time, Duration expectedTime) {
+    requestMetrics.recordFirstPartExcess(time.minus(expectedTime));
+    pool(request.poolName()).recordFirstPart(request.placement(), server.id(), time);
   }
 
   void recordEventGap(ForwardedRequest request, BackendServer server, Duration averageGap) {
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -4,16 +4,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
-import java.util.Set;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.routes.PoolDefinition;
@@ -52,12 +47,11 @@
 
   private final PlacementEffects effects;
   private final ServerSelector selector;
-  private final TreeMap<Urgency, List<PlacementRequest>> queues = new TreeMap<>();
+  private final WaitingRequests waitingRequests = new WaitingRequests();
   private final ServerStates servers;
   private final StartRateEstimator startRates;
   private final BackfillPolicy backfill = new BackfillPolicy();
   private final SlotClaims claims;
-  private NavigableMap<Urgency, Integer> waitingAtPeers = new TreeMap<>();
   private int tokensPerEvent = 1;
   private Duration decayedAt = Duration.ZERO;
   private Duration queuesReviewedAt = Duration.ZERO;
@@ -98,23 +92,25 @@
   public void applyPeerLoad(
       Map<String, Integer> running, NavigableMap<Urgency, Integer> waiting, Duration now) {
     servers.applyRunningAtPeers(running);
-    waitingAtPeers = waiting;
+    waitingRequests.applyWaitingAtPeers(waiting);
     updateClaims(now);
     startWaiting(now);
   }
 
   private void updateClaims(Duration now) {
     claims.clear();
-    queues.forEach(
-        (urgency, queue) -> {
-          if (!queue.isEmpty()) {
-            claims.assign(
-                urgency,
-                countUnclaimedSlots(urgency, now),
-                queue.size(),
-                waitingAtPeers.getOrDefault(urgency, 0));
-          }
-        });
+    waitingRequests
+        .queues()
+        .forEach(
+            (urgency, queue) -> {
+              if (!queue.isEmpty()) {
+                claims.assign(
+                    urgency,
+                    countUnclaimedSlots(urgency, now),
+                    queue.size(),
+                    waitingRequests.countAtPeers(urgency));
+              }
+            });
   }
 
   /**
@@ -123,14 +119,7 @@
    * @return the counts by urgency
    */
   public Map<Urgency, Integer> waitingByUrgency() {
-    Map<Urgency, Integer> counts = new HashMap<>();
-    queues.forEach(
-        (urgency, queue) -> {
-          if (!queue.isEmpty()) {
-            counts.put(urgency, queue.size());
-          }
-        });
-    return counts;
+    return waitingRequests.countsByUrgency();
   }
 
   /**
@@ -147,8 +136,7 @@
       return;
     }
     backfill.recordSubmission(request);
-    List<PlacementRequest> queue =
-        queues.computeIfAbsent(request.urgency(), key -> new ArrayList<>());
+    List<PlacementRequest> queue = waitingRequests.queue(request.urgency());
     Duration wait = startRates.expectedTimeToStart(queue.size() + 1, request.urgency(), now);
     if (!request.wasPlacedBefore()
         && now.plus(wait).compareTo(request.startBy()) > 0
@@ -166,10 +154,7 @@
    * @param request the request
    */
   public void withdraw(PlacementRequest request) {
-    List<PlacementRequest> queue = queues.get(request.urgency());
-    if (queue != null) {
-      queue.remove(request);
-    }
+    waitingRequests.remove(request);
   }
 
   /**
@@ -246,15 +231,7 @@
             state -> {
               state.recordEnd(request);
               claims.recordRelease();
-              switch (result) {
-                case NOT_CONNECTED -> state.recordConnectFailure(now);
-                case SERVED -> state.recordSuccess();
-                case FAILED -> state.recordFailedResponse();
-                case UNREACHABLE -> state.markSuspect(now);
-                case DECLINED -> state.recordDecline(now);
-                case REPLACED -> state.markReplaced();
-                case NEUTRAL -> {}
-              }
+              state.recordResult(result, now);
             });
     startWaiting(now);
   }
@@ -323,11 +300,7 @@
    * @return the number of waiting requests
    */
   public int waitingCount() {
-    int count = 0;
-    for (List<PlacementRequest> queue : queues.values()) {
-      count += queue.size();
-    }
-    return count;
+    return waitingRequests.count();
   }
 
   /**
@@ -340,21 +313,15 @@
   }
 
   private void refuseExpired(Duration now) {
-    List<PlacementRequest> expired = new ArrayList<>();
-    for (List<PlacementRequest> queue : queues.values()) {
-      Iterator<PlacementRequest> requests = queue.iterator();
-      while (requests.hasNext()) {
-        PlacementRequest request = requests.next();
-        if (now.compareTo(request.startBy()) >= 0) {
-          requests.remove();
-          expired.add(request);
-        }
-      }
-    }
-    expired.forEach(
-        request ->
-            refuse(
-                request, RefusalReason.WAITED_TOO_LONG, expectedWait(request.urgency(), now), now));
+    waitingRequests
+        .removeExpired(now)
+        .forEach(
+            request ->
+                refuse(
+                    request,
+                    RefusalReason.WAITED_TOO_LONG,
+                    expectedWait(request.urgency(), now),
+                    now));
   }
 
   /**
@@ -364,7 +331,7 @@
    */
   private void refuseEarly(Duration now) {
     Map<PlacementRequest, Duration> refused = new LinkedHashMap<>();
-    for (List<PlacementRequest> queue : queues.values()) {
+    for (List<PlacementRequest> queue : waitingRequests.queues().values()) {
       if (queue.isEmpty()) {
         continue;
       }
@@ -389,26 +356,25 @@
 
   /** Returns whether a request would find a free slot, and no more urgent one waits for it. */
   private boolean canStartNow(PlacementRequest request, Duration now) {
-    return (!isMoreUrgentWaiting(request.urgency()) && !availableServers(request, now).isEmpty())
+    return (!waitingRequests.isMoreUrgentWaiting(request.urgency())
+            && !availableServers(request, now).isEmpty())
         || !backfillServers(request, now).isEmpty();
   }
 
-  private boolean isMoreUrgentWaiting(Urgency urgency) {
-    return !queues.headMap(urgency, false).values().stream().allMatch(List::isEmpty);
-  }
-
   /**
    * Starts waiting requests in order of urgency. Once one finds no free slot, less urgent ones
    * start only in slots that it may not use.
    */
   private void startWaiting(Duration now) {
     startWhileSlotsAreFree(now);
-    queues.forEach((urgency, queue) -> startRates.updateWaiting(urgency, !queue.isEmpty(), now));
+    waitingRequests
+        .queues()
+        .forEach((urgency, queue) -> startRates.updateWaiting(urgency, !queue.isEmpty(), now));
   }
 
   private void startWhileSlotsAreFree(Duration now) {
     boolean isMoreUrgentWaiting = false;
-    for (List<PlacementRequest> queue : List.copyOf(queues.values())) {
+    for (List<PlacementRequest> queue : List.copyOf(waitingRequests.queues().values())) {
       if (!isMoreUrgentWaiting) {
         startInFreeSlots(queue, now);
       }
@@ -486,7 +452,7 @@
   private List<ServerState> availableServers(PlacementRequest request, Duration now) {
     Urgency urgency = request.urgency();
     int unclaimed = countUnclaimedSlots(urgency, now);
-    boolean isContended = unclaimed <= waitingAtPeers.getOrDefault(urgency, 0);
+    boolean isContended = unclaimed <= waitingRequests.countAtPeers(urgency);
     return unclaimed > 0 && (!isContended || claims.mayStart(urgency))
         ? servers.withFreeSlot(urgency.routeRank(), now)
         : List.of();
@@ -494,7 +460,8 @@
 
   /** Returns how many free slots are left if all more urgent requests at peers get one. */
   private int countUnclaimedSlots(Urgency urgency, Duration now) {
-    return servers.countFreeSlots(urgency.routeRank(), now) - moreUrgentAtPeers(urgency);
+    return servers.countFreeSlots(urgency.routeRank(), now)
+        - waitingRequests.countMoreUrgentAtPeers(urgency);
   }
 
   /**
@@ -507,47 +474,16 @@
         .map(
             maxDuration ->
                 servers.withReservedSlot(
-                    request, moreUrgentWaitingRanks(request.urgency()), maxDuration, now))
+                    request,
+                    waitingRequests.moreUrgentRouteRanks(request.urgency()),
+                    maxDuration,
+                    now))
         .orElse(List.of());
   }
 
-  /** Returns the route ranks of the more urgent requests that wait here or at peers. */
-  private Set<Integer> moreUrgentWaitingRanks(Urgency urgency) {
-    Set<Integer> ranks = new HashSet<>();
-    queues
-        .headMap(urgency, false)
-        .forEach(
-            (moreUrgent, queue) -> {
-              if (!queue.isEmpty()) {
-                ranks.add(moreUrgent.routeRank());
-              }
-            });
-    waitingAtPeers
-        .headMap(urgency, false)
-        .forEach(
-            (moreUrgent, count) -> {
-              if (count > 0) {
-                ranks.add(moreUrgent.routeRank());
-              }
-            });
-    return ranks;
-  }
-
-  /** Returns how many more urgent requests wait at peers. */
-  private int moreUrgentAtPeers(Urgency urgency) {
-    int total = 0;
-    for (int count : waitingAtPeers.headMap(urgency, false).values()) {
-      total += count;
-    }
-    return total;
-  }
-
   /** Returns the expected time until all waiting requests of an urgency have started. */
   private Duration expectedWait(Urgency urgency, Duration now) {
-    List<PlacementRequest> queue = queues.get(urgency);
-    return queue == null
-        ? Duration.ZERO
-        : startRates.expectedTimeToStart(queue.size(), urgency, now);
+    return startRates.expectedTimeToStart(waitingRequests.queue(urgency).size(), urgency, now);
   }
 
   /** Returns when the caller is to return, so that it still has time to be served then. */
--- a/src/main/java/org/wigeonstage/placement/ServerState.java
+++ b/src/main/java/org/wigeonstage/placement/ServerState.java
@@ -122,14 +122,27 @@
     firstPartArrivedByRequest.remove(request);
   }
 
-  void recordSuccess() {
+  /** Updates the estimates with the result of an attempt. */
+  void recordResult(AttemptResult result, Duration now) {
+    switch (result) {
+      case NOT_CONNECTED -> recordConnectFailure(now);
+      case SERVED -> recordSuccess();
+      case FAILED -> recordFailedResponse();
+      case UNREACHABLE -> markSuspect(now);
+      case DECLINED -> recordDecline(now);
+      case REPLACED -> markReplaced();
+      case NEUTRAL -> {}
+    }
+  }
+
+  private void recordSuccess() {
     consecutiveConnectFailures = 0;
     failureRate -= SMOOTHING_FACTOR * failureRate;
     consecutiveSuspicions = 0;
     consecutiveDeclines = 0;
   }
 
-  void recordFailedResponse() {
+  private void recordFailedResponse() {
     consecutiveConnectFailures = 0;
     recordFailure();
   }
@@ -157,7 +170,7 @@
   }
 
   /** Records that the server declined a request, and avoids it for a backoff. */
-  void recordDecline(Duration now) {
+  private void recordDecline(Duration now) {
     consecutiveConnectFailures = 0;
     recordFailure();
     decliningUntil = now.plus(backoff(limits.declineBackoff(), consecutiveDeclines));
@@ -168,7 +181,7 @@
    * Records that no connection could be established, and avoids the server for a pause. The failure
    * of several attempts at once counts once.
    */
-  void recordConnectFailure(Duration now) {
+  private void recordConnectFailure(Duration now) {
     markSuspect(now);
     if (!isPaused(now)) {
       Duration pause = backoff(limits.declineBackoff(), consecutiveConnectFailures);
@@ -190,7 +203,7 @@
   /**
    * Records that another server responds at this server's address; this one will not return to it.
    */
-  void markReplaced() {
+  private void markReplaced() {
     isReplaced = true;
   }
 
--- a/src/test/java/org/wigeonstage/placement/CrowdedSlotsTest.java
+++ b/src/test/java/org/wigeonstage/placement/CrowdedSlotsTest.java
@@ -26,22 +26,11 @@
 
   private static final Urgency URGENCY = new Urgency(0, 1);
 
-  private int startedCount;
-
-  private final PlacementEffects effects =
-      new PlacementEffects() {
-        @Override
-        public void start(PlacementRequest request, BackendServer server, ServerEstimate estimate) {
-          startedCount++;
-        }
-
-        @Override
-        public void refuse(PlacementRequest request, RefusalReason reason, Duration retryAfter) {}
-      };
+  private final RecordedDecisions decisions = new RecordedDecisions();
 
   private PoolScheduler scheduler(long seed) {
     PoolScheduler scheduler =
-        new PoolScheduler(SchedulingLimits.DEFAULTS, effects, new SplittableRandom(seed));
+        new PoolScheduler(SchedulingLimits.DEFAULTS, decisions, new SplittableRandom(seed));
     scheduler.applyServers(
         List.of(new BackendServer("a", "pool", new Endpoint("10.0.0.1", 1), "fd", SLOTS, false, 0)),
         Duration.ZERO);
@@ -75,14 +64,14 @@
       for (int i = 0; i < GATEWAYS; i++) {
         PoolScheduler scheduler = scheduler(trial * GATEWAYS + i);
         applyPeerLoad(scheduler, 0, GATEWAYS - 1);
-        scheduler.submit(request("r" + i), Duration.ofMillis(1));
+        scheduler.submit(request("r" + i + " of " + trial), Duration.ofMillis(1));
         schedulers.add(scheduler);
       }
       for (int round = 0; round < ROUNDS_UNTIL_KNOWN; round++) {
         schedulers.forEach(scheduler -> applyPeerLoad(scheduler, 1, GATEWAYS - 1));
       }
     }
-    assertThat(startedCount).isBetween(TRIALS / 2, TRIALS * 3 / 2);
+    assertThat(decisions.servers).hasSizeBetween(TRIALS / 2, TRIALS * 3 / 2);
   }
 
   @Test
@@ -93,9 +82,9 @@
     scheduler.submit(first, Duration.ofMillis(1));
     applyPeerLoad(scheduler, 1, GATEWAYS);
     scheduler.submit(request("second"), Duration.ofMillis(1));
-    assertThat(startedCount).isEqualTo(1);
+    assertThat(decisions.servers).hasSize(1);
     scheduler.endAttempt(first, "a", AttemptResult.SERVED, Duration.ofMillis(2));
-    assertThat(startedCount).isEqualTo(2);
+    assertThat(decisions.servers).hasSize(2);
   }
 
   @Test
@@ -103,6 +92,6 @@
     PoolScheduler scheduler = scheduler(1);
     applyPeerLoad(scheduler, 5, 4);
     scheduler.submit(request("r"), Duration.ofMillis(1));
-    assertThat(startedCount).isEqualTo(1);
+    assertThat(decisions.servers).hasSize(1);
   }
 }
--- a/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
+++ b/src/test/java/org/wigeonstage/placement/PoolSchedulerTest.java
@@ -21,7 +21,6 @@
 
   private final Map<String, String> started = new LinkedHashMap<>();
   private final Map<String, RefusalReason> refused = new LinkedHashMap<>();
-  private final Map<String, Duration> retryAfters = new LinkedHashMap<>();
   private final PoolScheduler scheduler =
       new PoolScheduler(
           SchedulingLimits.DEFAULTS,
@@ -36,7 +35,6 @@
             public void refuse(
                 PlacementRequest request, RefusalReason reason, Duration retryAfter) {
               refused.put(request.id(), reason);
-              retryAfters.put(request.id(), retryAfter);
               assertThat(retryAfter).isPositive();
             }
           },
@@ -490,53 +488,4 @@
     scheduler.applyServers(List.of(server("b", 1, false)), millis(1600));
     assertThat(started).containsEntry("stream", "b");
   }
-
-  /** Tags of rank 2 take 0.1 s each; one was refused, and no order of rank 1 yet. */
-  @Test
-  void startsShortRequestInSlotThatWaitingMoreUrgentOnesMayNotUse() {
-    register(server("a", 4, false));
-    scheduler.applyPeerLoad(Map.of("a", 2), new TreeMap<>(), millis(0));
-    submit("order", 1, 0);
-    submit("waitingOrder", 1, 0);
-    scheduler.submit(tag("refused", 0, 0), millis(0));
-    scheduler.tick(millis(1));
-    scheduler.submit(tag("tag", 10, 2000), millis(10));
-    assertThat(started.keySet()).containsExactly("order", "tag");
-    submit("secondOrder", 1, 11);
-    scheduler.submit(tag("secondTag", 12, 2000), millis(12));
-    assertThat(started.keySet()).containsExactly("order", "tag");
-  }
-
-  private static PlacementRequest tag(String id, long atMillis, long maxWaitMillis) {
-    return new PlacementRequest(
-        id,
-        new Urgency(0, 2),
-        millis(atMillis),
-        millis(atMillis + 500),
-        millis(atMillis + maxWaitMillis),
-        100,
-        2,
-        millis(atMillis + 10_000));
-  }
-
-  /** A caller that returns later than that has too little time left to be served. */
-  @Test
-  void tellsCallerToReturnWithinAThirdOfItsRemainingTime() {
-    register(server("a", 1, false));
-    submit("first", 1, 0);
-    submit("waiting", 1, 1);
-    PlacementRequest hurried =
-        new PlacementRequest(
-            "hurried",
-            new Urgency(0, 1),
-            millis(600),
-            millis(1000),
-            millis(1100),
-            100,
-            10,
-            millis(2400));
-    scheduler.submit(hurried, millis(600));
-    assertThat(refused).containsEntry("hurried", RefusalReason.QUEUE_TOO_LONG);
-    assertThat(retryAfters.get("hurried")).isLessThanOrEqualTo(millis(600));
-  }
 }
