Hold no short requests back from contended slots

Claims now hold only for requests that are expected to take 250 ms or more: a shorter one crowds a slot for less time than it would be idle.

--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -188,11 +188,13 @@
    * @return the expected time
    */
   public Duration expectedDuration(long promptTokens, long outputTokens) {
+    return expectedDurationOf(promptTokens, outputTokens / tokensPerEvent);
+  }
+
+  private Duration expectedDurationOf(long promptTokens, long events) {
     double meanGapMillis =
         servers.all().stream().mapToDouble(ServerState::eventGapMillis).average().orElse(0);
-    double millis =
-        (double) outputTokens / tokensPerEvent * meanGapMillis
-            + promptTokens * ServerState.PREFILL_MILLIS_PER_TOKEN;
+    double millis = events * meanGapMillis + promptTokens * ServerState.PREFILL_MILLIS_PER_TOKEN;
     return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
   }
 
@@ -452,7 +454,10 @@
   private List<ServerState> availableServers(PlacementRequest request, Duration now) {
     Urgency urgency = request.urgency();
     int unclaimed = countUnclaimedSlots(urgency, now);
-    boolean isContended = unclaimed <= waitingRequests.countAtPeers(urgency);
+    boolean isContended =
+        unclaimed <= waitingRequests.countAtPeers(urgency)
+            && SlotClaims.areNeededFor(
+                expectedDurationOf(request.promptTokens(), request.expectedEvents()));
     return unclaimed > 0 && (!isContended || claims.mayStart(urgency))
         ? servers.withFreeSlot(urgency.routeRank(), now)
         : List.of();
--- a/src/main/java/org/wigeonstage/placement/SlotClaims.java
+++ b/src/main/java/org/wigeonstage/placement/SlotClaims.java
@@ -1,5 +1,6 @@
 package org.wigeonstage.placement;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.random.RandomGenerator;
@@ -19,6 +20,12 @@
    */
   private static final double SHARE_PER_ROUND = 0.25;
 
+  /**
+   * A request that leaves its slot sooner crowds it for less time than the slot would be idle until
+   * a gateway claims it.
+   */
+  private static final Duration MIN_DURATION = Duration.ofMillis(250);
+
   private final RandomGenerator random;
   private final Map<Urgency, Integer> claims = new HashMap<>();
   private int releasedSlots;
@@ -27,6 +34,11 @@
     this.random = random;
   }
 
+  /** Returns whether a request of the given expected duration may crowd a slot for long. */
+  static boolean areNeededFor(Duration expectedDuration) {
+    return expectedDuration.compareTo(MIN_DURATION) >= 0;
+  }
+
   /** Begins a round without claims. */
   void clear() {
     claims.clear();
