--- a/src/main/java/org/wigeonstage/placement/BackfillPolicy.java
+++ b/src/main/java/org/wigeonstage/placement/BackfillPolicy.java
@@ -31,13 +31,13 @@
   /** The time in which the weight of a request in the shares decreases to 1/e. */
   private static final Duration TIME_CONSTANT = Duration.ofSeconds(4);
 
-  /** What is known of the requests of one urgency. */
+  /** What is known of the requests of one urgency; the numbers are weighted by age. */
   private static final class History {
     private Duration shortestObjective = Duration.ZERO;
     private double started;
     private double refused;
 
-    /** Returns the share that was started; one request more, so that it is never zero. */
+    /** Returns the share that was started, as if one request more was, so that it is never zero. */
     double startedShare() {
       return (started + 1) / (started + refused + 1);
     }
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -356,11 +356,11 @@
     effects.refuse(request, reason, retryAfter(request, wait, now));
   }
 
-  /** Returns whether a request would find a free slot, and no more urgent one waits for it. */
+  /** Returns whether a request would find a slot that no more urgent one waits for. */
   private boolean canStartNow(PlacementRequest request, Duration now) {
     return (!waitingRequests.isMoreUrgentWaiting(request.urgency())
             && !availableServers(request, now).isEmpty())
-        || !backfillServers(request, now).isEmpty();
+        || !reservedServers(request, now).isEmpty();
   }
 
   /**
@@ -380,7 +380,7 @@
       if (!isMoreUrgentWaiting) {
         startInFreeSlots(queue, now);
       }
-      backfill(queue, now);
+      startInReservedSlots(queue, now);
       isMoreUrgentWaiting |= !queue.isEmpty();
     }
   }
@@ -399,10 +399,10 @@
     }
   }
 
-  private void backfill(List<PlacementRequest> queue, Duration now) {
+  private void startInReservedSlots(List<PlacementRequest> queue, Duration now) {
     while (!queue.isEmpty()) {
       PlacementRequest first = queue.get(0);
-      Optional<ServerState> server = chooseAmong(backfillServers(first, now), first, now);
+      Optional<ServerState> server = chooseAmong(reservedServers(first, now), first, now);
       if (server.isEmpty()) {
         return;
       }
@@ -473,7 +473,7 @@
    * Returns the servers on which a short request may use a slot that is reserved for more urgent
    * ones, and that no waiting request may use.
    */
-  private List<ServerState> backfillServers(PlacementRequest request, Duration now) {
+  private List<ServerState> reservedServers(PlacementRequest request, Duration now) {
     return backfill
         .maxDuration(request.urgency())
         .map(
