--- a/src/test/java/org/wigeonstage/system/ProcessFleet.java
+++ b/src/test/java/org/wigeonstage/system/ProcessFleet.java
@@ -35,6 +35,9 @@
   private static final String OPERATOR_KEY_HASH = sha256(OPERATOR_KEY);
   private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
+  /** How much of a process's log a failure shows. */
+  private static final int MAX_LOG_CHARS = 2000;
+
   private final Closer closer = Closer.create();
   private final HttpClient client = closer.register(HttpClient.start("fleet", 1));
   private final Map<String, Process> processes = new HashMap<>();
@@ -273,7 +276,33 @@
   }
 
   void awaitStatusOk(Endpoint endpoint, String path) {
-    await(() -> call(endpoint, "GET", path, "", Map.of()).status() == 200, endpoint + path);
+    try {
+      await(() -> call(endpoint, "GET", path, "", Map.of()).status() == 200, endpoint + path);
+    } catch (AssertionError e) {
+      throw new AssertionError(e.getMessage() + describeProcesses(), e);
+    }
+  }
+
+  /** Returns which processes run, with the end of what each has written. */
+  private String describeProcesses() {
+    StringBuilder text = new StringBuilder();
+    processes.forEach(
+        (name, process) ->
+            text.append("\n")
+                .append(process.isAlive() ? "running " : "ended ")
+                .append(name)
+                .append(": ")
+                .append(endOfLog(name)));
+    return text.toString();
+  }
+
+  private String endOfLog(String name) {
+    try {
+      String log = Files.readString(directory.resolve(name + ".log"));
+      return log.substring(Math.max(0, log.length() - MAX_LOG_CHARS));
+    } catch (IOException e) {
+      return "its log can't be read: " + e;
+    }
   }
 
   /** A condition that may throw {@link CallFailedException} while a process is starting. */
