Keep fractions of events in the expected duration of a response

When the computation was shared with claims, outputTokens / tokensPerEvent became a division of integers, so that the expected duration was up to one event too short; a gateway that shuts down decides by it which requests it still accepts.

--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -188,10 +188,10 @@
    * @return the expected time
    */
   public Duration expectedDuration(long promptTokens, long outputTokens) {
-    return expectedDurationOf(promptTokens, outputTokens / tokensPerEvent);
+    return expectedDurationOf(promptTokens, (double) outputTokens / tokensPerEvent);
   }
 
-  private Duration expectedDurationOf(long promptTokens, long events) {
+  private Duration expectedDurationOf(long promptTokens, double events) {
     double meanGapMillis =
         servers.all().stream().mapToDouble(ServerState::eventGapMillis).average().orElse(0);
     double millis = events * meanGapMillis + promptTokens * ServerState.PREFILL_MILLIS_PER_TOKEN;
