Check every successful response on a streaming route as a stream

Any other success on a streaming route was passed on byte by byte and ended as complete. Comments, reconnection times and blank lines were passed on without an ID, and a framed stream without an event was complete.

Now the route decides: any success on it is split into events and checked. What carries no event isn't passed on, as callers may read it as a piece. A stream without an event is incomplete, unless it was resumed and its framing shows its end. IDs have one spelling only, which all callers read alike.

--- a/src/main/java/org/wigeonstage/forward/EventSplitter.java
+++ b/src/main/java/org/wigeonstage/forward/EventSplitter.java
@@ -35,13 +35,13 @@
    * A complete event.
    *
    * @param bytes the event, including the blank line that ends it
-   * @param id the event's ID, or empty if it has none or the ID is not a number
+   * @param id the event's ID, or empty if it has none or the ID is not a whole number
    */
   @SuppressWarnings("ArrayRecordComponent")
   public record Event(byte[] bytes, OptionalLong id) {}
 
   /**
-   * Appends bytes of the stream.
+   * Appends bytes of the stream. Line breaks between events belong to none, and are dropped.
    *
    * @param data the next bytes
    * @return the events that these bytes completed
@@ -51,7 +51,9 @@
     List<Event> events = new ArrayList<>();
     int start = 0;
     while (scanPosition < length) {
-      if (buffer[scanPosition] == '\n' && isBlankLine(start)) {
+      if (scanPosition == start && isLineBreak(buffer[scanPosition])) {
+        start++;
+      } else if (buffer[scanPosition] == '\n' && isBlankLine(start)) {
         events.add(parse(Arrays.copyOfRange(buffer, start, scanPosition + 1)));
         start = scanPosition + 1;
       }
@@ -63,6 +65,10 @@
     return events;
   }
 
+  private static boolean isLineBreak(byte octet) {
+    return octet == '\n' || octet == '\r';
+  }
+
   /** Returns whether the line that ends at the current position is empty. */
   private boolean isBlankLine(int start) {
     int previous = scanPosition - 1;
@@ -83,17 +89,12 @@
   }
 
   /**
-   * Returns whether an event is incomplete; line breaks between events belong to none.
+   * Returns whether an event is incomplete.
    *
    * @return whether bytes of an incomplete event are buffered
    */
   public boolean isInsideEvent() {
-    for (int i = 0; i < length; i++) {
-      if (buffer[i] != '\n' && buffer[i] != '\r') {
-        return true;
-      }
-    }
-    return false;
+    return length > 0;
   }
 
   /**
@@ -120,9 +121,16 @@
     String text = new String(bytes, StandardCharsets.ISO_8859_1);
     for (String line : LINE_END.split(text, -1)) {
       if (line.startsWith(ID_FIELD)) {
-        return new Event(bytes, WholeNumber.parse(line.substring(ID_FIELD.length()).trim()));
+        return new Event(bytes, parseId(line.substring(ID_FIELD.length())));
       }
     }
     return new Event(bytes, OptionalLong.empty());
   }
+
+  /** Accepts only the spelling in which all callers read the same ID. */
+  private static OptionalLong parseId(String value) {
+    String digits = value.startsWith(" ") ? value.substring(1) : value;
+    boolean hasLeadingZero = digits.length() > 1 && digits.startsWith("0");
+    return hasLeadingZero ? OptionalLong.empty() : WholeNumber.parse(digits);
+  }
 }
--- a/src/main/java/org/wigeonstage/forward/EventValidator.java
+++ b/src/main/java/org/wigeonstage/forward/EventValidator.java
@@ -11,7 +11,8 @@
  *
  * <p>A faulty server may send other bytes in correct framing, or send an event again. Callers would
  * take these for part of the response, so the stream is resumed at another server, or broken off.
- * The IDs of a stream increase; they need not be consecutive. Comments need no ID.
+ * The IDs of a stream increase; they need not be consecutive. Comments and reconnection times need
+ * no ID; they are no events.
  */
 public final class EventValidator {
 
--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -188,6 +188,11 @@
     core.count("servers.invalidEvents");
   }
 
+  /** Returns whether the server has sent events of a stream. */
+  boolean hasEvents() {
+    return eventCount > 0;
+  }
+
   /** Returns whether the server has not continued the response past its beginning. */
   boolean isAtBeginning() {
     return eventCount < BEGINNING_EVENTS;
--- a/src/main/java/org/wigeonstage/gateway/CallerResponse.java
+++ b/src/main/java/org/wigeonstage/gateway/CallerResponse.java
@@ -68,7 +68,7 @@
   /** Applies the head of an attempt's response. */
   void applyHead(ResponseHead head, HeaderFields forwardedFields) {
     fields = forwardedFields;
-    isStream = ResponseClassifier.isEventStream(route, head);
+    isStream = ResponseClassifier.isEventStream(route, exchange.method(), head);
   }
 
   /**
@@ -85,9 +85,11 @@
           source.recordInvalidEvent(defect.get(), event.bytes().length);
           return false;
         }
-        progress.recordEvent(event, core.now());
-        source.recordEvent();
-        write(head, event.bytes(), isFirstAttempt);
+        if (event.id().isPresent()) { // otherwise a comment or a reconnection time
+          progress.recordEvent(event, core.now());
+          source.recordEvent();
+          write(head, event.bytes(), isFirstAttempt);
+        }
       }
       if (splitter.isTooLong()) {
         source.recordInvalidEvent(EventDefect.TOO_LONG, EventSplitter.MAX_EVENT_BYTES);
@@ -128,20 +130,22 @@
     return isDelivered;
   }
 
-  /** Returns whether the server has ended a stream inside an event, or before its first one. */
-  boolean isIncompleteStream(ResponseHead head) {
-    boolean hasNoEvent = !head.isFramed() && progress.lastEventAt().isEmpty();
-    return isStream && (hasNoEvent || splitter.isInsideEvent());
+  /**
+   * Returns whether the server has ended a stream inside an event, or before its first one. A
+   * resumed stream may have no further event, unless only the end of its connection says so.
+   */
+  boolean isIncompleteStream(ResponseHead head, Attempt source) {
+    boolean mayHaveNoEvent = head.isFramed() && progress.lastEventId().isPresent();
+    boolean lacksEvent = !source.hasEvents() && !mayHaveNoEvent;
+    return isStream && (lacksEvent || splitter.isInsideEvent());
   }
 
   /** Sends what is buffered and completes the response. */
   void complete(ResponseHead head) {
     if (isStream) {
-      byte[] rest = splitter.takeRemainder();
       if (!started) {
         start(head, -1);
       }
-      exchange.write(rest);
     } else if (!started) {
       byte[] body = buffer.toByteArray();
       start(head, body.length);
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -221,7 +221,7 @@
     if (source != attempt || finished || current == null) {
       return;
     }
-    if (response.isIncompleteStream(current)) {
+    if (response.isIncompleteStream(current, source)) {
       if (!current.isFramed()) {
         recordLoss(source);
       }
--- a/src/main/java/org/wigeonstage/gateway/ResponseClassifier.java
+++ b/src/main/java/org/wigeonstage/gateway/ResponseClassifier.java
@@ -68,13 +68,11 @@
     return head.status() >= SERVER_ERROR;
   }
 
-  /** Returns whether the response to a request of the route is an event stream. */
-  static boolean isEventStream(Route route, ResponseHead head) {
-    return route.kind() == RouteKind.STREAMING
-        && head.status() == OK
-        && head.fields()
-            .first("Content-Type")
-            .map(type -> type.startsWith("text/event-stream"))
-            .orElse(false);
+  /**
+   * Returns whether a response must be an event stream. Its route decides, whatever media type the
+   * server declares.
+   */
+  static boolean isEventStream(Route route, String method, ResponseHead head) {
+    return route.kind() == RouteKind.STREAMING && isSuccess(head) && !method.equals("HEAD");
   }
 }
