--- a/src/test/java/org/wigeonstage/forward/EventSplitterTest.java
+++ b/src/test/java/org/wigeonstage/forward/EventSplitterTest.java
@@ -12,6 +12,8 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class EventSplitterTest {
 
@@ -64,9 +66,27 @@
     assertThat(splitter.isTooLong()).isFalse();
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"id: x1", "id:  1", "id: 1 ", "id:\t1", "id: 01", "id: -1", "id:", "id: "})
+  void treatsAMalformedIdAsMissing(String id) {
+    assertThat(new EventSplitter().feed(bytes(id + "\n\n")).get(0).id()).isEmpty();
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"id: 0", "id:0", "id: 10", "id: 999999999999999999"})
+  void readsAWellFormedId(String id) {
+    assertThat(new EventSplitter().feed(bytes(id + "\n\n")).get(0).id()).isPresent();
+  }
+
   @Test
-  void treatsAMalformedIdAsMissing() {
-    assertThat(new EventSplitter().feed(bytes("id: x1\n\n")).get(0).id()).isEmpty();
+  void dropsLineBreaksBetweenEvents() {
+    EventSplitter splitter = new EventSplitter();
+    assertThat(splitter.feed(bytes("\r\n\n\nid: 1\n\n\n\r")))
+        .extracting(event -> new String(event.bytes(), StandardCharsets.UTF_8))
+        .containsExactly("id: 1\n\n");
+    assertThat(splitter.isInsideEvent()).isFalse();
+    assertThat(splitter.feed(bytes("\ni"))).isEmpty();
+    assertThat(splitter.isInsideEvent()).isTrue();
   }
 
   @Property
