Name who closed a connection to a server, and why

Each place now gives a reason, the first of which counts (ServerConnection, ServerConnectionEnd.Reason, after ConnectionEnd.Reason on the callers' side). It reaches the request's lines connection-lost, attempt-ended, caller-gone and left-open as closedBy and closeReason, also where the gateway gives an attempt up itself (AbortReason). Ends are counted by reason and by whether they cut a response; ends of idle connections are only counted.

Found with it: Grizzly passes an exception in a filter to the filters below the one that threw it, so ResponseFilter.exceptionOccurred was never called. The transport's filter closed the connection, and the call ended without the cause. ReadingTransportFilter now does this, with the cause and the reason.

--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -2,18 +2,22 @@
 
 import com.google.common.collect.Comparators;
 import java.time.Duration;
+import java.util.Locale;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.forward.AttemptFailure;
 import org.wigeonstage.forward.EventDefect;
 import org.wigeonstage.forward.ResponseFields;
 import org.wigeonstage.http.ClientExchange;
+import org.wigeonstage.http.ConnectionLostException;
 import org.wigeonstage.http.OutboundCall;
 import org.wigeonstage.http.ResponseHead;
 import org.wigeonstage.http.ResponseListener;
 import org.wigeonstage.placement.AttemptResult;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.routes.RouteKind;
+import org.wigeonstage.telemetry.MetricName;
 
 /** One attempt to forward a request to a backend server. */
 final class Attempt implements ResponseListener {
@@ -52,6 +56,11 @@
   private boolean markedSuspect;
   private boolean isAwaitingReads;
 
+  /** Why the connection of the attempt has ended, or empty if it has not. */
+  private Optional<String> closeReason = Optional.empty();
+
+  private boolean isClosedByGateway;
+
   Attempt(
       ForwardedRequest request,
       GatewayCore core,
@@ -130,6 +139,7 @@
    * what it rests that a response belongs to the request.
    */
   void logTo(RequestLog.Entry entry) {
+    logEndTo(entry);
     ClientExchange current = exchange;
     if (current != null) {
       current
@@ -145,6 +155,35 @@
     }
   }
 
+  /** Records that the connection of the attempt was lost. */
+  void recordLoss(Throwable cause) {
+    if (cause instanceof ConnectionLostException lost) {
+      recordEnd(lost.reason().name().toLowerCase(Locale.ROOT), lost.reason().isByThisProcess());
+    }
+  }
+
+  /** Records why the attempt is ended although its connection was not lost. */
+  void recordAbort(AbortReason reason) {
+    if (closeReason.isEmpty()) {
+      recordEnd(reason.text(), reason != AbortReason.INCOMPLETE_RESPONSE);
+      core.count(MetricName.of("attempts.aborted", "reason", reason.text()));
+    }
+  }
+
+  private void recordEnd(String reason, boolean isByGateway) {
+    closeReason = Optional.of(reason);
+    isClosedByGateway = isByGateway;
+  }
+
+  /** Logs who has closed the connection of the attempt, and why. */
+  void logEndTo(RequestLog.Entry entry) {
+    closeReason.ifPresent(
+        reason ->
+            entry
+                .put("closedBy", isClosedByGateway ? "gateway" : "server")
+                .put("closeReason", reason));
+  }
+
   void recordHead(Duration now, ResponseHead head, ResponseFields fields) {
     hasResponseId = fields.requestId().isPresent();
     recordRead(now);
--- a/src/main/java/org/wigeonstage/gateway/AttemptSequence.java
+++ b/src/main/java/org/wigeonstage/gateway/AttemptSequence.java
@@ -1,10 +1,13 @@
 package org.wigeonstage.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.wigeonstage.forward.AttemptContext;
 import org.wigeonstage.forward.AttemptFailure;
 import org.wigeonstage.forward.AttemptPolicy;
+import org.wigeonstage.forward.ResponseFields;
 import org.wigeonstage.forward.Verdict;
+import org.wigeonstage.http.ResponseHead;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.routes.RouteKind;
 
@@ -53,6 +56,24 @@
     mayHaveRun = true;
   }
 
+  /** Returns how the attempt failed, if so; a server error is forwarded unless it is retried. */
+  Optional<AttemptFailure> failureOf(
+      ResponseHead head, ResponseFields fields, String requestId, boolean usesNewConnection) {
+    Optional<AttemptFailure> failure =
+        ResponseClassifier.failureOf(head, fields, requestId, usesNewConnection);
+    if (failure.isPresent()) {
+      return failure;
+    }
+    if (ResponseClassifier.isServerError(head)
+        && (response.hasStarted() || tryAcquireRetryAfterError())) {
+      return Optional.of(AttemptFailure.FAILED);
+    }
+    boolean canContinue = ResponseClassifier.isSuccess(head) && response.isStream();
+    return response.hasStarted() && !canContinue
+        ? Optional.of(AttemptFailure.INVALID)
+        : Optional.empty();
+  }
+
   /** Returns whether the request may have run in any attempt. */
   boolean mayHaveRun() {
     return mayHaveRun;
@@ -63,7 +84,7 @@
     return route.mayRunMoreThanOnce() && hasAttemptsLeft();
   }
 
-  boolean tryAcquireRetryAfterError() {
+  private boolean tryAcquireRetryAfterError() {
     return canRunAgain() && core.tryAcquireRetry(poolName);
   }
 
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -143,12 +143,12 @@
     }
     isDeferred = admission.kind() == PromptAdmission.Kind.DEFERRED;
     if (admission.kind() == PromptAdmission.Kind.HELD) {
-      cancelAttempt(log.addPromptDecision("held", admission));
+      cancelAttempt(log.addPromptDecision("held", admission), AbortReason.PROMPT_HELD);
       rejectOrAbort(
           Rejection.of(ErrorCode.ANSWER_LOST, "the request may have run; its prompt is held"),
           Rejection.ofHeldPrompt(admission.retryAfter()));
     } else if (isDeferred) {
-      cancelAttempt(log.addPromptDecision("deferred", admission));
+      cancelAttempt(log.addPromptDecision("deferred", admission), AbortReason.PROMPT_HELD);
     }
   }
 
@@ -170,29 +170,12 @@
     if (fields.closesConnection()) {
       core.count("servers.closing");
     }
-    Optional<AttemptFailure> failure = classifyOrAcquireRetry(source, newHead, fields);
-    if (failure.isPresent()) {
-      endAttempt(source, failure.get(), source.resultOf(failure.get()));
-    }
-  }
-
-  /** Returns how the attempt failed, if so; a server error is forwarded unless it is retried. */
-  private Optional<AttemptFailure> classifyOrAcquireRetry(
-      Attempt source, ResponseHead newHead, ResponseFields fields) {
     Optional<AttemptFailure> failure =
-        ResponseClassifier.failureOf(
+        attempts.failureOf(
             newHead, fields, inbound.fields().requestId(), source.usesNewConnection());
     if (failure.isPresent()) {
-      return failure;
-    }
-    if (ResponseClassifier.isServerError(newHead)
-        && (response.hasStarted() || attempts.tryAcquireRetryAfterError())) {
-      return Optional.of(AttemptFailure.FAILED);
+      endAttempt(source, failure.get(), source.resultOf(failure.get()));
     }
-    boolean canContinue = ResponseClassifier.isSuccess(newHead) && response.isStream();
-    return response.hasStarted() && !canContinue
-        ? Optional.of(AttemptFailure.INVALID)
-        : Optional.empty();
   }
 
   /** Handles part of a response's body. */
@@ -222,6 +205,7 @@
       return;
     }
     if (response.isIncompleteStream(current, source)) {
+      source.recordAbort(AbortReason.INCOMPLETE_RESPONSE);
       if (!current.isFramed()) {
         recordLoss(source);
       }
@@ -249,7 +233,8 @@
     if (source != attempt || finished) {
       return;
     }
-    log.addLoss(source.server(), cause);
+    source.recordLoss(cause);
+    log.addLoss(source, cause);
     AttemptFailure failure = wasSent ? unansweredFailure() : AttemptFailure.NOT_SENT;
     if (wasSent) {
       recordLoss(source);
@@ -278,16 +263,15 @@
     attempt = null;
     response.discardBuffered();
     attempts.recordEnd(failure);
-    RequestLog.Entry entry =
-        log.addEntry("attempt-ended")
-            .put("server", source.server().id())
-            .put("end", failure.name())
-            .put("begun", response.hasStarted())
-            .put("verdict", verdict.name())
-            .markNotable();
+    boolean keepsConnection =
+        failure == AttemptFailure.DECLINED || failure == AttemptFailure.FAILED;
+    if (!keepsConnection) {
+      source.recordAbort(AbortReason.of(failure));
+    }
+    RequestLog.Entry entry = log.addAttemptEnd(source, failure, response.hasStarted(), verdict);
     source.logTo(entry);
     response.logTo(entry, core.now());
-    if (failure == AttemptFailure.DECLINED || failure == AttemptFailure.FAILED) {
+    if (keepsConnection) {
       source.report(result);
     } else {
       source.abandon(result);
@@ -430,7 +414,7 @@
             .put("attempts", attempts.count())
             .put("endReadMillisAgo", handlingDelay.toMillis())
             .markNotable();
-    cancelAttempt(entry);
+    cancelAttempt(entry, AbortReason.CALLER_GONE);
     core.finish(this, RequestOutcome.CALLER_GONE);
   }
 
@@ -453,18 +437,20 @@
         log.addEntry("left-open")
             .put("waitedFor", current == null ? "place" : current.waitingFor())
             .put("begun", response.hasStarted())
-            .markNotable());
+            .markNotable(),
+        AbortReason.SHUTDOWN);
     rejectOrAbort(
         Rejection.of(ErrorCode.ANSWER_LOST, "the gateway shut down before the response arrived"),
         ifNotRun);
   }
 
   /** Cancels the current attempt, if there is one, and the wait for a slot. */
-  private void cancelAttempt(RequestLog.Entry entry) {
+  private void cancelAttempt(RequestLog.Entry entry, AbortReason reason) {
     response.logTo(entry, core.now());
     Attempt current = attempt;
     attempt = null;
     if (current != null) {
+      current.recordAbort(reason);
       current.logTo(entry);
       if (current.cancelIfUnsent()) {
         attempts.recordNotSent();
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -68,7 +68,9 @@
     this.settings = settings;
     MonotonicClock clock = MonotonicClock.system();
     ClockReader clocks = ClockReader.system();
-    this.client = closer.register(PooledHttpClient.start("backend", 1, clock));
+    this.client =
+        closer.register(
+            PooledHttpClient.start("backend", 1, clock, new ServerConnectionEndRecorder(metrics)));
     this.core =
         new GatewayCore(
             clock,
--- a/src/main/java/org/wigeonstage/gateway/RequestLog.java
+++ b/src/main/java/org/wigeonstage/gateway/RequestLog.java
@@ -8,6 +8,8 @@
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.crash.PromptAdmission;
 import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.forward.AttemptFailure;
+import org.wigeonstage.forward.Verdict;
 import org.wigeonstage.http.Arrival;
 import org.wigeonstage.placement.PlacementRequest;
 import org.wigeonstage.placement.RefusalReason;
@@ -100,9 +102,24 @@
         .put("attempt", attemptNumber);
   }
 
-  /** Adds an entry with the loss of the connection to a server. */
-  void addLoss(BackendServer server, Throwable cause) {
-    addEntry("connection-lost").put("server", server.id()).put("cause", cause.toString());
+  /** Adds an entry with the loss of the connection to a server, or the failure to open one. */
+  void addLoss(Attempt attempt, Throwable cause) {
+    Entry entry =
+        addEntry("connection-lost")
+            .put("server", attempt.server().id())
+            .put("cause", cause.toString());
+    attempt.logEndTo(entry);
+  }
+
+  /** Adds an entry with the end of an attempt without a complete response. */
+  Entry addAttemptEnd(
+      Attempt attempt, AttemptFailure failure, boolean hasResponseStarted, Verdict verdict) {
+    return addEntry("attempt-ended")
+        .put("server", attempt.server().id())
+        .put("end", failure.name())
+        .put("begun", hasResponseStarted)
+        .put("verdict", verdict.name())
+        .markNotable();
   }
 
   /** Adds an entry with the scheduler's refusal. */
--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -15,6 +15,7 @@
 import org.glassfish.grizzly.http.HttpPacket;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.http.ServerConnectionEnd.Reason;
 
 /** One call of an {@link HttpClient} or {@link PooledHttpClient}. Thread-safe. */
 public final class ClientExchange {
@@ -46,7 +47,10 @@
   private volatile @Nullable Duration writtenAt;
 
   ClientExchange(ResponseListener listener, MonotonicClock clock) {
-    this(listener, clock, (connection, isReusable) -> connection.closeSilently());
+    this(
+        listener,
+        clock,
+        (connection, isReusable) -> ServerConnection.close(connection, Reason.NOT_REUSABLE));
   }
 
   ClientExchange(ResponseListener listener, MonotonicClock clock, ConnectionReleaser releaser) {
@@ -66,15 +70,15 @@
       mustSend = !isAborted;
     }
     if (mustSend) {
-      ((Connection<SocketAddress>) newConnection).write(packet, writeCompletionHandler());
+      ((Connection<SocketAddress>) newConnection).write(packet, writeHandler(newConnection));
     } else {
-      markEnded();
-      newConnection.closeSilently();
-      listener.onConnectFailure(new IOException("call aborted before it was sent"));
+      ATTRIBUTE.remove(newConnection);
+      ServerConnection.close(newConnection, Reason.ABORTED);
+      connectFailed(new IOException("call aborted before it was sent"));
     }
   }
 
-  private CompletionHandler<WriteResult<Object, SocketAddress>> writeCompletionHandler() {
+  private CompletionHandler<WriteResult<Object, SocketAddress>> writeHandler(Connection<?> target) {
     return new EmptyCompletionHandler<>() {
       @Override
       public void completed(WriteResult<Object, SocketAddress> result) {
@@ -83,7 +87,8 @@
 
       @Override
       public void failed(Throwable cause) {
-        connectionLost(cause);
+        ServerConnection.recordEndReason(target, Reason.WRITE_FAILED);
+        connectionLost(ServerConnection.endReason(target), cause);
       }
     };
   }
@@ -172,21 +177,29 @@
    * Ends the exchange after the end of its connection, unless it has ended already. An orderly end
    * completes a response that does not show itself where its body ends.
    */
-  void connectionEnded(Connection<?> source, boolean isOrderly) {
-    if (isOrderly && endsWithConnection) {
+  void connectionEnded(
+      Connection<?> source, boolean isOrderly, Reason reason, @Nullable Throwable cause) {
+    if (isCompletedByEnd(isOrderly)) {
       responseCompleted(source, false);
     } else {
-      connectionLost(new IOException("connection closed before the end of the response"));
+      connectionLost(reason, cause);
     }
   }
 
+  /** Returns whether the end of the connection completes the response. */
+  boolean isCompletedByEnd(boolean isOrderly) {
+    return isOrderly && endsWithConnection;
+  }
+
   /** Ends the exchange after its connection was lost, unless it has ended already. */
-  void connectionLost(Throwable cause) {
+  void connectionLost(Reason reason, @Nullable Throwable cause) {
     if (markEnded()) {
       if (!hasResponseStarted && !isAborted()) {
         lostBeforeResponseAction.run();
       }
-      listener.onFailure(cause);
+      String message =
+          cause == null ? "connection closed before the end of the response" : cause.toString();
+      listener.onFailure(new ConnectionLostException(reason, message, cause));
     }
   }
 
@@ -259,8 +272,8 @@
     }
     resume();
     if (current != null) {
-      current.closeSilently();
-      listener.onFailure(new IOException("call aborted"));
+      ServerConnection.close(current, Reason.ABORTED);
+      listener.onFailure(new ConnectionLostException(Reason.ABORTED, "call aborted", null));
     }
   }
 }
--- a/src/main/java/org/wigeonstage/http/ClientTransport.java
+++ b/src/main/java/org/wigeonstage/http/ClientTransport.java
@@ -24,25 +24,25 @@
   private final FilterChain filterChain;
   private volatile @Nullable Connection<?> lastConnection;
 
-  private ClientTransport(TCPNIOTransport transport) {
+  private ClientTransport(TCPNIOTransport transport, ServerConnectionListener listener) {
     this.transport = transport;
     this.filterChain =
         FilterChainBuilder.stateless()
             .add(new ReadingTransportFilter())
             .add(new HttpClientFilter())
-            .add(new ResponseFilter())
+            .add(new ResponseFilter(listener))
             .build();
   }
 
   /** Starts a transport with the given number of selector threads. */
-  static ClientTransport start(String name, int threads) {
+  static ClientTransport start(String name, int threads, ServerConnectionListener listener) {
     TCPNIOTransport transport = Transports.create(name, threads);
     try {
       transport.start();
     } catch (IOException e) {
       throw new WigeonstageException(ErrorCode.IO, "can't start the HTTP client", e);
     }
-    return new ClientTransport(transport);
+    return new ClientTransport(transport, listener);
   }
 
   /** Creates a packet from the head and the body of a request. */
--- a/src/main/java/org/wigeonstage/http/HttpClient.java
+++ b/src/main/java/org/wigeonstage/http/HttpClient.java
@@ -31,7 +31,7 @@
    * @return the running client
    */
   public static HttpClient start(String name, int threads) {
-    return new HttpClient(ClientTransport.start(name, threads));
+    return new HttpClient(ClientTransport.start(name, threads, ServerConnectionListener.NONE));
   }
 
   /**
--- a/src/main/java/org/wigeonstage/http/PooledHttpClient.java
+++ b/src/main/java/org/wigeonstage/http/PooledHttpClient.java
@@ -14,6 +14,7 @@
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.http.ServerConnectionEnd.Reason;
 import org.wigeonstage.request.HeaderFields;
 
 /**
@@ -65,7 +66,21 @@
    * @return the running client
    */
   public static PooledHttpClient start(String name, int threads, MonotonicClock clock) {
-    return new PooledHttpClient(ClientTransport.start(name, threads), clock);
+    return start(name, threads, clock, ServerConnectionListener.NONE);
+  }
+
+  /**
+   * Starts a client with a connection listener.
+   *
+   * @param name the prefix of the names of its threads
+   * @param threads the number of its threads
+   * @param clock the clock that measures how long connections are idle
+   * @param listener notified when connections close
+   * @return the running client
+   */
+  public static PooledHttpClient start(
+      String name, int threads, MonotonicClock clock, ServerConnectionListener listener) {
+    return new PooledHttpClient(ClientTransport.start(name, threads, listener), clock);
   }
 
   /**
@@ -81,6 +96,7 @@
    */
   public ClientExchange send(
       Endpoint server, OutboundCall call, Duration maxIdle, ResponseListener listener) {
+    HttpPacket packet = packetOf(call);
     KeepAliveListener keepAliveListener = new KeepAliveListener(listener);
     ClientExchange exchange =
         new ClientExchange(
@@ -88,7 +104,6 @@
             clock,
             (connection, isReusable) ->
                 release(server, connection, isReusable, keepAliveListener.idleTimeout()));
-    HttpPacket packet = packetOf(call);
     IdleConnection reused = acquireIdle(server, maxIdle);
     if (reused != null) {
       exchange.markConnectionReused();
@@ -119,7 +134,8 @@
     Deque<IdleConnection> connections = idleConnections.remove(server);
     if (connections != null) {
       synchronized (connections) {
-        connections.forEach(idle -> idle.connection().closeSilently());
+        connections.forEach(
+            idle -> ServerConnection.close(idle.connection(), Reason.SERVER_UNREACHABLE));
       }
     }
   }
@@ -139,7 +155,7 @@
           idle -> {
             boolean isAsOld = idle.idleSince().compareTo(idleSince) <= 0;
             if (isAsOld) {
-              idle.connection().closeSilently();
+              ServerConnection.close(idle.connection(), Reason.STALE);
             }
             return isAsOld;
           });
@@ -165,7 +181,7 @@
         !idle.connection().isOpen()
             || now.minus(idle.idleSince()).compareTo(idle.idleTimeout()) > 0;
     if (isExpired) {
-      idle.connection().closeSilently();
+      ServerConnection.close(idle.connection(), Reason.IDLE);
     }
     return isExpired;
   }
@@ -195,7 +211,7 @@
   private void release(
       Endpoint server, Connection<?> connection, boolean isReusable, Duration idleTimeout) {
     if (!isReusable || !connection.isOpen() || idleTimeout.isZero()) {
-      connection.closeSilently();
+      ServerConnection.close(connection, Reason.NOT_REUSABLE);
       return;
     }
     Deque<IdleConnection> connections =
@@ -203,7 +219,7 @@
     synchronized (connections) {
       connections.addLast(new IdleConnection(connection, clock.elapsed(), idleTimeout));
       if (connections.size() > MAX_IDLE_PER_SERVER) {
-        connections.removeFirst().connection().closeSilently();
+        ServerConnection.close(connections.removeFirst().connection(), Reason.TOO_MANY_IDLE);
       }
     }
   }
--- a/src/main/java/org/wigeonstage/http/ResponseFilter.java
+++ b/src/main/java/org/wigeonstage/http/ResponseFilter.java
@@ -1,12 +1,14 @@
 package org.wigeonstage.http;
 
 import java.util.Locale;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
+import org.wigeonstage.http.ServerConnectionEnd.Reason;
 import org.wigeonstage.request.HeaderFields;
 
 /** Passes the parts of a response to the {@link ClientExchange} of its connection. */
@@ -15,16 +17,31 @@
   private static final int STATUS_NO_CONTENT = 204;
   private static final int STATUS_NOT_MODIFIED = 304;
 
+  private final ServerConnectionListener listener;
+
+  ResponseFilter(ServerConnectionListener listener) {
+    this.listener = listener;
+  }
+
   @Override
   public NextAction handleRead(FilterChainContext context) {
+    try {
+      return handlePart(context);
+    } catch (RuntimeException | Error e) {
+      ServerConnection.recordEndReason(context.getConnection(), Reason.HANDLING_FAILED);
+      throw e;
+    }
+  }
+
+  private NextAction handlePart(FilterChainContext context) {
     ClientExchange exchange = ClientExchange.ATTRIBUTE.get(context.getConnection());
     HttpContent content = context.getMessage();
     if (exchange == null) {
-      context.getConnection().closeSilently();
+      ServerConnection.close(context.getConnection(), Reason.UNEXPECTED_DATA);
       return context.getStopAction();
     }
     HttpResponsePacket response = (HttpResponsePacket) content.getHttpHeader();
-    exchange.responseStarted(() -> headOf(response));
+    exchange.responseStarted(() -> headOf(response, context.getConnection()));
     if (content.getContent().hasRemaining()) {
       exchange.dataReceived(PacketCopies.copyBytes(content));
     }
@@ -37,9 +54,10 @@
     return exchange.suspendIfPaused(context) ? context.getSuspendAction() : context.getStopAction();
   }
 
-  private static ResponseHead headOf(HttpResponsePacket response) {
+  private static ResponseHead headOf(HttpResponsePacket response, Connection<?> connection) {
     HeaderFields fields = PacketCopies.copyFields(response);
     if (!fields.fields().stream().allMatch(field -> FieldValues.isValid(field.value()))) {
+      ServerConnection.recordEndReason(connection, Reason.MALFORMED);
       throw new IllegalStateException("a header field has control characters");
     }
     return new ResponseHead(
@@ -61,20 +79,17 @@
 
   @Override
   public NextAction handleClose(FilterChainContext context) {
-    ClientExchange exchange = ClientExchange.ATTRIBUTE.get(context.getConnection());
+    Connection<?> connection = context.getConnection();
+    ClientExchange exchange = ClientExchange.ATTRIBUTE.get(connection);
+    boolean isOrderly = ServerConnection.hasEndedOrderly(connection);
+    Reason reason = ServerConnection.endReason(connection);
+    boolean isCut = exchange != null && !exchange.isCompletedByEnd(isOrderly);
+    listener.onClose(
+        new ServerConnectionEnd(String.valueOf(connection.getPeerAddress()), reason, isCut));
     if (exchange != null) {
-      boolean isOrderly = ReadingTransportFilter.hasEndedOrderly(context.getConnection());
-      exchange.connectionEnded(context.getConnection(), isOrderly);
+      exchange.connectionEnded(
+          connection, isOrderly, reason, ServerConnection.failureOf(connection));
     }
     return context.getStopAction();
   }
-
-  @Override
-  public void exceptionOccurred(FilterChainContext context, Throwable cause) {
-    ClientExchange exchange = ClientExchange.ATTRIBUTE.get(context.getConnection());
-    context.getConnection().closeSilently();
-    if (exchange != null) {
-      exchange.connectionLost(cause);
-    }
-  }
 }
