End only the request in whose handling an error occurs

Callers saw a stream that its server had sent completely end without its last part, and requests without any answer.

Cause: a part of a response is handled on the client's selector thread with the core's lock held, and the same call starts, refuses or ends other requests. What one of them threw came out of the handling of the first: its response was never ended, its server's connection was closed, the scheduler kept the slot of the one that could not start, and that one waited for its deadline. What was thrown in the handler's thread as an Error left its request without an answer.

Now each step of a request runs in RequestGuard: an error in it is logged at once (request-failed) and counted by step, and ends this request once the outermost step is done: its slot is freed, its connection to a server closed, its caller gets 503 if it certainly was not sent, else 502, or sees its response broken off. AttemptSequence keeps whether the current attempt is open, so that "not run" is only said if nothing can have been sent; PooledHttpClient.send throws only if nothing was. No request is dispatched again after such an error. ClientExchange does the same for listeners that throw.

RequestEnding, RejectionSender and PlacementExecutor are split out of ForwardedRequest and GatewayCore.

--- a/src/main/java/org/wigeonstage/gateway/AbortReason.java
+++ b/src/main/java/org/wigeonstage/gateway/AbortReason.java
@@ -22,7 +22,9 @@
   /** The process is about to exit. */
   SHUTDOWN,
   /** The prompt of the request is held. */
-  PROMPT_HELD;
+  PROMPT_HELD,
+  /** A step of the request failed because of an error in this process. */
+  ERROR;
 
   /** Returns why an attempt that failed, but whose connection was not lost, is ended. */
   static AbortReason of(AttemptFailure failure) {
--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -271,7 +271,8 @@
       core.client()
           .afterPendingReads(
               () ->
-                  core.withLock(
+                  handle(
+                      "check",
                       () -> {
                         isAwaitingReads = false;
                         action.run();
@@ -307,15 +308,22 @@
   void report(AttemptResult result) {
     if (!reported) {
       reported = true;
-      Duration first = firstPartAt;
-      if (first != null && eventCount > 1) {
-        core.recordEventGap(request, server, lastDataAt.minus(first).dividedBy(eventCount - 1));
+      try {
+        recordTimes();
+      } finally {
+        core.endAttempt(request, server, result);
       }
-      ClientExchange current = exchange;
-      if (current != null) {
-        current.writtenAt().ifPresent(time -> core.recordWriteTime(time.minus(startedAt)));
-      }
-      core.endAttempt(request, server, result);
+    }
+  }
+
+  private void recordTimes() {
+    Duration first = firstPartAt;
+    if (first != null && eventCount > 1) {
+      core.recordEventGap(request, server, lastDataAt.minus(first).dividedBy(eventCount - 1));
+    }
+    ClientExchange current = exchange;
+    if (current != null) {
+      current.writtenAt().ifPresent(time -> core.recordWriteTime(time.minus(startedAt)));
     }
   }
 
@@ -333,16 +341,23 @@
 
   /** Ends the attempt and closes its connection, so that the server stops running the request. */
   void abandon(AttemptResult result) {
-    report(result);
-    ClientExchange current = exchange;
-    if (current != null) {
-      current.abort();
+    try {
+      report(result);
+    } finally {
+      ClientExchange current = exchange;
+      if (current != null) {
+        current.abort();
+      }
     }
   }
 
+  private void handle(String step, Runnable action) {
+    core.withLock(() -> core.guard().run(request, step, action));
+  }
+
   @Override
   public void onHead(ResponseHead head) {
-    core.withLock(() -> request.headReceived(this, head));
+    handle("head", () -> request.headReceived(this, head));
   }
 
   @Override
@@ -352,21 +367,21 @@
 
   @Override
   public void onData(byte[] data) {
-    core.withLock(() -> request.dataReceived(this, data));
+    handle("data", () -> request.dataReceived(this, data));
   }
 
   @Override
   public void onComplete() {
-    core.withLock(() -> request.responseCompleted(this));
+    handle("end", () -> request.responseCompleted(this));
   }
 
   @Override
   public void onConnectFailure(Throwable cause) {
-    core.withLock(() -> request.attemptLost(this, false, cause));
+    handle("loss", () -> request.attemptLost(this, false, cause));
   }
 
   @Override
   public void onFailure(Throwable cause) {
-    core.withLock(() -> request.attemptLost(this, true, cause));
+    handle("loss", () -> request.attemptLost(this, true, cause));
   }
 }
--- a/src/main/java/org/wigeonstage/gateway/AttemptSequence.java
+++ b/src/main/java/org/wigeonstage/gateway/AttemptSequence.java
@@ -25,6 +25,9 @@
   private int count;
   private boolean mayHaveRun;
 
+  /** Whether it is not recorded yet how the current attempt has ended. */
+  private boolean isCurrentOpen;
+
   AttemptSequence(
       GatewayCore core, Route route, String poolName, Duration deadline, CallerResponse response) {
     this.core = core;
@@ -41,19 +44,27 @@
 
   void recordStart() {
     count++;
+    isCurrentOpen = true;
   }
 
   /** Records that nothing was sent in the current attempt, so that it does not count. */
   void recordNotSent() {
     count--;
+    isCurrentOpen = false;
   }
 
   void recordEnd(AttemptFailure failure) {
     mayHaveRun |= !failure.certainlyDidNotRun();
+    isCurrentOpen = false;
   }
 
-  void recordMayHaveRun() {
-    mayHaveRun = true;
+  /** Records that the current attempt is cancelled; has no effect if it has ended before. */
+  void recordCancellation(boolean isUnsent) {
+    if (isCurrentOpen && isUnsent) {
+      recordNotSent();
+    } else if (isCurrentOpen) {
+      recordEnd(AttemptFailure.LOST);
+    }
   }
 
   /** Returns how the attempt failed, if so; a server error is forwarded unless it is retried. */
--- a/src/main/java/org/wigeonstage/gateway/CallerRequestHandler.java
+++ b/src/main/java/org/wigeonstage/gateway/CallerRequestHandler.java
@@ -117,6 +117,16 @@
       DecisionLog.write("caller-gone-early", "request", request.fields().requestId());
       return;
     }
+    try {
+      rejectOrAdmit(request);
+    } catch (RuntimeException | Error e) {
+      core.guard().recordFailure(request.fields().requestId(), "admission", e);
+      core.refundQuota(request);
+      core.rejectUnadmitted(request, Rejection.ofError(false));
+    }
+  }
+
+  private void rejectOrAdmit(InboundRequest request) {
     for (InboundFilter filter : filters) {
       Optional<Rejection> rejection = filter.apply(request);
       if (rejection.isPresent()) {
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -13,7 +13,6 @@
 import org.wigeonstage.forward.Verdict;
 import org.wigeonstage.http.OutboundCall;
 import org.wigeonstage.http.ResponseHead;
-import org.wigeonstage.http.ServerExchange;
 import org.wigeonstage.placement.AttemptResult;
 import org.wigeonstage.placement.PlacementRequest;
 import org.wigeonstage.placement.RefusalReason;
@@ -37,11 +36,15 @@
   private final CallerResponse response;
   private final ConnectionSelector connectionSelector;
   private final AttemptSequence attempts;
+  private final RequestEnding ending;
   private @Nullable Attempt attempt;
+
+  /** The last attempt that was started, also after its end. */
+  private @Nullable Attempt lastAttempt;
+
   private @Nullable ResponseHead head;
   private boolean isTrial;
   private boolean isDeferred;
-  private boolean finished;
 
   ForwardedRequest(
       GatewayCore core,
@@ -60,6 +63,7 @@
     this.log = log;
     this.response = new CallerResponse(core, inbound);
     this.attempts = new AttemptSequence(core, route, poolName, deadline, response);
+    this.ending = new RequestEnding(core, this, response);
     this.connectionSelector = new ConnectionSelector(!inbound.fields().requestId().isEmpty());
   }
 
@@ -84,7 +88,7 @@
   }
 
   boolean isFinished() {
-    return finished;
+    return ending.isFinished();
   }
 
   /** Returns whether the request was sent to find out whether its prompt crashes servers. */
@@ -96,26 +100,22 @@
     return inbound.fields().sharedPromptParts();
   }
 
-  private ServerExchange exchange() {
-    return inbound.exchange();
-  }
-
   /** Sends the request to a backend server. */
   void start(BackendServer server, ServerEstimate estimate) {
     Duration now = core.now();
-    Duration remaining = deadline.minus(now);
-    log.addPlacement(server, estimate, now.minus(placement.arrivedAt()), attempts.count() + 1)
+    Attempt next = new Attempt(this, core, server, now, estimate.timeToFirstPart());
+    attempt = next;
+    lastAttempt = next;
+    attempts.recordStart();
+    log.addPlacement(server, estimate, now.minus(placement.arrivedAt()), attempts.count())
         .put("leftOut", core.knownServers().leftOut(poolName));
     head = null;
     AttemptFields fields =
         new AttemptFields(
             server.id(),
-            remaining,
+            deadline.minus(now),
             inbound.account().map(account -> account.name()),
             response.lastEventId());
-    Attempt next = new Attempt(this, core, server, now, estimate.timeToFirstPart());
-    attempt = next;
-    attempts.recordStart();
     boolean canBeSentAgain = attempts.count() == 1 && attempts.canRunAgain();
     OutboundCall outbound = inbound.outboundCall(core.headerCodec(), fields);
     next.send(outbound, connectionSelector.maxIdleTime(server, canBeSentAgain));
@@ -124,7 +124,7 @@
   /** Refuses the request because no backend server can accept it. */
   void refuse(RefusalReason reason, Duration retryAfter) {
     log.addRefusal(reason, retryAfter);
-    rejectOrAbort(
+    ending.rejectOrAbort(
         Rejection.of(ErrorCode.ANSWER_LOST, "the request may have run; no other server is free"),
         Rejection.of(reason, retryAfter));
   }
@@ -132,7 +132,7 @@
   /** Ends or defers the request if its prompt is held, unless it may have reached a server. */
   void checkPrompt() {
     Attempt current = attempt;
-    if (finished || isTrial || (current != null && current.isConnected())) {
+    if (isFinished() || isTrial || (current != null && current.isConnected())) {
       return;
     }
     PromptAdmission admission = core.promptHolds().decide(this);
@@ -144,7 +144,7 @@
     isDeferred = admission.kind() == PromptAdmission.Kind.DEFERRED;
     if (admission.kind() == PromptAdmission.Kind.HELD) {
       cancelAttempt(log.addPromptDecision("held", admission), AbortReason.PROMPT_HELD);
-      rejectOrAbort(
+      ending.rejectOrAbort(
           Rejection.of(ErrorCode.ANSWER_LOST, "the request may have run; its prompt is held"),
           Rejection.ofHeldPrompt(admission.retryAfter()));
     } else if (isDeferred) {
@@ -159,7 +159,7 @@
 
   /** Handles the head of a response. */
   void headReceived(Attempt source, ResponseHead newHead) {
-    if (source != attempt || finished) {
+    if (source != attempt || isFinished()) {
       return;
     }
     ResponseFields fields = core.headerCodec().decodeResponse(newHead.fields());
@@ -181,7 +181,7 @@
   /** Handles part of a response's body. */
   void dataReceived(Attempt source, byte[] data) {
     ResponseHead current = head;
-    if (source != attempt || finished || current == null) {
+    if (source != attempt || isFinished() || current == null) {
       return;
     }
     source.recordData(core.now());
@@ -201,7 +201,7 @@
   /** Handles the end of a response. */
   void responseCompleted(Attempt source) {
     ResponseHead current = head;
-    if (source != attempt || finished || current == null) {
+    if (source != attempt || isFinished() || current == null) {
       return;
     }
     if (response.isIncompleteStream(current, source)) {
@@ -219,7 +219,7 @@
       core.promptHolds().recordResponse(this, source.server());
     }
     attempt = null;
-    finished = true;
+    ending.markFinished();
     response.complete(current);
     Duration firstPart = source.timeToFirstPart(arrivedAt);
     Duration total = core.now().minus(arrivedAt);
@@ -230,7 +230,7 @@
 
   /** Handles the loss of an attempt's connection, or the failure to establish one. */
   void attemptLost(Attempt source, boolean wasSent, Throwable cause) {
-    if (source != attempt || finished) {
+    if (source != attempt || isFinished()) {
       return;
     }
     source.recordLoss(cause);
@@ -260,9 +260,9 @@
 
   private void endAttempt(
       Attempt source, AttemptFailure failure, AttemptResult result, Verdict verdict) {
+    attempts.recordEnd(failure);
     attempt = null;
     response.discardBuffered();
-    attempts.recordEnd(failure);
     boolean keepsConnection =
         failure == AttemptFailure.DECLINED || failure == AttemptFailure.FAILED;
     if (!keepsConnection) {
@@ -290,13 +290,15 @@
         prepareResumption();
         core.resubmitWithinBudget(this);
       }
-      case REFUSE -> reject(Rejection.ofDeclined());
+      case REFUSE -> ending.reject(Rejection.ofDeclined());
       case REPORT_UNKNOWN, PASS_ON ->
-          reject(
-              ErrorCode.ANSWER_LOST,
-              "the request may have run, but no usable response was received: " + failure);
-      case REPORT_TIMEOUT -> reject(ErrorCode.DEADLINE, "the deadline of the request has passed");
-      case BREAK_OFF -> abort();
+          ending.reject(
+              Rejection.of(
+                  ErrorCode.ANSWER_LOST,
+                  "the request may have run, but no usable response was received: " + failure));
+      case REPORT_TIMEOUT ->
+          ending.reject(Rejection.of(ErrorCode.DEADLINE, "the deadline of the request has passed"));
+      case BREAK_OFF -> ending.abort();
     }
   }
 
@@ -315,7 +317,7 @@
 
   /** Runs the periodic checks of the deadline and of the attempt. */
   void tick(Duration now) {
-    if (finished) {
+    if (isFinished()) {
       return;
     }
     if (now.compareTo(deadline) >= 0) {
@@ -352,7 +354,7 @@
    * it continues, because only its response may still arrive, and the server is marked as suspect.
    */
   private void replaceOrMarkSuspect(Attempt current) {
-    if (current != attempt || finished || !shouldReplaceOrMarkSuspect(current)) {
+    if (current != attempt || isFinished() || !shouldReplaceOrMarkSuspect(current)) {
       return;
     }
     if (current.cancelIfUnsent()) {
@@ -383,31 +385,22 @@
       return;
     }
     core.withdraw(this);
-    rejectOrAbort(
+    ending.rejectOrAbort(
         Rejection.of(ErrorCode.DEADLINE, "the deadline of the request has passed"),
         Rejection.retryable(
             ErrorCode.OVERLOADED, "no backend server had a free slot", Duration.ofMillis(200)));
   }
 
-  /** Ends a request without a further attempt: aborts its response if started, or rejects it. */
-  private void rejectOrAbort(Rejection ifMayHaveRun, Rejection ifNotRun) {
-    if (response.hasStarted()) {
-      abort();
-    } else {
-      reject(mayHaveRun() ? ifMayHaveRun : ifNotRun);
-    }
-  }
-
   /**
    * Ends the request because the caller closed its connection.
    *
    * @param handlingDelay the time since the end of the connection was read
    */
   void callerDisconnected(Duration handlingDelay) {
-    if (finished) {
+    if (isFinished()) {
       return;
     }
-    finished = true;
+    ending.markFinished();
     RequestLog.Entry entry =
         log.addEntry("caller-gone")
             .put("begun", response.hasStarted())
@@ -429,7 +422,7 @@
    * @param ifNotRun the response if the request certainly has not run
    */
   void endAtShutdown(Rejection ifNotRun) {
-    if (finished) {
+    if (isFinished()) {
       return;
     }
     Attempt current = attempt;
@@ -439,7 +432,7 @@
             .put("begun", response.hasStarted())
             .markNotable(),
         AbortReason.SHUTDOWN);
-    rejectOrAbort(
+    ending.rejectOrAbort(
         Rejection.of(ErrorCode.ANSWER_LOST, "the gateway shut down before the response arrived"),
         ifNotRun);
   }
@@ -448,38 +441,34 @@
   private void cancelAttempt(RequestLog.Entry entry, AbortReason reason) {
     response.logTo(entry, core.now());
     Attempt current = attempt;
-    attempt = null;
     if (current != null) {
+      attempts.recordCancellation(current.cancelIfUnsent());
+      attempt = null;
       current.recordAbort(reason);
       current.logTo(entry);
-      if (current.cancelIfUnsent()) {
-        attempts.recordNotSent();
-      } else {
-        attempts.recordMayHaveRun();
-      }
       current.abandon(AttemptResult.NEUTRAL);
     }
     core.withdraw(this);
   }
 
-  private void abort() {
-    finished = true;
-    response.logTo(
-        log.addEntry("broken-off")
-            .put("lastEvent", response.lastEventId().orElse(-1))
-            .markNotable(),
-        core.now());
-    exchange().abort();
-    core.finish(this, RequestOutcome.BROKEN_OFF);
-  }
-
-  private void reject(ErrorCode code, String detail) {
-    reject(Rejection.of(code, detail));
+  /**
+   * Ends the request because one of its steps was interrupted by an error in this process: frees
+   * its slot, and sends a final response unless its response has ended.
+   */
+  void endAfterError() {
+    Attempt last = lastAttempt;
+    attempt = null;
+    if (last != null) {
+      attempts.recordCancellation(last.cancelIfUnsent());
+      last.recordAbort(AbortReason.ERROR);
+      last.abandon(AttemptResult.NEUTRAL);
+    }
+    core.withdraw(this);
+    ending.endAfterError();
   }
 
-  private void reject(Rejection rejection) {
-    finished = true;
-    core.reject(inbound, rejection, log);
-    core.finish(this, RequestOutcome.REJECTED);
+  /** Ends the request without a response, because even its end has failed. */
+  void discard() {
+    ending.discard();
   }
 }
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -2,21 +2,18 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.Comparators;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
-import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
-import org.wigeonstage.common.Json;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.fleet.BackendServer;
@@ -24,16 +21,11 @@
 import org.wigeonstage.forward.HeaderCodec;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.handover.WaitingCount;
-import org.wigeonstage.http.Arrival;
 import org.wigeonstage.http.PooledHttpClient;
-import org.wigeonstage.http.ProblemDetails;
 import org.wigeonstage.placement.AttemptResult;
-import org.wigeonstage.placement.PlacementEffects;
 import org.wigeonstage.placement.PlacementRequest;
 import org.wigeonstage.placement.PoolScheduler;
-import org.wigeonstage.placement.RefusalReason;
 import org.wigeonstage.placement.SchedulingLimits;
-import org.wigeonstage.placement.ServerEstimate;
 import org.wigeonstage.placement.Urgency;
 import org.wigeonstage.quota.AccountQuotas;
 import org.wigeonstage.quota.QuotaTolerance;
@@ -65,6 +57,9 @@
   private final Map<String, PoolScheduler> pools = new HashMap<>();
   private final RetryBudgets retryBudgets;
   private final Map<PlacementRequest, ForwardedRequest> openRequests = new HashMap<>();
+  private final RejectionSender rejectionSender;
+  private final RequestGuard guard;
+  private final PlacementExecutor placementExecutor;
   private final PendingResumptions pendingResumptions = new PendingResumptions(this);
   private final PromptHolds promptHolds;
   private final KnownServers knownServers;
@@ -88,6 +83,9 @@
     this.client = client;
     this.metrics = metrics;
     this.requestMetrics = new RequestMetrics(metrics);
+    this.rejectionSender = new RejectionSender(requestMetrics);
+    this.guard = new RequestGuard(metrics);
+    this.placementExecutor = new PlacementExecutor(openRequests, guard);
     this.retryBudgets = new RetryBudgets(retryLimits);
     this.logSampler = logSampler;
     this.lastTickAt = clock.elapsed();
@@ -111,6 +109,11 @@
     return clock.elapsed();
   }
 
+  /** Returns the guard that runs the steps of requests. */
+  RequestGuard guard() {
+    return guard;
+  }
+
   HeaderCodec headerCodec() {
     return headerCodec;
   }
@@ -137,7 +140,7 @@
     openRequests.values().stream()
         .filter(request -> !pendingResumptions.contains(request))
         .toList()
-        .forEach(ForwardedRequest::checkPrompt);
+        .forEach(request -> guard.run(request, "prompt", request::checkPrompt));
   }
 
   /** Decides again about the requests that wait because of their prompts. */
@@ -146,7 +149,7 @@
     openRequests.values().stream()
         .filter(ForwardedRequest::isDeferred)
         .toList()
-        .forEach(request -> submit(request, now));
+        .forEach(request -> guard.run(request, "submission", () -> submit(request, now)));
   }
 
   /** Admits a request that passed all filters, and submits it for placement. */
@@ -166,18 +169,25 @@
             inbound.fields().promptTokens(),
             pool(poolName).eventCount(inbound.fields().expectedOutputTokens()),
             arrivedAt.plus(timeLimit));
-    Arrival arrival = inbound.exchange().arrival();
     Duration now = now();
     RequestLog log = new RequestLog(inbound.fields().requestId(), arrivedAt, clock);
     log.addAcceptance(inbound, placement, poolName, timeLimit);
     ForwardedRequest request =
         new ForwardedRequest(this, inbound, poolName, placement, arrivedAt.plus(timeLimit), log);
     openRequests.put(placement, request);
-    requestMetrics.recordArrival(arrival, now);
+    guard.run(request, "submission", () -> submitAdmitted(request, now));
+  }
+
+  private void submitAdmitted(ForwardedRequest request, Duration now) {
+    InboundRequest inbound = request.inbound();
+    requestMetrics.recordArrival(inbound.exchange().arrival(), now);
     inbound.exchange().onDisconnect(() -> callerDisconnected(request));
-    inbound.exchange().onDelivered(offset -> withLock(request::dataDelivered));
-    retryBudgets.recordRequest(poolName, arrivedAt);
-    submit(request, arrivedAt);
+    inbound
+        .exchange()
+        .onDelivered(
+            offset -> withLock(() -> guard.run(request, "delivery", request::dataDelivered)));
+    retryBudgets.recordRequest(request.poolName(), inbound.arrivedAt());
+    submit(request, inbound.arrivedAt());
   }
 
   private void submit(ForwardedRequest request, Duration now) {
@@ -193,13 +203,13 @@
         () -> {
           Duration handlingDelay = now().minus(readAt);
           requestMetrics.recordDisconnect(handlingDelay);
-          request.callerDisconnected(handlingDelay);
+          guard.run(request, "disconnect", () -> request.callerDisconnected(handlingDelay));
         });
   }
 
   /** Submits a request for placement again after its attempt failed. */
   void resubmit(ForwardedRequest request) {
-    submit(request, now());
+    guard.run(request, "submission", () -> submit(request, now()));
   }
 
   /** Submits an interrupted stream for placement as soon as the retry budget allows it. */
@@ -257,38 +267,37 @@
 
   /**
    * Removes a request that has ended, writes its log, and refunds its quota units if it certainly
-   * has not run.
+   * has not run. Has no effect if this was done before.
    */
   void finish(ForwardedRequest request, RequestOutcome outcome) {
-    openRequests.remove(request.placement());
-    pendingResumptions.remove(request);
-    InboundRequest inbound = request.inbound();
-    if (outcome != RequestOutcome.SERVED
-        && !request.mayHaveRun()
-        && inbound.account().isPresent()) {
-      quotas.refund(
-          inbound.account().get().name(), inbound.quotaUnits(), inbound.arrivedAt(), now());
+    if (!openRequests.remove(request.placement(), request)) {
+      return;
     }
-    if (outcome == RequestOutcome.CALLER_GONE || outcome == RequestOutcome.BROKEN_OFF) {
-      requestMetrics.recordIncomplete(request, outcome);
+    pendingResumptions.remove(request);
+    try {
+      if (outcome != RequestOutcome.SERVED && !request.mayHaveRun()) {
+        refundQuota(request.inbound());
+      }
+      if (outcome == RequestOutcome.CALLER_GONE || outcome == RequestOutcome.BROKEN_OFF) {
+        requestMetrics.recordIncomplete(request, outcome);
+      }
+    } finally {
+      logSampler.write(request.log(), now());
     }
-    logSampler.write(request.log(), now());
+  }
+
+  /** Refunds the quota units of a request that has not run. */
+  void refundQuota(InboundRequest inbound) {
+    inbound
+        .account()
+        .ifPresent(
+            account ->
+                quotas.refund(account.name(), inbound.quotaUnits(), inbound.arrivedAt(), now()));
   }
 
   /** Sends a rejection to the caller. */
   void reject(InboundRequest inbound, Rejection rejection, RequestLog log) {
-    log.addEntry("rejected")
-        .put("code", rejection.code().text())
-        .put("detail", rejection.detail())
-        .markNotable();
-    requestMetrics.recordRejected(inbound, rejection.code());
-    inbound
-        .exchange()
-        .respond(
-            rejection.code().httpStatus(),
-            closeIfLeaving(rejection.headerFields()),
-            Json.write(ProblemDetails.json(rejection.code(), rejection.detail()))
-                .getBytes(StandardCharsets.UTF_8));
+    rejectionSender.send(inbound, rejection, closeIfLeaving(rejection.headerFields()), log);
   }
 
   /** Rejects a request that did not pass a filter. */
@@ -362,8 +371,12 @@
     List<ForwardedRequest> requests = List.copyOf(openRequests.values());
     requests.stream()
         .filter(ForwardedRequest::isWaiting)
-        .forEach(request -> request.endAtShutdown(ifNotRun));
-    requests.forEach(request -> request.endAtShutdown(ifNotRun));
+        .forEach(request -> endAtShutdown(request, ifNotRun));
+    requests.forEach(request -> endAtShutdown(request, ifNotRun));
+  }
+
+  private void endAtShutdown(ForwardedRequest request, Rejection ifNotRun) {
+    guard.run(request, "shutdown", () -> request.endAtShutdown(ifNotRun));
   }
 
   /** Applies changed limits. */
@@ -467,7 +480,7 @@
     requestMetrics.recordTickInterval(sinceLastTick);
     lastTickAt = now;
     List.copyOf(openRequests.values())
-        .forEach(request -> RepeatedTask.runPart("check of a request", () -> request.tick(now)));
+        .forEach(request -> guard.run(request, "check", () -> request.tick(now)));
     RepeatedTask.runPart("check of prompt holds", promptHolds::tick);
     RepeatedTask.runPart("deferred requests", this::submitDeferred);
     RepeatedTask.runPart("resumption of streams", () -> pendingResumptions.tick(now));
@@ -476,24 +489,6 @@
 
   private PoolScheduler pool(String name) {
     return pools.computeIfAbsent(
-        name, key -> new PoolScheduler(SchedulingLimits.DEFAULTS, new PlacementExecutor(), random));
-  }
-
-  /** Executes the decisions of the schedulers. */
-  private final class PlacementExecutor implements PlacementEffects {
-
-    @Override
-    public void start(PlacementRequest placement, BackendServer server, ServerEstimate estimate) {
-      Optional.ofNullable(openRequests.get(placement))
-          .ifPresent(request -> request.start(server, estimate));
-    }
-
-    @Override
-    public void refuse(PlacementRequest placement, RefusalReason reason, Duration retryAfter) {
-      ForwardedRequest request = openRequests.get(placement);
-      if (request != null) {
-        request.refuse(reason, retryAfter);
-      }
-    }
+        name, key -> new PoolScheduler(SchedulingLimits.DEFAULTS, placementExecutor, random));
   }
 }
--- a/src/main/java/org/wigeonstage/gateway/PendingResumptions.java
+++ b/src/main/java/org/wigeonstage/gateway/PendingResumptions.java
@@ -50,7 +50,11 @@
     for (ForwardedRequest request : ordered) {
       if (now.compareTo(request.placement().startBy()) >= 0) {
         waiting.remove(request);
-        request.refuse(RefusalReason.WAITED_TOO_LONG, Duration.ZERO);
+        core.guard()
+            .run(
+                request,
+                "refusal",
+                () -> request.refuse(RefusalReason.WAITED_TOO_LONG, Duration.ZERO));
       } else if (core.tryAcquireRetry(request.poolName())) {
         waiting.remove(request);
         core.resubmit(request);
--- a/src/main/java/org/wigeonstage/gateway/Rejection.java
+++ b/src/main/java/org/wigeonstage/gateway/Rejection.java
@@ -22,6 +22,9 @@
   /** A server that declined a request has a free slot again after about this time. */
   private static final Duration DECLINED_RETRY_AFTER = Duration.ofMillis(300);
 
+  /** An error may be due to what happens at the same time, such as a lack of memory. */
+  private static final Duration ERROR_RETRY_AFTER = Duration.ofMillis(500);
+
   static Rejection of(ErrorCode code, String detail) {
     return new Rejection(code, detail, Optional.empty());
   }
@@ -45,6 +48,20 @@
         DECLINED_RETRY_AFTER);
   }
 
+  /**
+   * Returns the response to a request that ended because of an error in this process.
+   *
+   * @param mayHaveRun whether it may have run at a backend server
+   */
+  static Rejection ofError(boolean mayHaveRun) {
+    return mayHaveRun
+        ? of(ErrorCode.ANSWER_LOST, "an internal error occurred; the request may have run")
+        : retryable(
+            ErrorCode.WITHDRAWN,
+            "an internal error occurred before the request was sent",
+            ERROR_RETRY_AFTER);
+  }
+
   /** Returns the response to a request that is not sent to a server because of its prompt. */
   static Rejection ofHeldPrompt(Duration retryAfter) {
     return retryable(
--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -1,9 +1,11 @@
 package org.wigeonstage.http;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
@@ -20,6 +22,11 @@
 /** One call of an {@link HttpClient} or {@link PooledHttpClient}. Thread-safe. */
 public final class ClientExchange {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** The interval in seconds between two log lines about errors of listeners. */
+  private static final int LOG_INTERVAL_SECONDS = 10;
+
   static final Attribute<ClientExchange> ATTRIBUTE =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("wigeonstage.clientExchange");
 
@@ -117,7 +124,40 @@
 
   void connectFailed(Throwable cause) {
     if (markEnded()) {
-      listener.onConnectFailure(cause);
+      notifyListener(() -> listener.onConnectFailure(cause));
+    }
+  }
+
+  /** Ends the exchange because an error has interrupted the sending of the request. */
+  void sendFailed(Throwable cause) {
+    if (cancelIfUnsent()) {
+      connectFailed(cause);
+    } else {
+      closeAfterError(cause);
+    }
+  }
+
+  /** Closes the connection, and ends the exchange, because of an error in this process. */
+  private void closeAfterError(Throwable cause) {
+    Connection<?> current;
+    synchronized (this) {
+      current = hasEnded ? null : connection;
+    }
+    if (current != null) {
+      ServerConnection.recordEndReason(current, Reason.HANDLING_FAILED);
+      connectionLost(Reason.HANDLING_FAILED, cause);
+      ServerConnection.close(current, Reason.HANDLING_FAILED);
+    }
+  }
+
+  /** Calls the listener; an error in it ends the exchange, but not the calling thread's work. */
+  private void notifyListener(Runnable call) {
+    try {
+      call.run();
+    } catch (RuntimeException | Error e) {
+      logger.atSevere().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).withCause(e).log(
+          "part of a response could not be handled; its connection is closed");
+      closeAfterError(e);
     }
   }
 
@@ -127,12 +167,14 @@
       ResponseHead received = head.get();
       endsWithConnection = !received.isFramed();
       hasResponseStarted = true;
-      listener.onHead(received);
+      notifyListener(() -> listener.onHead(received));
     }
   }
 
   void dataReceived(byte[] data) {
-    listener.onData(data);
+    if (!hasEnded()) {
+      notifyListener(() -> listener.onData(data));
+    }
   }
 
   /** Ends the exchange after the complete response, and releases the connection. */
@@ -141,7 +183,7 @@
     boolean isFirst = markEnded();
     releaser.release(source, isReusable && isFirst && writtenAt != null);
     if (isFirst) {
-      listener.onComplete();
+      notifyListener(listener::onComplete);
     }
   }
 
@@ -199,10 +241,14 @@
       }
       String message =
           cause == null ? "connection closed before the end of the response" : cause.toString();
-      listener.onFailure(new ConnectionLostException(reason, message, cause));
+      notifyListener(() -> listener.onFailure(new ConnectionLostException(reason, message, cause)));
     }
   }
 
+  private synchronized boolean hasEnded() {
+    return hasEnded;
+  }
+
   private synchronized boolean isAborted() {
     return isAborted;
   }
@@ -273,7 +319,10 @@
     resume();
     if (current != null) {
       ServerConnection.close(current, Reason.ABORTED);
-      listener.onFailure(new ConnectionLostException(Reason.ABORTED, "call aborted", null));
+      notifyListener(
+          () ->
+              listener.onFailure(
+                  new ConnectionLostException(Reason.ABORTED, "call aborted", null)));
     }
   }
 }
--- a/src/main/java/org/wigeonstage/http/ExceptionMappingHandler.java
+++ b/src/main/java/org/wigeonstage/http/ExceptionMappingHandler.java
@@ -47,7 +47,7 @@
     } catch (WigeonstageException e) {
       String detail = e.getMessage() == null ? e.code().text() : e.getMessage();
       ProblemDetails.respond(exchange, e.code(), detail, Map.of());
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       logger.atSevere().atMostEvery(10, TimeUnit.SECONDS).withCause(e).log(
           "request handler threw an unexpected exception");
       ProblemDetails.respond(exchange, ErrorCode.INTERNAL, "internal error", Map.of());
--- a/src/main/java/org/wigeonstage/http/PooledHttpClient.java
+++ b/src/main/java/org/wigeonstage/http/PooledHttpClient.java
@@ -84,7 +84,7 @@
   }
 
   /**
-   * Sends a call without waiting for the response.
+   * Sends a call without waiting for the response. If this throws, nothing was sent.
    *
    * @param server the address of the server
    * @param call the call to send
@@ -104,6 +104,16 @@
             clock,
             (connection, isReusable) ->
                 release(server, connection, isReusable, keepAliveListener.idleTimeout()));
+    try {
+      connect(server, exchange, packet, maxIdle);
+    } catch (RuntimeException | Error e) {
+      exchange.sendFailed(e);
+    }
+    return exchange;
+  }
+
+  private void connect(
+      Endpoint server, ClientExchange exchange, HttpPacket packet, Duration maxIdle) {
     IdleConnection reused = acquireIdle(server, maxIdle);
     if (reused != null) {
       exchange.markConnectionReused();
@@ -113,7 +123,6 @@
       connectAttempts.incrementAndGet();
       transport.connect(server, exchange, packet);
     }
-    return exchange;
   }
 
   /**
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -316,6 +316,15 @@
     callerConnection.abort(Reason.BROKEN_OFF);
   }
 
+  /**
+   * Returns whether the response has ended.
+   *
+   * @return whether its last part was written, or it was aborted
+   */
+  public boolean hasEnded() {
+    return hasEnded.get();
+  }
+
   /** Discards a request that the connection does not accept. */
   void discard() {
     hasEnded.set(true);
--- a/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -15,6 +15,7 @@
 import java.util.function.UnaryOperator;
 import org.wigeonstage.common.Polling;
 import org.wigeonstage.fleet.FleetStore;
+import org.wigeonstage.forward.HeaderCodec;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpClient;
 import org.wigeonstage.platform.PlatformAdapter;
@@ -87,13 +88,19 @@
 
   /** Starts a gateway whose access to the store is wrapped. */
   GatewayProcess startGateway(String name, UnaryOperator<FleetStore> wrapper) {
+    return startGateway(name, wrapper, codec -> codec);
+  }
+
+  /** Starts a gateway whose access to the store and whose codec are wrapped. */
+  GatewayProcess startGateway(
+      String name, UnaryOperator<FleetStore> wrapper, UnaryOperator<HeaderCodec> codecWrapper) {
     HttpClient client = closer.register(HttpClient.start("store", 1));
     PlatformAdapter adapter = new PlatformAdapter(client, store.endpoint());
     return closer.register(
         GatewayProcess.start(
             SettingsLoader.parseGateway(settings(name).toString()),
             wrapper.apply(adapter.fleetStore()),
-            adapter.headerCodec()));
+            codecWrapper.apply(adapter.headerCodec())));
   }
 
   private ObjectNode settings(String name) {
