Name the request that the end of a caller's connection cuts

connection-cut had a reason, but neither the request nor what had failed, and an exception in a filter of the callers' chain was written by Grizzly only, without what was open on the connection.

The gateway labels each exchange with the request's ID; the end of a connection (ConnectionEnd) carries the label of the request that was being answered, and the cause of a failed read or write. An error in a filter, in the hand-over to the handler, in a listener for the delivery or in the action for a disconnect closes this connection only, as HANDLING_FAILED, counted, and logged with what was open at most every 10 s; before, it went up into whatever had written to the connection, which may have been the thread that reads a server's response.

Tests: CallerConnectionEndTest (4); with ResponseDeliveryTest, CallerDisconnectTest and HttpServerTest 29 passed.

--- a/src/main/java/org/wigeonstage/gateway/CallerRequestHandler.java
+++ b/src/main/java/org/wigeonstage/gateway/CallerRequestHandler.java
@@ -64,6 +64,7 @@
   @Override
   public void handle(ServerExchange exchange) {
     RequestFields fields = core.headerCodec().decodeRequest(exchange.fields());
+    exchange.setLabel(fields.requestId());
     core.withLock(() -> receive(exchange, fields));
   }
 
--- a/src/main/java/org/wigeonstage/http/CallerConnection.java
+++ b/src/main/java/org/wigeonstage/http/CallerConnection.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.http;
 
 import com.google.common.flogger.FluentLogger;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.channels.SocketChannel;
@@ -11,6 +12,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import org.glassfish.grizzly.CloseReason;
+import org.glassfish.grizzly.CloseType;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -31,6 +34,9 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** The interval in seconds between two log lines about errors. */
+  private static final int LOG_INTERVAL_SECONDS = 10;
+
   private static final Attribute<CallerConnection> ATTRIBUTE =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("wigeonstage.callerConnection");
 
@@ -55,6 +61,7 @@
   private final BodyMemory.Share bodyMemory;
   private final RequestPipeline<ServerExchange> pipeline;
   private final AtomicReference<@Nullable Reason> endReason = new AtomicReference<>();
+  private final AtomicReference<@Nullable Throwable> endCause = new AtomicReference<>();
   private volatile @Nullable ServerExchange currentExchange;
   private @Nullable CallerRequest incoming;
   private volatile boolean hasDeliveredAll;
@@ -138,10 +145,29 @@
       ProblemDetails.respond(
           exchange, refusal.get().code(), refusal.get().detail(), refusal.get().responseFields());
     } else {
-      handler.handle(exchange);
+      runGuarded(() -> handler.handle(exchange));
+    }
+  }
+
+  /** Runs an action; an error in it closes this connection, but does not reach the calling code. */
+  void runGuarded(Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException | Error e) {
+      endAfterError(e);
     }
   }
 
+  /** Closes the connection because of an error in this process. */
+  void endAfterError(Throwable cause) {
+    ServerExchange open = currentExchange;
+    logger.atSevere().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).withCause(cause).log(
+        "a caller's connection is closed after an error; current request: %s, unanswered requests:"
+            + " %s",
+        open == null ? null : open.label(), pipeline.unansweredCount());
+    abort(Reason.HANDLING_FAILED, cause);
+  }
+
   /** Handles the next request, or closes, after the current response was delivered completely. */
   void completeCurrent(boolean keepsConnection, boolean callerAskedToClose) {
     if (!keepsConnection) {
@@ -191,6 +217,12 @@
     }
   }
 
+  /** Closes the connection abruptly because of an error. */
+  void abort(Reason reason, Throwable cause) {
+    endCause.compareAndSet(null, cause);
+    abort(reason);
+  }
+
   /** Closes the connection abruptly, so that the caller sees a truncated response. */
   void abort(Reason reason) {
     recordEndReason(reason);
@@ -239,6 +271,19 @@
     return new ConnectionEnd(
         reason == null ? Reason.CALLER_LEFT : reason,
         pipeline.unansweredCount(),
-        exchange == null ? 0 : exchange.undeliveredBytes());
+        exchange == null ? 0 : exchange.undeliveredBytes(),
+        exchange == null ? null : exchange.label(),
+        currentEndCause());
+  }
+
+  /** Returns the error that ends the connection, or null if there is none. */
+  private @Nullable Throwable currentEndCause() {
+    Throwable recorded = endCause.get();
+    CloseReason closeReason = connection.getCloseReason();
+    boolean hasFailed =
+        closeReason != null
+            && closeReason.getType() == CloseType.REMOTELY
+            && !(closeReason.getCause() instanceof EOFException);
+    return recorded == null && hasFailed ? closeReason.getCause() : recorded;
   }
 }
--- a/src/main/java/org/wigeonstage/http/ConnectionEnd.java
+++ b/src/main/java/org/wigeonstage/http/ConnectionEnd.java
@@ -1,5 +1,7 @@
 package org.wigeonstage.http;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * The end of a caller's connection, and the work that it left unfinished.
  *
@@ -8,8 +10,15 @@
  *     were not delivered completely
  * @param undeliveredBytes the number of bytes of the current response that were written but not
  *     handed to the operating system
+ * @param currentRequest the label of the request that was being answered, or null if there was none
+ * @param cause the error because of which the connection ended, or null if there is none
  */
-public record ConnectionEnd(Reason reason, int unansweredRequests, long undeliveredBytes) {
+public record ConnectionEnd(
+    Reason reason,
+    int unansweredRequests,
+    long undeliveredBytes,
+    @Nullable String currentRequest,
+    @Nullable Throwable cause) {
 
   /** Why a connection ended. */
   public enum Reason {
@@ -33,6 +42,8 @@
     BROKEN_OFF,
     /** Writing a response failed. */
     WRITE_FAILED,
+    /** A request or its response could not be handled because of an error in this process. */
+    HANDLING_FAILED,
     /** The server is stopping. */
     STOPPING
   }
--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
@@ -152,7 +151,7 @@
             exceptionMappingHandler);
     transport.setProcessor(
         FilterChainBuilder.stateless()
-            .add(new TransportFilter())
+            .add(new CallerTransportFilter())
             .add(new StrictHttpServerFilter(options.maxHeadBytes(), requestFilter::refuseMalformed))
             .add(requestFilter)
             .build());
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -48,6 +48,7 @@
   private final AtomicReference<@Nullable Runnable> disconnectAction = new AtomicReference<>();
   private final CloseListener<Closeable, ICloseType> closeListener =
       (closeable, type) -> connectionClosed();
+  private volatile @Nullable String label;
   private int pendingWrites;
   private long writtenBytes;
   private long deliveredBytes;
@@ -61,6 +62,20 @@
     connection.addCloseListener(closeListener);
   }
 
+  /**
+   * Sets how the request is named in logs.
+   *
+   * @param newLabel the label
+   */
+  public void setLabel(String newLabel) {
+    label = newLabel;
+  }
+
+  /** Returns how the request is named in logs, or null if it has no label. */
+  @Nullable String label() {
+    return label;
+  }
+
   /**
    * Returns when the request arrived and was read.
    *
@@ -349,7 +364,7 @@
   private void connectionClosed() {
     Runnable action = disconnectAction.getAndSet(null);
     if (action != null && !hasEnded.get()) {
-      action.run();
+      callerConnection.runGuarded(action);
     }
   }
 
@@ -415,12 +430,12 @@
 
     @Override
     public void completed(WriteResult<Object, SocketAddress> result) {
-      writeCompleted(bytes);
+      callerConnection.runGuarded(() -> writeCompleted(bytes));
     }
 
     @Override
     public void failed(Throwable cause) {
-      callerConnection.abort(Reason.WRITE_FAILED);
+      callerConnection.abort(Reason.WRITE_FAILED, cause);
     }
   }
 }
