Start waiting requests in a loop instead of recursively

Callers of a pool whose connections fail at once could see their requests end without an answer: each start that ends at once starts the next waiting request on the same stack. With a long queue the stack overflows, and where it does is by chance the handling of another request.

Evidence: SynchronousEndsTest, a queue of 10,000 requests each of which ends as it is started: StackOverflowError before, all started now. A start that ends an attempt or submits a request is followed by another pass of the outer call (RepeatableRun), so the depth no longer depends on the queue.

Tests: placement, LayeringTest and PlatformNamesTest, 77 passed.

--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -1,6 +1,5 @@
 package org.wigeonstage.placement;
 
-import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -39,11 +38,6 @@
   private static final int EARLY_REFUSAL_FACTOR = 2;
 
   private static final Duration NO_SERVER_RETRY_AFTER = Duration.ofSeconds(1);
-  private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(200);
-  private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(3);
-
-  /** The share of a caller's remaining time after which it can still be served when it returns. */
-  private static final int RETRY_AFTER_DIVISOR = 3;
 
   private final PlacementEffects effects;
   private final ServerSelector selector;
@@ -52,6 +46,7 @@
   private final StartRateEstimator startRates;
   private final BackfillPolicy backfill = new BackfillPolicy();
   private final SlotClaims claims;
+  private final RepeatableRun starts = new RepeatableRun();
   private int tokensPerEvent = 1;
   private Duration decayedAt = Duration.ZERO;
   private Duration queuesReviewedAt = Duration.ZERO;
@@ -353,7 +348,7 @@
 
   private void refuse(PlacementRequest request, RefusalReason reason, Duration wait, Duration now) {
     backfill.recordRefusal(request);
-    effects.refuse(request, reason, retryAfter(request, wait, now));
+    effects.refuse(request, reason, RetryAfter.of(request, wait, now));
   }
 
   /** Returns whether a request would find a slot that no more urgent one waits for. */
@@ -365,10 +360,11 @@
 
   /**
    * Starts waiting requests in order of urgency. Once one finds no free slot, less urgent ones
-   * start only in slots that it may not use.
+   * start only in slots that it may not use. A start may end an attempt or submit a request before
+   * it returns; the requests that this lets start are started by the outer call.
    */
   private void startWaiting(Duration now) {
-    startWhileSlotsAreFree(now);
+    starts.run(() -> startWhileSlotsAreFree(now));
     waitingRequests
         .queues()
         .forEach((urgency, queue) -> startRates.updateWaiting(urgency, !queue.isEmpty(), now));
@@ -490,11 +486,4 @@
   private Duration expectedWait(Urgency urgency, Duration now) {
     return startRates.expectedTimeToStart(waitingRequests.queue(urgency).size(), urgency, now);
   }
-
-  /** Returns when the caller is to return, so that it still has time to be served then. */
-  private static Duration retryAfter(PlacementRequest request, Duration wait, Duration now) {
-    Duration remaining = request.deadline().minus(now);
-    Duration longest = Comparators.min(MAX_RETRY_AFTER, remaining.dividedBy(RETRY_AFTER_DIVISOR));
-    return Comparators.max(MIN_RETRY_AFTER, Comparators.min(wait, longest));
-  }
 }
