--- a/src/main/java/org/wigeonstage/gateway/AttemptSequence.java
+++ b/src/main/java/org/wigeonstage/gateway/AttemptSequence.java
@@ -1,10 +1,13 @@
 package org.wigeonstage.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.wigeonstage.forward.AttemptContext;
 import org.wigeonstage.forward.AttemptFailure;
 import org.wigeonstage.forward.AttemptPolicy;
+import org.wigeonstage.forward.ResponseFields;
 import org.wigeonstage.forward.Verdict;
+import org.wigeonstage.http.ResponseHead;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.routes.RouteKind;
 
@@ -22,6 +25,9 @@
   private int count;
   private boolean mayHaveRun;
 
+  /** Whether it is not recorded yet how the current attempt has ended. */
+  private boolean isCurrentOpen;
+
   AttemptSequence(
       GatewayCore core, Route route, String poolName, Duration deadline, CallerResponse response) {
     this.core = core;
@@ -38,19 +44,45 @@
 
   void recordStart() {
     count++;
+    isCurrentOpen = true;
   }
 
   /** Records that nothing was sent in the current attempt, so that it does not count. */
   void recordNotSent() {
     count--;
+    isCurrentOpen = false;
   }
 
   void recordEnd(AttemptFailure failure) {
     mayHaveRun |= !failure.certainlyDidNotRun();
+    isCurrentOpen = false;
+  }
+
+  /** Records that the current attempt is cancelled; has no effect if it has ended before. */
+  void recordCancellation(boolean isUnsent) {
+    if (isCurrentOpen && isUnsent) {
+      recordNotSent();
+    } else if (isCurrentOpen) {
+      recordEnd(AttemptFailure.LOST);
+    }
   }
 
-  void recordMayHaveRun() {
-    mayHaveRun = true;
+  /** Returns how the attempt failed, if so; a server error is forwarded unless it is retried. */
+  Optional<AttemptFailure> failureOf(
+      ResponseHead head, ResponseFields fields, String requestId, boolean usesNewConnection) {
+    Optional<AttemptFailure> failure =
+        ResponseClassifier.failureOf(head, fields, requestId, usesNewConnection);
+    if (failure.isPresent()) {
+      return failure;
+    }
+    if (ResponseClassifier.isServerError(head)
+        && (response.hasStarted() || tryAcquireRetryAfterError())) {
+      return Optional.of(AttemptFailure.FAILED);
+    }
+    boolean canContinue = ResponseClassifier.isSuccess(head) && response.isStream();
+    return response.hasStarted() && !canContinue
+        ? Optional.of(AttemptFailure.INVALID)
+        : Optional.empty();
   }
 
   /** Returns whether the request may have run in any attempt. */
@@ -63,7 +95,7 @@
     return route.mayRunMoreThanOnce() && hasAttemptsLeft();
   }
 
-  boolean tryAcquireRetryAfterError() {
+  private boolean tryAcquireRetryAfterError() {
     return canRunAgain() && core.tryAcquireRetry(poolName);
   }
 
--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -1,9 +1,11 @@
 package org.wigeonstage.http;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.Connection;
@@ -15,10 +17,16 @@
 import org.glassfish.grizzly.http.HttpPacket;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.MonotonicClock;
+import org.wigeonstage.http.ServerConnectionEnd.Reason;
 
 /** One call of an {@link HttpClient} or {@link PooledHttpClient}. Thread-safe. */
 public final class ClientExchange {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** The interval in seconds between two log lines about errors of listeners. */
+  private static final int LOG_INTERVAL_SECONDS = 10;
+
   static final Attribute<ClientExchange> ATTRIBUTE =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("wigeonstage.clientExchange");
 
@@ -46,7 +54,10 @@
   private volatile @Nullable Duration writtenAt;
 
   ClientExchange(ResponseListener listener, MonotonicClock clock) {
-    this(listener, clock, (connection, isReusable) -> connection.closeSilently());
+    this(
+        listener,
+        clock,
+        (connection, isReusable) -> ServerConnection.close(connection, Reason.NOT_REUSABLE));
   }
 
   ClientExchange(ResponseListener listener, MonotonicClock clock, ConnectionReleaser releaser) {
@@ -66,15 +77,15 @@
       mustSend = !isAborted;
     }
     if (mustSend) {
-      ((Connection<SocketAddress>) newConnection).write(packet, writeCompletionHandler());
+      ((Connection<SocketAddress>) newConnection).write(packet, writeHandler(newConnection));
     } else {
-      markEnded();
-      newConnection.closeSilently();
-      listener.onConnectFailure(new IOException("call aborted before it was sent"));
+      ATTRIBUTE.remove(newConnection);
+      ServerConnection.close(newConnection, Reason.ABORTED);
+      connectFailed(new IOException("call aborted before it was sent"));
     }
   }
 
-  private CompletionHandler<WriteResult<Object, SocketAddress>> writeCompletionHandler() {
+  private CompletionHandler<WriteResult<Object, SocketAddress>> writeHandler(Connection<?> target) {
     return new EmptyCompletionHandler<>() {
       @Override
       public void completed(WriteResult<Object, SocketAddress> result) {
@@ -83,7 +94,8 @@
 
       @Override
       public void failed(Throwable cause) {
-        connectionLost(cause);
+        ServerConnection.recordEndReason(target, Reason.WRITE_FAILED);
+        connectionLost(ServerConnection.endReason(target), cause);
       }
     };
   }
@@ -112,7 +124,40 @@
 
   void connectFailed(Throwable cause) {
     if (markEnded()) {
-      listener.onConnectFailure(cause);
+      notifyListener(() -> listener.onConnectFailure(cause));
+    }
+  }
+
+  /** Ends the exchange because an error has interrupted the sending of the request. */
+  void sendFailed(Throwable cause) {
+    if (cancelIfUnsent()) {
+      connectFailed(cause);
+    } else {
+      closeAfterError(cause);
+    }
+  }
+
+  /** Closes the connection, and ends the exchange, because of an error in this process. */
+  private void closeAfterError(Throwable cause) {
+    Connection<?> current;
+    synchronized (this) {
+      current = hasEnded ? null : connection;
+    }
+    if (current != null) {
+      ServerConnection.recordEndReason(current, Reason.HANDLING_FAILED);
+      connectionLost(Reason.HANDLING_FAILED, cause);
+      ServerConnection.close(current, Reason.HANDLING_FAILED);
+    }
+  }
+
+  /** Calls the listener; an error in it ends the exchange, but not the calling thread's work. */
+  private void notifyListener(Runnable call) {
+    try {
+      call.run();
+    } catch (RuntimeException | Error e) {
+      logger.atSevere().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).withCause(e).log(
+          "part of a response could not be handled; its connection is closed");
+      closeAfterError(e);
     }
   }
 
@@ -122,12 +167,14 @@
       ResponseHead received = head.get();
       endsWithConnection = !received.isFramed();
       hasResponseStarted = true;
-      listener.onHead(received);
+      notifyListener(() -> listener.onHead(received));
     }
   }
 
   void dataReceived(byte[] data) {
-    listener.onData(data);
+    if (!hasEnded()) {
+      notifyListener(() -> listener.onData(data));
+    }
   }
 
   /** Ends the exchange after the complete response, and releases the connection. */
@@ -136,7 +183,7 @@
     boolean isFirst = markEnded();
     releaser.release(source, isReusable && isFirst && writtenAt != null);
     if (isFirst) {
-      listener.onComplete();
+      notifyListener(listener::onComplete);
     }
   }
 
@@ -172,24 +219,36 @@
    * Ends the exchange after the end of its connection, unless it has ended already. An orderly end
    * completes a response that does not show itself where its body ends.
    */
-  void connectionEnded(Connection<?> source, boolean isOrderly) {
-    if (isOrderly && endsWithConnection) {
+  void connectionEnded(
+      Connection<?> source, boolean isOrderly, Reason reason, @Nullable Throwable cause) {
+    if (isCompletedByEnd(isOrderly)) {
       responseCompleted(source, false);
     } else {
-      connectionLost(new IOException("connection closed before the end of the response"));
+      connectionLost(reason, cause);
     }
   }
 
+  /** Returns whether the end of the connection completes the response. */
+  boolean isCompletedByEnd(boolean isOrderly) {
+    return isOrderly && endsWithConnection;
+  }
+
   /** Ends the exchange after its connection was lost, unless it has ended already. */
-  void connectionLost(Throwable cause) {
+  void connectionLost(Reason reason, @Nullable Throwable cause) {
     if (markEnded()) {
       if (!hasResponseStarted && !isAborted()) {
         lostBeforeResponseAction.run();
       }
-      listener.onFailure(cause);
+      String message =
+          cause == null ? "connection closed before the end of the response" : cause.toString();
+      notifyListener(() -> listener.onFailure(new ConnectionLostException(reason, message, cause)));
     }
   }
 
+  private synchronized boolean hasEnded() {
+    return hasEnded;
+  }
+
   private synchronized boolean isAborted() {
     return isAborted;
   }
@@ -259,8 +318,11 @@
     }
     resume();
     if (current != null) {
-      current.closeSilently();
-      listener.onFailure(new IOException("call aborted"));
+      ServerConnection.close(current, Reason.ABORTED);
+      notifyListener(
+          () ->
+              listener.onFailure(
+                  new ConnectionLostException(Reason.ABORTED, "call aborted", null)));
     }
   }
 }
