Test that sound streams pass whole, however they arrive and whatever their callers send

In one earlier run, at a load average of 49, a stream was refused as configuration-unconfirmed, because the stand-in store had answered after 1.8 s; the tests now allow 60 s.

--- a/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -36,6 +36,9 @@
   private static final Duration DEADLINE = Duration.ofMillis(2500);
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+  /** So long that late responses of the store on a busy machine cause no rejections. */
+  private static final Duration REVOCATION_DELAY = Duration.ofSeconds(60);
+
   private final Closer closer = Closer.create();
   final StoreStandin store = closer.register(StoreStandin.start(ANY_PORT));
   final List<RunnerStandin> servers = new ArrayList<>();
@@ -66,9 +69,40 @@
     this(serverCount, Rehearsal.configuration());
   }
 
+  /** Returns a configuration whose requests are sent to one server only. */
+  static ObjectNode singleAttemptConfiguration(Duration timeout) {
+    ObjectNode configuration = Rehearsal.configuration();
+    configuration
+        .withArray("routes")
+        .forEach(
+            route ->
+                ((ObjectNode) route)
+                    .put("resumable", false)
+                    .put("max_attempts", 1)
+                    .put("timeout_ms", timeout.toMillis()));
+    return configuration;
+  }
+
   /** Starts a gateway with a server, and awaits that it sends requests to it. */
   static GatewayFixture with(ScriptedServer server) throws InterruptedException {
-    GatewayFixture fixture = new GatewayFixture(0);
+    return awaitServing(new GatewayFixture(0), server);
+  }
+
+  /** Starts a gateway with a server, and awaits that it sends requests to it. */
+  static GatewayFixture with(ScriptedServer server, ObjectNode configuration)
+      throws InterruptedException {
+    GatewayFixture fixture =
+        new GatewayFixture(
+            0,
+            configuration,
+            JsonNodeFactory.instance
+                .objectNode()
+                .put("revocationMillis", REVOCATION_DELAY.toMillis()));
+    return awaitServing(fixture, server);
+  }
+
+  private static GatewayFixture awaitServing(GatewayFixture fixture, ScriptedServer server)
+      throws InterruptedException {
     fixture.store.write("servers", "scripted", server.registration());
     fixture.awaitStatus("status", 200);
     return fixture;
--- a/src/test/java/org/wigeonstage/gateway/ScriptedServer.java
+++ b/src/test/java/org/wigeonstage/gateway/ScriptedServer.java
@@ -24,7 +24,7 @@
   interface Script {
 
     /**
-     * Returns the bytes to write.
+     * Returns the bytes to write, with {@link ScriptedServer#PAUSE} between separate writes.
      *
      * @param id the ID of the request
      * @param position the position of the request on its connection, from 0
@@ -32,7 +32,11 @@
     String respond(String id, int position);
   }
 
+  /** Where it stands in a response, the bytes before it are sent some time before the others. */
+  static final String PAUSE = "\0";
+
   private static final long READ_MILLIS = 30;
+  private static final long PAUSE_MILLIS = 2;
 
   private final ServerSocket serverSocket =
       new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
@@ -156,11 +160,7 @@
 
   /** Ends a connection some time after its bytes were sent, so that they are read before. */
   private void end(Socket socket) throws IOException {
-    try {
-      Thread.sleep(READ_MILLIS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    sleep(READ_MILLIS);
     if (ending == Ending.RESET) {
       socket.setSoLinger(true, 0);
     }
@@ -177,8 +177,22 @@
   }
 
   private static void write(Socket socket, String bytes) throws IOException {
-    socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
-    socket.getOutputStream().flush();
+    String[] parts = bytes.split(PAUSE, -1);
+    for (int i = 0; i < parts.length; i++) {
+      if (i > 0) {
+        sleep(PAUSE_MILLIS);
+      }
+      socket.getOutputStream().write(parts[i].getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().flush();
+    }
+  }
+
+  private static void sleep(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   /** Reads a request, and returns its ID. */
