--- a/src/test/java/org/wigeonstage/gateway/ReadLagMonitorTest.java
+++ b/src/test/java/org/wigeonstage/gateway/ReadLagMonitorTest.java
@@ -6,6 +6,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ReadLagMonitorTest {
 
@@ -84,4 +86,38 @@
     advanceMillis(200);
     assertThat(readLag.isBehind()).isFalse();
   }
+
+  /**
+   * Guards against streams that are cut because their deadlines count from before their arrival.
+   */
+  @Test
+  void timeWithoutRequestsIsNotPartOfTheEstimatedAgeOfARequest() {
+    Duration lastIdleTickAt = now;
+    for (int i = 0; i < 1000; i++) {
+      readLag.tick();
+      lastIdleTickAt = now;
+      advanceMillis(20);
+    }
+    readLag.recordRequest(pendingBarriers::addLast);
+    advanceMillis(10);
+    readLag.tick();
+    advanceMillis(60);
+    assertThat(readLag.isBehind()).isTrue();
+    assertThat(readLag.estimatedArrival()).isBetween(lastIdleTickAt, now);
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void timeInWhichTheProcessIsSuspendedIsPartOfTheEstimatedAgeOfARequest(boolean ticksFirst) {
+    readLag.tick();
+    Duration suspendedAt = now;
+    advanceMillis(4000);
+    if (ticksFirst) {
+      readLag.tick();
+    }
+    recordRequestAndTick();
+    advanceMillis(60);
+    assertThat(readLag.estimatedArrival())
+        .isBetween(suspendedAt.plusMillis(2000), suspendedAt.plusMillis(2100));
+  }
 }
