Go on registering an agent after a response that can't be read

A truncated body or an unreadable registration throws a WigeonstageException of another code, which ended the task on its executor without a log line. The agent was then never registered and never ready.

Now any failure is tried again after a second; one that is no failure of the store is logged.

That this is what happened in the failed run isn't shown: its logs are gone.

--- a/src/main/java/org/wigeonstage/membership/AgentRegistrar.java
+++ b/src/main/java/org/wigeonstage/membership/AgentRegistrar.java
@@ -12,7 +12,7 @@
 
 /**
  * Registers an agent in the object store of the platform, and retries every second while the store
- * is unavailable.
+ * is unavailable or sends what can't be read.
  *
  * <p>A registration never replaces one with a higher incarnation. An agent that finds such a
  * registration has been replaced by a successor, which owns the backend server.
@@ -36,6 +36,9 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long RETRY_DELAY_MILLIS = 1000;
 
+  /** The interval in seconds between two log lines about failures. */
+  private static final int LOG_INTERVAL_SECONDS = 10;
+
   private final ObjectStore store;
   private final AgentRegistration registration;
   private final ScheduledExecutorService executor;
@@ -79,10 +82,19 @@
     try {
       tryRegister();
     } catch (StoreException e) {
-      executor.schedule(this::registerOrRetry, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+      retryLater();
+    } catch (RuntimeException e) {
+      logger.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).withCause(e).log(
+          "agent %s could not register; it tries again in %s ms",
+          registration.name(), RETRY_DELAY_MILLIS);
+      retryLater();
     }
   }
 
+  private void retryLater() {
+    executor.schedule(this::registerOrRetry, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   private void tryRegister() {
     Optional<StoredObject> existing = store.get(AgentRegistration.KIND, registration.name());
     long storedIncarnation = existing.map(AgentRegistrar::incarnationOf).orElse(0L);
--- a/src/test/java/org/wigeonstage/config/FlakyStore.java
+++ b/src/test/java/org/wigeonstage/config/FlakyStore.java
@@ -1,14 +1,11 @@
 package org.wigeonstage.config;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.wigeonstage.common.ErrorCode;
-import org.wigeonstage.store.ListedHost;
-import org.wigeonstage.store.ObjectList;
-import org.wigeonstage.store.ObjectStore;
+import org.wigeonstage.store.ObjectStoreDouble;
 import org.wigeonstage.store.StoreException;
 import org.wigeonstage.store.StoredObject;
 
@@ -17,7 +14,7 @@
  * a write may take effect but lose its response, and a write may take effect only after its
  * response was lost.
  */
-final class FlakyStore implements ObjectStore {
+final class FlakyStore extends ObjectStoreDouble {
 
   private record DelayedWrite(long expectedVersion, String value) {}
 
@@ -90,19 +87,4 @@
       throw new StoreException(ErrorCode.STORE_UNAVAILABLE, "refused", null);
     }
   }
-
-  @Override
-  public ObjectList list(String kind) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public Optional<ObjectList> watch(String kind, long afterRevision, Duration timeout) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public List<ListedHost> hosts() {
-    return List.of();
-  }
 }
