Choose the ports of test processes outside those that the system assigns

ProcessFleet chose a port that the system had assigned and closed it; until the process listened there, the system could assign the port to a connection of any process, and those runs open many. Then the agent can't listen and ends, and the test waited 30 s for a process that was gone, with the message that was seen.

FreeEndpoints, taken from RestartableGateway, now chooses ports below those. ProcessFleet reports a process that has ended at once, with its log.

That this is what happened in the failed run is likely, and not shown: its logs are gone.

--- a/src/test/java/org/wigeonstage/system/BenchmarkFleet.java
+++ b/src/test/java/org/wigeonstage/system/BenchmarkFleet.java
@@ -27,11 +27,11 @@
     fleet.setWindowMax(MAX_WINDOW_REQUESTS);
     Endpoint platform = fleet.startPlatform();
     this.service = fleet.startService("service", 0);
-    fleet.startAgent("service-agent", "service", ProcessFleet.freeEndpoint(), service, platform);
+    fleet.startAgent("service-agent", "service", FreeEndpoints.next(), service, platform);
     List<String> agents = new ArrayList<>();
     for (int i = 1; i <= engines; i++) {
       Endpoint engine = fleet.startEngine("engine-" + i);
-      fleet.startAgent("agent-" + i, "model", ProcessFleet.freeEndpoint(), engine, platform);
+      fleet.startAgent("agent-" + i, "model", FreeEndpoints.next(), engine, platform);
       agents.add("agent-" + i);
     }
     this.entry = fleet.startEntry("entry", platform, List.of());
--- a/src/test/java/org/wigeonstage/system/KeyedRequestsIT.java
+++ b/src/test/java/org/wigeonstage/system/KeyedRequestsIT.java
@@ -46,7 +46,7 @@
     for (int i = 1; i <= SERVICES; i++) {
       Endpoint service = fleet.startService("service-" + i, 20);
       services.add(service);
-      fleet.startAgent("agent-" + i, "service", ProcessFleet.freeEndpoint(), service, platform);
+      fleet.startAgent("agent-" + i, "service", FreeEndpoints.next(), service, platform);
       agents.add("agent-" + i);
     }
     firstEntry = fleet.startEntry("entry-1", platform, List.of());
--- a/src/test/java/org/wigeonstage/system/NetworkFaultsIT.java
+++ b/src/test/java/org/wigeonstage/system/NetworkFaultsIT.java
@@ -38,7 +38,7 @@
     for (int i = 1; i <= 2; i++) {
       Endpoint engine = fleet.startEngine("engine-" + i);
       engines.add(engine);
-      Endpoint entries = ProcessFleet.freeEndpoint();
+      Endpoint entries = FreeEndpoints.next();
       FaultInjectingProxy proxy = new FaultInjectingProxy(entries);
       proxies.add(proxy);
       fleet.startAgentBehindProxy(proxy.endpoint(), "agent-" + i, entries, engine, platform);
--- a/src/test/java/org/wigeonstage/system/ProcessFleet.java
+++ b/src/test/java/org/wigeonstage/system/ProcessFleet.java
@@ -5,9 +5,6 @@
 import java.io.Closeable;
 import java.io.File;
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -52,14 +49,6 @@
     return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
   }
 
-  static Endpoint freeEndpoint() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new Endpoint("127.0.0.1", socket.getLocalPort());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
   /** Sets the maximum dispatch window of agents that are started afterwards, in requests. */
   void setWindowMax(int maxRequests) {
     windowMax = maxRequests;
@@ -98,21 +87,21 @@
   }
 
   Endpoint startPlatform() throws IOException {
-    Endpoint endpoint = freeEndpoint();
+    Endpoint endpoint = FreeEndpoints.next();
     start("platform", "standin", "platform", "--listen", endpoint.toString());
-    awaitStatusOk(endpoint, "/v1/hosts");
+    awaitStatusOk("platform", endpoint, "/v1/hosts");
     return endpoint;
   }
 
   Endpoint startEngine(String name) throws IOException {
-    Endpoint endpoint = freeEndpoint();
+    Endpoint endpoint = FreeEndpoints.next();
     start(name, "standin", "engine", "--listen", endpoint.toString(), "--generation", "3");
-    awaitStatusOk(endpoint, "/v1/load");
+    awaitStatusOk(name, endpoint, "/v1/load");
     return endpoint;
   }
 
   Endpoint startService(String name, int delayMillis) throws IOException {
-    Endpoint endpoint = freeEndpoint();
+    Endpoint endpoint = FreeEndpoints.next();
     start(
         name,
         "standin",
@@ -121,7 +110,7 @@
         endpoint.toString(),
         "--delay",
         Integer.toString(delayMillis));
-    awaitStatusOk(endpoint, "/standin/runs");
+    awaitStatusOk(name, endpoint, "/standin/runs");
     return endpoint;
   }
 
@@ -147,7 +136,7 @@
       Endpoint backendServer,
       Endpoint platform)
       throws IOException {
-    Endpoint operators = freeEndpoint();
+    Endpoint operators = FreeEndpoints.next();
     Path settings =
         writeSettings(
             name + ".json",
@@ -171,15 +160,15 @@
                 "platform",
                 platform.toString()));
     start(name, "agent", "--settings", settings.toString());
-    awaitStatusOk(operators, "/readyz");
+    awaitStatusOk(name, operators, "/readyz");
     return operators;
   }
 
-  record EntryAddresses(Endpoint callers, Endpoint operators) {}
+  record EntryAddresses(String name, Endpoint callers, Endpoint operators) {}
 
   EntryAddresses startEntry(String name, Endpoint platform, List<Endpoint> peers)
       throws IOException {
-    EntryAddresses addresses = new EntryAddresses(freeEndpoint(), freeEndpoint());
+    EntryAddresses addresses = new EntryAddresses(name, FreeEndpoints.next(), FreeEndpoints.next());
     Path settings =
         writeSettings(
             name + ".json",
@@ -193,7 +182,7 @@
                 "peers", peers.stream().map(Endpoint::toString).toList(),
                 "operatorKeyHashes", List.of(OPERATOR_KEY_HASH)));
     start(name, "entry", "--settings", settings.toString());
-    awaitStatusOk(addresses.operators(), "/healthz");
+    awaitStatusOk(name, addresses.operators(), "/healthz");
     return addresses;
   }
 
@@ -238,7 +227,7 @@
       throw new IllegalStateException(
           "configuration rejected with status " + response.status() + ": " + response.text());
     }
-    awaitStatusOk(entry.callers(), "/readyz");
+    awaitStatusOk(entry.name(), entry.callers(), "/readyz");
   }
 
   static Map<String, Object> pool(String name, String kind, List<String> members) {
@@ -275,9 +264,18 @@
     return call(target, "POST", path, body, Map.of("Authorization", "Bearer " + ACCOUNT_KEY));
   }
 
-  void awaitStatusOk(Endpoint endpoint, String path) {
+  /** Waits until the process responds with status 200; fails at once if it has ended. */
+  private void awaitStatusOk(String name, Endpoint endpoint, String path) {
+    Process process = processes.get(name);
     try {
-      await(() -> call(endpoint, "GET", path, "", Map.of()).status() == 200, endpoint + path);
+      await(
+          () -> {
+            if (!process.isAlive()) {
+              throw new AssertionError(name + " ended with exit value " + process.exitValue());
+            }
+            return call(endpoint, "GET", path, "", Map.of()).status() == 200;
+          },
+          endpoint + path);
     } catch (AssertionError e) {
       throw new AssertionError(e.getMessage() + describeProcesses(), e);
     }
--- a/src/test/java/org/wigeonstage/system/ProcessesIT.java
+++ b/src/test/java/org/wigeonstage/system/ProcessesIT.java
@@ -33,7 +33,7 @@
     platform = fleet.startPlatform();
     for (int i = 1; i <= 2; i++) {
       Endpoint engine = fleet.startEngine("engine-" + i);
-      fleet.startAgent("agent-" + i, "model", ProcessFleet.freeEndpoint(), engine, platform);
+      fleet.startAgent("agent-" + i, "model", FreeEndpoints.next(), engine, platform);
     }
     entry = fleet.startEntry("entry-1", platform, List.of());
     fleet.submitConfiguration(
@@ -130,7 +130,7 @@
     fleet.process("agent-1").destroyForcibly();
     fleet.awaitExit("agent-1");
     Endpoint engine = fleet.startEngine("engine-3");
-    fleet.startAgent("agent-1", "model", ProcessFleet.freeEndpoint(), engine, platform);
+    fleet.startAgent("agent-1", "model", FreeEndpoints.next(), engine, platform);
     assertThat(awaitOutcomes(calls)).containsOnly("completed", "unknown");
   }
 
--- a/src/test/java/org/wigeonstage/system/RestartableGateway.java
+++ b/src/test/java/org/wigeonstage/system/RestartableGateway.java
@@ -3,8 +3,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -12,7 +10,6 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.Json;
@@ -22,16 +19,8 @@
 /** Runs a gateway as an operating system process that keeps its endpoints across restarts. */
 final class RestartableGateway implements Closeable {
 
-  /**
-   * First port of a range below the ephemeral ports. Outgoing connections do not occupy these ports
-   * while the gateway restarts.
-   */
-  private static final int FIRST_PORT = 20_000;
-
-  private static final int LAST_PORT = 32_000;
-
   private final String name;
-  private final Endpoint callerEndpoint = freeStableEndpoint();
+  private final Endpoint callerEndpoint = FreeEndpoints.next();
   private final Path settingsFile;
   private final Path logFile;
   private final Queue<Process> throttlingProcesses = new ConcurrentLinkedQueue<>();
@@ -44,21 +33,10 @@
     ObjectNode settings = (ObjectNode) Json.parse(Rehearsal.settings(name, store));
     settings
         .put("callers", callerEndpoint.toString())
-        .put("peers", freeStableEndpoint().toString());
+        .put("peers", FreeEndpoints.next().toString());
     Files.writeString(settingsFile, settings.toString());
   }
 
-  private static Endpoint freeStableEndpoint() {
-    while (true) {
-      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
-      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-        return new Endpoint("127.0.0.1", socket.getLocalPort());
-      } catch (IOException e) {
-        // The port is in use; try another one.
-      }
-    }
-  }
-
   String name() {
     return name;
   }
