--- a/src/test/java/org/wigeonstage/forward/EventSplitterTest.java
+++ b/src/test/java/org/wigeonstage/forward/EventSplitterTest.java
@@ -67,7 +67,8 @@
   }
 
   @ParameterizedTest
-  @ValueSource(strings = {"id: x1", "id:  1", "id: 1 ", "id:\t1", "id: 01", "id: -1", "id:", "id: "})
+  @ValueSource(
+      strings = {"id: x1", "id:  1", "id: 1 ", "id:\t1", "id: 01", "id: -1", "id:", "id: "})
   void treatsAMalformedIdAsMissing(String id) {
     assertThat(new EventSplitter().feed(bytes(id + "\n\n")).get(0).id()).isEmpty();
   }
--- a/src/test/java/org/wigeonstage/system/FirstStreamsIT.java
+++ b/src/test/java/org/wigeonstage/system/FirstStreamsIT.java
@@ -127,9 +127,7 @@
             store.write(
                 "servers",
                 "refusing",
-                server
-                    .registration("ready")
-                    .put("address", ProcessFleet.freeEndpoint().toString()));
+                server.registration("ready").put("address", FreeEndpoints.next().toString()));
         case 4 -> store.remove("servers", "refusing");
         default -> {
           store.remove("servers", replacement);
