Keep a stream when what is recorded about its server fails

A caller's sound stream could be broken off by an error in what is recorded about servers while its parts are handled: signs of life and losses for the prompt guard, announcements that a server leaves, estimates of its speed. They concern later requests only, but ran in the step of the request that was read.

Evidence: FailingRequestIT.errorInWhatIsRecordedAboutAServerLeavesItsStreamComplete. A server announces in the head of a complete stream that it leaves, and the record of that throws: 502 before, with request-failed in the step "head"; the complete stream now. A request whose failure can't even be logged is ended now, too.

--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.forward.AttemptFailure;
 import org.wigeonstage.forward.EventDefect;
@@ -190,31 +191,55 @@
     String requestId = request.inbound().fields().requestId();
     if (ResponseClassifier.announcesLeaving(head, fields, requestId, usesNewConnection())) {
       request.log().addEntry("leaving-announced").put("server", server.id()).markNotable();
-      core.recordLeaving(server.runId(), Duration.ZERO, KnownServers.OWN);
+      observe(
+          "record of a leaving server",
+          () -> core.recordLeaving(server.runId(), Duration.ZERO, KnownServers.OWN));
     }
   }
 
   private void recordRead(Duration now) {
     lastDataAt = now;
     activeTimeAtLastData = core.activeTime();
-    core.promptHolds().recordSignOfLife(server, startedAt);
+    observe(
+        "record of a sign of life", () -> core.promptHolds().recordSignOfLife(server, startedAt));
   }
 
   void recordData(Duration now) {
     recordRead(now);
     if (firstPartAt == null) {
       firstPartAt = now;
-      core.recordFirstPart(request, server, now.minus(startedAt), expectedFirstPart);
+      Duration time = now.minus(startedAt);
+      observe(
+          "record of a first part",
+          () -> core.recordFirstPart(request, server, time, expectedFirstPart));
     }
   }
 
   void recordEvent() {
     eventCount++;
     if (eventCount == BEGINNING_EVENTS) {
-      core.promptHolds().recordResponse(request, server);
+      recordServerResponse();
     }
   }
 
+  /** Records that the server has continued the response past its beginning, or completed it. */
+  void recordServerResponse() {
+    observe("record of a response", () -> core.promptHolds().recordResponse(request, server));
+  }
+
+  /** Records the loss of the connection, perhaps because the prompt crashed the server. */
+  void recordServerLoss() {
+    observe("record of a loss", () -> core.promptHolds().recordLoss(request, server));
+  }
+
+  /**
+   * Records something about servers, which concerns later requests only. An error in it does not
+   * end this request.
+   */
+  private static void observe(String what, Runnable action) {
+    RepeatedTask.runPart(what, action);
+  }
+
   /** Logs that the server has sent an event that can't be part of the stream. */
   void recordInvalidEvent(EventDefect defect, int length) {
     request
@@ -308,11 +333,8 @@
   void report(AttemptResult result) {
     if (!reported) {
       reported = true;
-      try {
-        recordTimes();
-      } finally {
-        core.endAttempt(request, server, result);
-      }
+      observe("record of a time", this::recordTimes);
+      core.endAttempt(request, server, result);
     }
   }
 
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -216,7 +216,7 @@
     source.report(isError ? AttemptResult.FAILED : AttemptResult.SERVED);
     // The end of a connection may also be that of its server.
     if (ResponseClassifier.isSuccess(current) && current.isFramed()) {
-      core.promptHolds().recordResponse(this, source.server());
+      source.recordServerResponse();
     }
     attempt = null;
     ending.markFinished();
@@ -245,7 +245,7 @@
   /** Records that the connection has ended, perhaps because the prompt crashed the server. */
   private void recordLoss(Attempt source) {
     if (source.isAtBeginning()) {
-      core.promptHolds().recordLoss(this, source.server());
+      source.recordServerLoss();
       isTrial = false;
     }
   }
--- a/src/main/java/org/wigeonstage/gateway/RequestGuard.java
+++ b/src/main/java/org/wigeonstage/gateway/RequestGuard.java
@@ -67,11 +67,12 @@
 
   private void end(FailedStep failed) {
     ForwardedRequest request = failed.request();
-    recordFailure(request.log().requestId(), failed.step(), failed.cause());
     try {
+      recordFailure(request.log().requestId(), failed.step(), failed.cause());
       request.endAfterError();
     } catch (RuntimeException | Error e) {
-      recordFailure(request.log().requestId(), "end-after-error", e);
+      logger.atSevere().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).withCause(e).log(
+          "a failed request could not be ended with a response; its connection is closed");
       request.discard();
     }
   }
--- a/src/test/java/org/wigeonstage/gateway/FailingRequestIT.java
+++ b/src/test/java/org/wigeonstage/gateway/FailingRequestIT.java
@@ -12,12 +12,18 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.wigeonstage.common.Polling;
 import org.wigeonstage.gateway.ScriptedServer.Ending;
+import org.wigeonstage.telemetry.DecisionLog;
 
 /** Tests that an error in the handling of one request ends this request, and no other one. */
 class FailingRequestIT {
@@ -61,6 +67,11 @@
           + StreamText.chunkedEvents(1, 1)
           + StreamText.chunk(FailingCodec.FAILING_LINE + "\nid: 2\ndata: two\n\n");
     }
+    if (id.startsWith("leaving")) {
+      String fields =
+          "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nServer-Leaving: 900\r\n";
+      return StreamText.head(id, "200 OK", fields) + STREAM_BODY;
+    }
     boolean isStream = id.contains("stream");
     return isStream ? StreamText.chunkedHead(id) + STREAM_BODY : ScriptedServer.success(id);
   }
@@ -160,6 +171,39 @@
     assertThat(readResponse(stream)).contains("event 5").endsWith(StreamText.LAST_CHUNK);
   }
 
+  @Test
+  void errorInWhatIsRecordedAboutAServerLeavesItsStreamComplete() throws Exception {
+    Logger logger = Logger.getLogger(DecisionLog.class.getName());
+    FailingLogHandler handler = new FailingLogHandler();
+    logger.addHandler(handler);
+    closer.register(() -> logger.removeHandler(handler));
+    String response = request("stream", "leaving-stream-1");
+    assertThat(response).contains("event 5").endsWith(StreamText.LAST_CHUNK);
+    assertThat(handler.failureCount.get()).isEqualTo(1);
+    assertThat(failuresOf("leaving-stream-1")).isEmpty();
+  }
+
+  /** Throws an error when a server is recorded as leaving. */
+  private static final class FailingLogHandler extends Handler {
+
+    private final AtomicInteger failureCount = new AtomicInteger();
+
+    @Override
+    public void publish(LogRecord record) {
+      String line = new SimpleFormatter().formatMessage(record);
+      if (line.contains("\"event\":\"server-leaving\"")) {
+        failureCount.incrementAndGet();
+        throw new StackOverflowError("injected by the test");
+      }
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void close() {}
+  }
+
   @Test
   void requestThatCannotBeReadGetsAResponse() {
     assertThat(statusOf(request("plain", "undecodable-1"))).isEqualTo(500);
