--- a/src/test/java/org/wigeonstage/LayeringTest.java
+++ b/src/test/java/org/wigeonstage/LayeringTest.java
@@ -27,7 +27,8 @@
     "org.wigeonstage.forward..",
     "org.wigeonstage.placement..",
     "org.wigeonstage.quota..",
-    "org.wigeonstage.crash.."
+    "org.wigeonstage.crash..",
+    "org.wigeonstage.peering.."
   };
 
   @ArchTest
