Exchange reports between two gateways on the link that both prefer

Cause: PeerSynchronizer kept the newest link on each side and judged the link that it sent on by what arrived on it, though the peer may send on another one.

PeerSynchronizer now asks PeerLinks. Gateways that state LINK_CHOICE confirm links and say why they close them; earlier builds get neither message, and are answered on the link on which they sent last. Late complete reports on a superseded link no longer replace those of the preferred one. Links without a hello message, with the own name, of another role, of an earlier run, or too many of one peer end in one link-refused line. New metrics: links.opened, links.closed by reason, peers.connected, peers.oldestLoadMillis.

--- a/src/main/java/org/wigeonstage/gateway/PeerState.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerState.java
@@ -6,16 +6,19 @@
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.fleet.GatewayRegistration;
 import org.wigeonstage.handover.Message;
+import org.wigeonstage.peering.PeerLinks;
 import org.wigeonstage.quota.AccountQuotas;
 import org.wigeonstage.quota.PeerUsage;
 import org.wigeonstage.wire.Link;
 
-/** The latest report of a peer, its registration and the link to it. */
+/** The latest report of a peer, its registration and the links to it. */
 final class PeerState {
 
   final PeerUsage usage;
   @Nullable GatewayRegistration registration;
-  @Nullable Link link;
+
+  /** The links to the peer, of which reports are sent on the preferred one. */
+  final PeerLinks<Link> links;
 
   /** The link on which the complete load was sent, so that changes to it can follow. */
   @Nullable Link reportedLink;
@@ -43,13 +46,18 @@
   Map<String, Integer> includedRunning = Map.of();
 
   Duration lastReportAt;
-  Duration lastConnectAt = Duration.ZERO;
 
-  PeerState(AccountQuotas quotas, long ownIncarnation, Duration now) {
+  PeerState(AccountQuotas quotas, long ownIncarnation, PeerLinks<Link> links, Duration now) {
+    this.links = links;
     this.usage = new PeerUsage(quotas, ownIncarnation, now);
     this.lastReportAt = now;
   }
 
+  /** Returns the link to send on, or null if there is none. */
+  @Nullable Link preferredLink() {
+    return links.preferred().orElse(null);
+  }
+
   Duration sinceLastReport(Duration now) {
     return now.minus(lastReportAt);
   }
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.base.Suppliers;
+import com.google.common.collect.Comparators;
 import com.google.common.io.Closer;
 import java.io.Closeable;
 import java.io.IOException;
@@ -12,7 +13,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Supplier;
 import org.wigeonstage.common.ControlExecutors;
@@ -25,6 +28,9 @@
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.handover.WaitingCount;
 import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.peering.CloseReason;
+import org.wigeonstage.peering.GatewayRun;
+import org.wigeonstage.peering.PeerLinks;
 import org.wigeonstage.routing.RendezvousHash;
 import org.wigeonstage.telemetry.DecisionLog;
 import org.wigeonstage.wire.EncodedMessage;
@@ -51,11 +57,6 @@
    */
   private static final Duration COMPLETE_REPORT_INTERVAL = Duration.ofSeconds(2);
 
-  private static final Duration RECONNECT_INTERVAL = Duration.ofMillis(500);
-
-  /** A link on which nothing arrives for this long is replaced. */
-  private static final Duration LINK_TIMEOUT = Duration.ofMillis(800);
-
   /** A registered gateway that reports nothing for this long is considered removed for good. */
   private static final Duration PEER_EXPIRY = Duration.ofSeconds(30);
 
@@ -75,6 +76,9 @@
   private final ScheduledExecutorService storeExecutor =
       ControlExecutors.newSingleThreadExecutor("peer-calls");
   private final Map<String, PeerState> peers = new HashMap<>();
+  private final PeerLinkMetrics metrics;
+  private final PendingLinks pendingLinks;
+  private final SplittableRandom random;
   private final PeerLoadSums loadSums = new PeerLoadSums();
 
   /**
@@ -95,6 +99,9 @@
     this.name = name;
     this.store = store;
     this.core = core;
+    this.metrics = new PeerLinkMetrics(metrics);
+    this.pendingLinks = new PendingLinks(this.metrics);
+    this.random = new SplittableRandom(Objects.hash(name, incarnation));
     core.promptHolds().setOwnTurn(this::isOwnTurn);
     this.connector = closer.register(LinkConnector.start(this::hello, this, metrics));
     this.endpoint =
@@ -103,7 +110,7 @@
 
   private Message.Hello hello() {
     return new Message.Hello(
-        Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.LEAVING_SERVERS);
+        Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.LINK_CHOICE);
   }
 
   void start() {
@@ -137,12 +144,14 @@
       long now = core.now().toMillis();
       if (now - lastListedAtMillis >= LIST_INTERVAL_MILLIS || lastListedAtMillis == 0) {
         // Quotas depend on the first list, which must contain all gateways.
+        boolean isFirst = lastListedAtMillis == 0;
         List<GatewayRegistration> listed =
-            lastListedAtMillis == 0 ? store.readGateways() : store.readRecentGateways();
+            isFirst ? store.readGateways() : store.readRecentGateways();
         lastListedAtMillis = now;
         core.withLock(
             () -> {
-              listed.forEach(this::addPeer);
+              // Gateways in the first list have registered before, so they started earlier.
+              listed.forEach(registration -> addPeer(registration, isFirst));
               core.quotas().markGatewaysListed();
             });
       }
@@ -151,15 +160,35 @@
     }
   }
 
-  private void addPeer(GatewayRegistration registration) {
+  private void addPeer(GatewayRegistration registration, boolean startedLater) {
     if (!registration.name().equals(name) && !expired.contains(registration.name())) {
-      state(registration.name()).registration = registration;
+      state(registration.name(), startedLater).registration = registration;
     }
   }
 
-  private PeerState state(String peerName) {
+  private PeerState state(String peerName, boolean startedLater) {
     return peers.computeIfAbsent(
-        peerName, key -> new PeerState(core.quotas(), incarnation, core.now()));
+        peerName,
+        key ->
+            new PeerState(core.quotas(), incarnation, createLinks(key, startedLater), core.now()));
+  }
+
+  private PeerLinks<Link> createLinks(String peerName, boolean startedLater) {
+    return new PeerLinks<>(
+        new GatewayRun(name, incarnation),
+        startedLater,
+        new PeerLinkActions(peerName, metrics, () -> dial(peerName)),
+        random,
+        core.now());
+  }
+
+  private void dial(String peerName) {
+    PeerState peer = peers.get(peerName);
+    GatewayRegistration registration = peer == null ? null : peer.registration;
+    if (peer != null && registration != null) {
+      connector.connect(
+          registration.address(), cause -> core.withLock(() -> connectFailed(peer, cause)));
+    }
   }
 
   /** Returns the number of peers that have reported recently or are stopped. */
@@ -175,8 +204,8 @@
   }
 
   /**
-   * Sends load reports, replaces unresponsive links, and applies the loads of the peers and the
-   * assumed usage of unresponsive ones.
+   * Sends load reports, maintains the links, and applies the loads of the peers and the assumed
+   * usage of unresponsive ones.
    */
   void tick() {
     Duration now = core.now();
@@ -189,6 +218,20 @@
       reportLoad(now);
     }
     applyPeerLoads(now);
+    pendingLinks.tick(now);
+    updateMetrics(now);
+  }
+
+  private void updateMetrics(Duration now) {
+    int connected = 0;
+    Duration oldest = Duration.ZERO;
+    for (PeerState peer : peers.values()) {
+      if (peer.links.preferred().isPresent()) {
+        connected++;
+        oldest = Comparators.max(oldest, peer.sinceLastReport(now));
+      }
+    }
+    metrics.update(connected, oldest);
   }
 
   private void reportLoad(Duration now) {
@@ -213,7 +256,7 @@
       crashReportsRepeatAt = now.plus(CRASH_REPORT_INTERVAL);
     }
     for (PeerState peer : peers.values()) {
-      Link link = peer.link;
+      Link link = peer.preferredLink();
       if (link != null && link.peerHello().configVersion() >= Message.CRASH_REPORTS) {
         if (mustRepeat || peer.crashReportLink != link) {
           peer.crashReportLink = link;
@@ -232,7 +275,7 @@
   private void sendLeavingServers() {
     List<Message.ServerLeaving> unreported = core.knownServers().takeUnreported();
     for (PeerState peer : peers.values()) {
-      Link link = peer.link;
+      Link link = peer.preferredLink();
       if (link != null && link.peerHello().configVersion() >= Message.LEAVING_SERVERS) {
         boolean isNewLink = peer.leavingServersLink != link;
         peer.leavingServersLink = link;
@@ -246,7 +289,7 @@
     List<String> connected = new ArrayList<>(List.of(name));
     peers.forEach(
         (peerName, peer) -> {
-          if (peer.link != null) {
+          if (peer.links.preferred().isPresent()) {
             connected.add(peerName);
           }
         });
@@ -260,28 +303,17 @@
   private boolean expire(Map.Entry<String, PeerState> entry, Duration now) {
     PeerState peer = entry.getValue();
     peer.usage.forget(now);
+    peer.links.abandon(now);
     loadSums.replace(peer.includedRunning, Map.of());
     return expired.add(entry.getKey());
   }
 
-  /** Sends the load to a peer, or connects to it if there is no working link. */
+  /** Maintains the links to a peer, and sends the load to it. */
   private void synchronize(
       PeerState peer, Message.GatewayLoad load, EncodedMessage changes, Duration now) {
     peer.usage.tick(core.gatewayCount(), now);
-    Link link = peer.link;
-    if (link != null && link.timeSinceLastMessage().compareTo(LINK_TIMEOUT) > 0) {
-      peer.link = null;
-      link.close();
-    } else if (link != null) {
-      report(peer, link, load, changes, now);
-      return;
-    }
-    GatewayRegistration registration = peer.registration;
-    if (registration != null && now.minus(peer.lastConnectAt).compareTo(RECONNECT_INTERVAL) > 0) {
-      peer.lastConnectAt = now;
-      connector.connect(
-          registration.address(), cause -> core.withLock(() -> connectFailed(peer, cause)));
-    }
+    peer.links.tick(peer.registration != null, now);
+    peer.links.preferred().ifPresent(link -> report(peer, link, load, changes, now));
   }
 
   /** Sends the changes to the previous load, or the complete load if the peer lacks that one. */
@@ -328,33 +360,74 @@
     core.applyPeerLoad(loadSums.runningByServer(), waiting, hasNonLeavingPeer);
   }
 
+  @Override
+  public void connected(Link link) {
+    core.withLock(() -> pendingLinks.add(link, core.now()));
+  }
+
   @Override
   public void opened(Link link) {
+    core.withLock(() -> accept(link));
+  }
+
+  private void accept(Link link) {
+    pendingLinks.remove(link);
+    metrics.recordOpened();
+    Message.Hello hello = link.peerHello();
+    GatewayRun run = new GatewayRun(hello.name(), hello.incarnation());
+    if (!hello.role().equals(ROLE)) {
+      refuse(link, run, CloseReason.OTHER_ROLE);
+    } else if (hello.name().equals(name)) {
+      refuse(link, run, CloseReason.OWN_NAME);
+    } else {
+      expired.remove(hello.name());
+      boolean isRuleShared = hello.configVersion() >= Message.LINK_CHOICE;
+      state(hello.name(), false)
+          .links
+          .opened(link, run, link.isDialled(), isRuleShared, core.now());
+    }
+  }
+
+  /** Refuses a link that can't be one of a peer. */
+  private void refuse(Link link, GatewayRun run, CloseReason reason) {
+    PeerLinkActions actions = new PeerLinkActions(run.name(), metrics, () -> {});
+    actions.refused(run, reason, false);
+    actions.closed(reason);
+    actions.close(link);
+  }
+
+  @Override
+  public void received(Link link, Message message) {
     core.withLock(
         () -> {
-          if (link.peerHello().role().equals(ROLE)) {
-            expired.remove(link.peerHello().name());
-            state(link.peerHello().name()).link = link;
-            DecisionLog.write("peer-connected", "peer", link.peerHello().name());
+          PeerState peer = peers.get(link.peerHello().name());
+          if (peer != null && link.peerHello().role().equals(ROLE)) {
+            apply(peer, link, message);
           }
         });
   }
 
-  @Override
-  public void received(Link link, Message message) {
+  private void apply(PeerState peer, Link link, Message message) {
+    if (message instanceof Message.LinkClosing closing) {
+      peer.links.peerClosing(link, CloseReason.of(closing.reason()), core.now());
+      return;
+    }
+    peer.links.received(link, core.now());
     if (message instanceof Message.GatewayLoad load) {
-      core.withLock(() -> applyReport(link, load));
+      applyReport(peer, link, load);
     } else if (message instanceof Message.Crash crash) {
-      core.withLock(() -> core.promptHolds().applyReport(crash.report(), link.peerHello().name()));
+      core.promptHolds().applyReport(crash.report(), link.peerHello().name());
     } else if (message instanceof Message.ServerLeaving leaving) {
-      core.withLock(
-          () -> core.recordLeaving(leaving.runId(), leaving.age(), link.peerHello().name()));
+      core.recordLeaving(leaving.runId(), leaving.age(), link.peerHello().name());
     }
   }
 
-  private void applyReport(Link link, Message.GatewayLoad load) {
+  private void applyReport(PeerState peer, Link link, Message.GatewayLoad load) {
     Duration now = core.now();
-    PeerState peer = state(link.peerHello().name());
+    Link preferred = peer.preferredLink();
+    if (preferred != null && link != preferred && peer.completeLoadLink == preferred) {
+      return; // an earlier load, which arrives late on a superseded link
+    }
     if (load.isComplete()) {
       peer.completeLoadLink = link;
     } else if (peer.completeLoadLink != link) {
@@ -374,10 +447,9 @@
   public void closed(Link link) {
     core.withLock(
         () -> {
-          PeerState peer = state(link.peerHello().name());
-          if (peer.link == link) {
-            peer.link = null;
-            DecisionLog.write("peer-lost", "peer", link.peerHello().name());
+          PeerState peer = peers.get(link.peerHello().name());
+          if (peer != null) {
+            peer.links.closed(link, core.now());
           }
         });
   }
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -29,6 +29,12 @@
    */
   long LEAVING_SERVERS = 2;
 
+  /**
+   * The value of {@link Hello#configVersion} of gateways that accept {@link LinkConfirmed} and
+   * {@link LinkClosing} messages, too, and choose between two links by the same rule.
+   */
+  long LINK_CHOICE = 3;
+
   /** A message about one request. */
   sealed interface RequestMessage extends Message {
     /**
@@ -47,7 +53,7 @@
    * @param name the name of the sender
    * @param incarnation a number that grows with each start of the sender
    * @param configVersion the version of the configuration in force at the sender; a gateway, whose
-   *     peers do not need it, states {@link #LEAVING_SERVERS}
+   *     peers do not need it, states {@link #LINK_CHOICE}
    */
   record Hello(int protocolVersion, String role, String name, long incarnation, long configVersion)
       implements Message {}
@@ -221,6 +227,20 @@
    */
   record ServerLeaving(String runId, Duration age) implements Message {}
 
+  /**
+   * Reports that the hello message of the receiver has arrived on this link. Sent only to gateways
+   * whose hello message states at least {@link #LINK_CHOICE}.
+   */
+  record LinkConfirmed() implements Message {}
+
+  /**
+   * The last message of a gateway on a link, which the receiver closes when it needs it no longer.
+   * Sent only to gateways whose hello message states at least {@link #LINK_CHOICE}.
+   *
+   * @param reason why the sender no longer uses the link
+   */
+  record LinkClosing(String reason) implements Message {}
+
   /**
    * The load and the quota usage of a gateway, which it sends to its peers periodically: first
    * completely, then as the changes since the previous message on the same link (see {@link
--- a/src/main/java/org/wigeonstage/wire/Link.java
+++ b/src/main/java/org/wigeonstage/wire/Link.java
@@ -21,13 +21,15 @@
 
   private final LinkId id = LinkId.of(NEXT_ID.incrementAndGet());
   private final Connection<?> connection;
+  private final boolean isDialled;
   private final MonotonicClock clock;
   private final AtomicBoolean closed = new AtomicBoolean();
   private volatile Message.@Nullable Hello peerHello;
   private volatile Duration lastReceivedAt;
 
-  Link(Connection<?> connection, MonotonicClock clock) {
+  Link(Connection<?> connection, boolean isDialled, MonotonicClock clock) {
     this.connection = connection;
+    this.isDialled = isDialled;
     this.clock = clock;
     this.lastReceivedAt = clock.elapsed();
   }
@@ -41,6 +43,24 @@
     return id;
   }
 
+  /**
+   * Returns whether this end has opened the link.
+   *
+   * @return whether a {@link LinkConnector} has opened it
+   */
+  public boolean isDialled() {
+    return isDialled;
+  }
+
+  /**
+   * Returns the address of the other end.
+   *
+   * @return the address, as text for logs
+   */
+  public String peerAddress() {
+    return String.valueOf(connection.getPeerAddress());
+  }
+
   /**
    * Returns the first message of the peer.
    *
@@ -55,6 +75,15 @@
     return hello;
   }
 
+  /**
+   * Returns whether messages can be sent.
+   *
+   * @return whether neither end has closed the link
+   */
+  public boolean isOpen() {
+    return connection.isOpen();
+  }
+
   boolean hasPeerHello() {
     return peerHello != null;
   }
@@ -99,7 +128,12 @@
     }
   }
 
-  /** Closes the link. */
+  /** Closes the link once all messages have been written. */
+  public void closeAfterWrites() {
+    connection.closeSilently();
+  }
+
+  /** Closes the link at once. */
   public void close() {
     connection.terminateSilently();
   }
--- a/src/main/java/org/wigeonstage/wire/LinkFilter.java
+++ b/src/main/java/org/wigeonstage/wire/LinkFilter.java
@@ -38,19 +38,20 @@
 
   @Override
   public NextAction handleAccept(FilterChainContext context) {
-    createLinkAndSendHello(context.getConnection());
+    createLinkAndSendHello(context.getConnection(), false);
     return context.getInvokeAction();
   }
 
   @Override
   public NextAction handleConnect(FilterChainContext context) {
-    createLinkAndSendHello(context.getConnection());
+    createLinkAndSendHello(context.getConnection(), true);
     return context.getInvokeAction();
   }
 
-  private void createLinkAndSendHello(Connection<?> connection) {
-    Link link = new Link(connection, clock);
+  private void createLinkAndSendHello(Connection<?> connection, boolean isDialled) {
+    Link link = new Link(connection, isDialled, clock);
     Link.ATTRIBUTE.set(connection, link);
+    listener.connected(link);
     link.send(helloSupplier.get());
   }
 
--- a/src/main/java/org/wigeonstage/wire/LinkListener.java
+++ b/src/main/java/org/wigeonstage/wire/LinkListener.java
@@ -5,6 +5,13 @@
 /** Receives the events on the links of a {@link LinkServer} or {@link LinkConnector}. */
 public interface LinkListener {
 
+  /**
+   * Called when a connection is made, before the hello message of the peer.
+   *
+   * @param link the link, on which the peer may never send anything
+   */
+  default void connected(Link link) {}
+
   /**
    * Called when the hello message of the peer has been received.
    *
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -61,6 +61,8 @@
       case CRASH -> new Message.Crash(readCrashReport(in));
       case SERVER_LEAVING ->
           new Message.ServerLeaving(in.unpackString(), Duration.ofMillis(in.unpackLong()));
+      case LINK_CONFIRMED -> new Message.LinkConfirmed();
+      case LINK_CLOSING -> new Message.LinkClosing(in.unpackString());
       default -> readRequestMessage(type, RequestId.of(in.unpackString()), in);
     };
   }
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -64,6 +64,10 @@
       packType(packer, MessageType.SERVER_LEAVING)
           .packString(leaving.runId())
           .packLong(leaving.age().toMillis());
+    } else if (message instanceof Message.LinkConfirmed) {
+      packType(packer, MessageType.LINK_CONFIRMED);
+    } else if (message instanceof Message.LinkClosing closing) {
+      packType(packer, MessageType.LINK_CLOSING).packString(closing.reason());
     }
   }
 
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -71,6 +71,8 @@
                     List.of(List.of("a", "b"), List.of("c")),
                     Set.of("c"))),
             new Message.ServerLeaving("i-1@17", Duration.ofMillis(1500)),
+            new Message.LinkConfirmed(),
+            new Message.LinkClosing("superseded"),
             new Message.Resume(ID, 3, Instant.ofEpochMilli(5), 17),
             new Message.Cancel(ID),
             new Message.Ping(1, 2),
