End a gateway's open requests earlier if the process is delayed

Cause: the schedule reserves 0.3 s for the signal and 0.4 s for the exit, whatever the host. With a grace of 8 s open requests end at 7.0 s; a delay of 0.5 s there leaves no time to exit.

SchedulingDelayMonitor measures by how much the periodic checks of the last 10 to 20 s were late. The schedule ends the open requests and the connections earlier by that delay, and never before five sixths of the grace, on which operators rely. Without a delay it is as before. drain() asks for the schedule at each poll, as the delay may grow meanwhile.

GatewayShutdownIT and GatewayProcessesIT: 12 passed.

--- a/src/main/java/org/wigeonstage/common/Polling.java
+++ b/src/main/java/org/wigeonstage/common/Polling.java
@@ -22,8 +22,22 @@
       throws InterruptedException {
     MonotonicClock clock = MonotonicClock.system();
     Duration deadline = clock.elapsed().plus(timeout);
+    return await(condition, () -> clock.elapsed().compareTo(deadline) > 0);
+  }
+
+  /**
+   * Waits until a condition holds or a deadline that may change meanwhile has passed, checking both
+   * every 20 ms.
+   *
+   * @param condition the condition
+   * @param isTooLate whether the deadline has passed
+   * @return whether the condition held before the deadline
+   * @throws InterruptedException if the thread is interrupted while waiting
+   */
+  public static boolean await(BooleanSupplier condition, BooleanSupplier isTooLate)
+      throws InterruptedException {
     while (!condition.getAsBoolean()) {
-      if (clock.elapsed().compareTo(deadline) > 0) {
+      if (isTooLate.getAsBoolean()) {
         return false;
       }
       Thread.sleep(INTERVAL_MILLIS);
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -55,6 +55,7 @@
   private final GatewayCore core;
   private final ConfigurationState configuration;
   private final ReadLagMonitor readLag;
+  private final SchedulingDelayMonitor schedulingDelay;
   private final PooledHttpClient client;
   private final HttpServer callerServer;
   private final HttpServer readinessServer;
@@ -79,6 +80,7 @@
             new AccountQuotas(settings.quotaTolerance(), settings.isFirstStart(), clock.elapsed()),
             new RequestLogSampler(settings.logOneIn()));
     this.readLag = new ReadLagMonitor(clock);
+    this.schedulingDelay = new SchedulingDelayMonitor(clock, TICK_INTERVAL);
     this.configuration = new ConfigurationState(clocks, maxConfigurationAge(settings));
     this.storeWatcher =
         closer.register(new StoreWatcher(store, watchTimes(settings), clocks, configuration, core));
@@ -224,6 +226,7 @@
   }
 
   private void tick() {
+    schedulingDelay.tick();
     RepeatedTask.runPart("checks of open requests", () -> core.withLock(core::tick));
     RepeatedTask.runPart("measurement of the read lag", readLag::tick);
     RepeatedTask.runPart("checks of held requests", () -> core.withLock(requestHandler::tick));
@@ -249,18 +252,14 @@
           core.startLeaving();
           logPhase("leaving");
         });
-    ShutdownSchedule schedule = new ShutdownSchedule(settings.gracePeriod());
-    Thread.sleep(schedule.balancerDelay().toMillis());
-    Polling.await(
-        () -> unansweredCount() == 0, schedule.requestDeadline().minus(core.leavingTime()));
+    Thread.sleep(shutdownSchedule().balancerDelay().toMillis());
+    awaitAllAnswered();
     core.withLock(
         () -> {
           requestHandler.stopAccepting();
           logPhase("no-longer-taking");
         });
-    boolean isFinished =
-        Polling.await(
-            () -> unansweredCount() == 0, schedule.requestDeadline().minus(core.leavingTime()));
+    boolean isFinished = awaitAllAnswered();
     if (!isFinished) {
       core.withLock(
           () -> {
@@ -268,7 +267,7 @@
             core.endOpenRequests();
           });
     }
-    Duration remainingTime = schedule.connectionDeadline().minus(core.leavingTime());
+    Duration remainingTime = shutdownSchedule().connectionDeadline().minus(core.leavingTime());
     boolean isDelivered = callerServer.drain(Comparators.max(remainingTime, Duration.ZERO));
     InFlightWork remaining = callerServer.inFlightWork();
     core.withLock(
@@ -286,6 +285,20 @@
     return isFinished && isDelivered;
   }
 
+  /** Returns the schedule for the scheduling delay measured so far. */
+  private ShutdownSchedule shutdownSchedule() {
+    return new ShutdownSchedule(settings.gracePeriod(), schedulingDelay.maxRecentDelay());
+  }
+
+  /** Waits until all requests have a response; returns false if the request deadline passes. */
+  private boolean awaitAllAnswered() throws InterruptedException {
+    return Polling.await(() -> unansweredCount() == 0, this::isAfterRequestDeadline);
+  }
+
+  private boolean isAfterRequestDeadline() {
+    return core.leavingTime().compareTo(shutdownSchedule().requestDeadline()) > 0;
+  }
+
   /** Returns the number of requests without a response, admitted or not. */
   private int unansweredCount() {
     return core.readWithLock(() -> core.openRequestCount() + requestHandler.undecidedCount());
--- a/src/main/java/org/wigeonstage/gateway/ShutdownSchedule.java
+++ b/src/main/java/org/wigeonstage/gateway/ShutdownSchedule.java
@@ -10,6 +10,9 @@
  *
  * <p>All times count from the handling of the shutdown signal. The grace period counts from the
  * sending of the signal, which is earlier.
+ *
+ * <p>A process that gets its processor time late also writes the last responses and exits late. It
+ * ends the open requests earlier, by the scheduling delay that it has measured.
  */
 final class ShutdownSchedule {
 
@@ -22,9 +25,12 @@
   /** Maximum share of the time until the request deadline to wait for the load balancer. */
   private static final double MAX_BALANCER_SHARE = 0.5;
 
-  /** Minimum share of the grace period until the request deadline; operators rely on 5/6. */
+  /** Minimum share of the grace period until the request deadline, if there is no delay. */
   private static final double MIN_REQUEST_SHARE = 0.875;
 
+  /** Share of the grace period that open requests get in any case; operators rely on it. */
+  private static final double GUARANTEED_REQUEST_SHARE = 5.0 / 6;
+
   /** Time to write and deliver the last responses and to close their connections. */
   private static final Duration DELIVERY_TIME = Duration.ofSeconds(1);
 
@@ -41,13 +47,28 @@
   private static final Duration MAX_PLAIN_DURATION = Duration.ofSeconds(2);
 
   private final Duration grace;
+  private final Duration schedulingDelay;
   private final Duration requestDeadline;
 
   /** Creates the schedule of a process that is killed at the end of the grace period. */
   ShutdownSchedule(Duration grace) {
+    this(grace, Duration.ZERO);
+  }
+
+  /**
+   * Creates the schedule of a process that is killed at the end of the grace period.
+   *
+   * @param grace the grace period
+   * @param schedulingDelay the time for which the process may get no processor time
+   */
+  ShutdownSchedule(Duration grace, Duration schedulingDelay) {
     this.grace = grace;
+    this.schedulingDelay = schedulingDelay;
     Duration reserve = SIGNAL_DELAY.plus(DELIVERY_TIME).plus(EXIT_TIME);
-    this.requestDeadline = Comparators.max(share(grace, MIN_REQUEST_SHARE), grace.minus(reserve));
+    Duration withoutDelay = Comparators.max(share(grace, MIN_REQUEST_SHARE), grace.minus(reserve));
+    this.requestDeadline =
+        Comparators.max(
+            share(grace, GUARANTEED_REQUEST_SHARE), withoutDelay.minus(schedulingDelay));
   }
 
   /** Returns the time until the load balancer sends no more callers to this process. */
@@ -64,7 +85,8 @@
   Duration connectionDeadline() {
     Duration remaining = grace.minus(requestDeadline);
     Duration earliest = requestDeadline.plus(share(remaining, MIN_DELIVERY_SHARE));
-    return Comparators.max(earliest, grace.minus(SIGNAL_DELAY).minus(EXIT_TIME));
+    Duration latest = grace.minus(SIGNAL_DELAY).minus(EXIT_TIME).minus(schedulingDelay);
+    return Comparators.max(earliest, latest);
   }
 
   /** Returns whether a plain request that is read now will finish before the request deadline. */
