Limit the estimated age of a request to what its reading shows

If each control tick of an idle host was more than 40 ms late, the time without requests still counted as age; a barrier that had been taken for lost passed for the next one.

Now a request on a kept connection is never taken for older than its selection cycle allows, and none for younger than it was when it was read. An idle tick that is late records the last one. Barriers have numbers. The wait for the first configuration counts from the reading, quotas count a request when it is read (also for the refund), and placement gets the current time. A request that was ended while its slot went to another one isn't submitted again; one that is discarded after a second error is withdrawn.

The guards for ended and discarded requests have no test: they were found by reading.

--- a/src/main/java/org/wigeonstage/gateway/CallerRequestHandler.java
+++ b/src/main/java/org/wigeonstage/gateway/CallerRequestHandler.java
@@ -70,7 +70,8 @@
 
   private void receive(ServerExchange exchange, RequestFields fields) {
     InboundRequest request =
-        new InboundRequest(exchange, fields, readLag.estimatedArrival(), core.now());
+        new InboundRequest(
+            exchange, fields, exchange.arrival().limit(readLag.estimatedArrival()), core.now());
     exchange.onDisconnect(request::markDisconnected);
     readLag.recordRequest(exchange::afterPendingReads);
     undecided.add(request);
@@ -150,7 +151,7 @@
     Duration now = core.now();
     while (!deferred.isEmpty()) {
       boolean isOverdue =
-          now.minus(deferred.getFirst().arrivedAt()).compareTo(MAX_CONFIGURATION_WAIT) > 0;
+          now.minus(deferred.getFirst().readAt()).compareTo(MAX_CONFIGURATION_WAIT) > 0;
       if ((isStarting() && !isOverdue) || mayHaveDisconnected(deferred.getFirst(), now)) {
         return;
       }
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -276,7 +276,10 @@
     } else {
       source.abandon(result);
     }
-    execute(verdict, failure);
+    // Other requests may have been started in the slot, and this one may have been ended by that.
+    if (!isFinished()) {
+      execute(verdict, failure);
+    }
   }
 
   private void execute(Verdict verdict, AttemptFailure failure) {
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -187,7 +187,7 @@
         .onDelivered(
             offset -> withLock(() -> guard.run(request, "delivery", request::dataDelivered)));
     retryBudgets.recordRequest(request.poolName(), inbound.arrivedAt());
-    submit(request, inbound.arrivedAt());
+    submit(request, now());
   }
 
   private void submit(ForwardedRequest request, Duration now) {
@@ -292,7 +292,7 @@
         .account()
         .ifPresent(
             account ->
-                quotas.refund(account.name(), inbound.quotaUnits(), inbound.arrivedAt(), now()));
+                quotas.refund(account.name(), inbound.quotaUnits(), inbound.readAt(), now()));
   }
 
   /** Sends a rejection to the caller. */
--- a/src/main/java/org/wigeonstage/gateway/QuotaFilter.java
+++ b/src/main/java/org/wigeonstage/gateway/QuotaFilter.java
@@ -28,8 +28,8 @@
     ClientAccount account = request.account().get();
     long units = account.quota().costOf(request.fields().declaredTokens());
     boolean noRequestsWait = !core.hasWaitingRequests(request.route());
-    if (!quotas.tryAcquire(account.name(), units, noRequestsWait, request.arrivedAt())) {
-      Duration wait = quotas.timeUntilAvailable(account.name(), units, request.arrivedAt());
+    if (!quotas.tryAcquire(account.name(), units, noRequestsWait, request.readAt())) {
+      Duration wait = quotas.timeUntilAvailable(account.name(), units, request.readAt());
       return Optional.of(
           Rejection.retryable(
               ErrorCode.ACCOUNT_LIMIT,
--- a/src/main/java/org/wigeonstage/gateway/ReadLagMonitor.java
+++ b/src/main/java/org/wigeonstage/gateway/ReadLagMonitor.java
@@ -1,5 +1,6 @@
 package org.wigeonstage.gateway;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -35,6 +36,7 @@
   private Duration barrierPassedAt;
   private Duration lastTickAt;
   private boolean isBarrierPending;
+  private long barrierNumber;
 
   ReadLagMonitor(MonotonicClock clock) {
     this.clock = clock;
@@ -61,7 +63,8 @@
   void tick() {
     Consumer<Runnable> sender = startBarrier();
     if (sender != null) {
-      sender.accept(this::barrierPassed);
+      long number = barrierNumber;
+      sender.accept(() -> barrierPassed(number));
     }
   }
 
@@ -72,31 +75,35 @@
     }
     Duration sinceSent = now.minus(barrierSentAt);
     boolean isWaiting = isBarrierPending && sinceSent.compareTo(BARRIER_TIMEOUT) < 0;
-    boolean isOnTime = now.minus(lastTickAt).compareTo(MAX_LAG) <= 0;
-    lastTickAt = now;
-    if (barrierSender == null && !isWaiting && isOnTime) {
+    if (barrierSender == null && !isWaiting) {
       recordIdle(now);
     }
+    lastTickAt = now;
     if (isWaiting || barrierSender == null || sinceSent.compareTo(BARRIER_INTERVAL) < 0) {
       return null;
     }
     isBarrierPending = true;
+    barrierNumber++;
     barrierSentAt = now;
     return barrierSender;
   }
 
   /**
-   * Records that no requests were read lately and none wait to be read. This is not called while
-   * the process is suspended, so that requests which arrive meanwhile are known to be late.
+   * Records that no requests were read lately and none wait to be read. If this tick is late, the
+   * process may have been suspended since the last one, and requests may have arrived meanwhile.
    */
   private void recordIdle(Duration now) {
     isBarrierPending = false;
-    readUpTo = now;
-    barrierPassedAt = now;
+    if (now.minus(lastTickAt).compareTo(MAX_LAG) <= 0) {
+      readUpTo = now;
+      barrierPassedAt = now;
+    } else {
+      readUpTo = Comparators.max(readUpTo, lastTickAt);
+    }
   }
 
-  private synchronized void barrierPassed() {
-    if (!isBarrierPending) {
+  private synchronized void barrierPassed(long number) {
+    if (!isBarrierPending || number != barrierNumber) {
       return; // taken for lost
     }
     isBarrierPending = false;
--- a/src/main/java/org/wigeonstage/gateway/RequestEnding.java
+++ b/src/main/java/org/wigeonstage/gateway/RequestEnding.java
@@ -76,6 +76,7 @@
   void discard() {
     finished = true;
     try {
+      core.withdraw(request);
       exchange().abort();
     } finally {
       core.finish(request, RequestOutcome.BROKEN_OFF);
--- a/src/main/java/org/wigeonstage/http/Arrival.java
+++ b/src/main/java/org/wigeonstage/http/Arrival.java
@@ -1,5 +1,6 @@
 package org.wigeonstage.http;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 
 /**
@@ -18,6 +19,18 @@
 public record Arrival(
     Duration acceptedAt, Duration earliestArrival, Duration readAt, boolean isFirstCycle) {
 
+  /**
+   * Limits an estimate of the arrival to the time in which the request can have arrived. If {@link
+   * #isFirstCycle} is true, this time has no known start.
+   *
+   * @param estimate the estimate
+   * @return the estimate, or the limit that is nearest to it
+   */
+  public Duration limit(Duration estimate) {
+    Duration notAfterRead = Comparators.min(estimate, readAt);
+    return isFirstCycle ? notAfterRead : Comparators.max(notAfterRead, earliestArrival);
+  }
+
   /**
    * Returns the longest time for which the request can have waited to be read. If {@link
    * #isFirstCycle} is true, a wait until its connection was accepted may not be included.
--- a/src/test/java/org/wigeonstage/gateway/ReadLagMonitorTest.java
+++ b/src/test/java/org/wigeonstage/gateway/ReadLagMonitorTest.java
@@ -120,4 +120,34 @@
     assertThat(readLag.estimatedArrival())
         .isBetween(suspendedAt.plusMillis(2000), suspendedAt.plusMillis(2100));
   }
+
+  @Test
+  void timeWithoutRequestsIsNotPartOfTheEstimatedAgeIfEachTickIsLate() {
+    for (int i = 0; i < 100; i++) {
+      advanceMillis(45);
+      readLag.tick();
+    }
+    readLag.recordRequest(pendingBarriers::addLast);
+    Duration firstRequestAt = now;
+    advanceMillis(45);
+    readLag.tick();
+    advanceMillis(60);
+    assertThat(readLag.estimatedArrival()).isGreaterThan(firstRequestAt.minusMillis(200));
+  }
+
+  @Test
+  void barrierThatWasTakenForLostDoesNotPassForTheNextOne() {
+    recordRequestAndTick();
+    Duration firstSentAt = now;
+    for (int i = 0; i < 160; i++) {
+      readLag.recordRequest(pendingBarriers::addLast);
+      advanceMillis(20);
+      readLag.tick();
+    }
+    assertThat(pendingBarriers).hasSize(2);
+    pendingBarriers.removeFirst().run();
+    assertThat(readLag.hasReadUpTo(firstSentAt.plusMillis(1))).isFalse();
+    pendingBarriers.removeFirst().run();
+    assertThat(readLag.hasReadUpTo(firstSentAt.plusMillis(1))).isTrue();
+  }
 }
--- a/src/test/java/org/wigeonstage/system/FirstStreamsIT.java
+++ b/src/test/java/org/wigeonstage/system/FirstStreamsIT.java
@@ -19,6 +19,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.wigeonstage.common.Polling;
@@ -228,6 +229,23 @@
     assertThat(gateway.logLines("TIMED_OUT")).isEmpty();
   }
 
+  /** A request that is sent after the gateway was suspended did not wait meanwhile. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  @Tag("known-red")
+  void soundStreamsAreNotCutAfterASuspensionWithoutRequests(long seed) throws Exception {
+    routeTimeoutMillis = IDLE_TIME.dividedBy(2).plusMillis(400).toMillis();
+    start("suspended-" + seed);
+    assertThat(Polling.await(this::isListening, TIMEOUT)).isTrue();
+    gateway.signal("STOP");
+    ProcessFleet.sleep(IDLE_TIME.toMillis());
+    gateway.signal("CONT");
+    gateway.throttle();
+    runTraffic(seed);
+    assertNothingWasCut();
+    assertThat(gateway.logLines("TIMED_OUT")).isEmpty();
+  }
+
   private void runTraffic(long seed) throws InterruptedException {
     SplittableRandom random = new SplittableRandom(seed);
     List<Thread> threads = new ArrayList<>();
