--- a/src/test/java/org/wigeonstage/gateway/ScriptedServer.java
+++ b/src/test/java/org/wigeonstage/gateway/ScriptedServer.java
@@ -32,8 +32,11 @@
     String respond(String id, int position);
   }
 
-  /** Where it stands in a response, the bytes before it are sent some time before the others. */
-  static final String PAUSE = "\0";
+  /**
+   * Where it stands in a response, the bytes before it are sent some time before the others. It is
+   * no octet, so that it can't be part of a response.
+   */
+  static final String PAUSE = "\uE000";
 
   private static final long READ_MILLIS = 30;
   private static final long PAUSE_MILLIS = 2;
