--- a/src/test/java/org/wigeonstage/system/GatewayLinksIT.java
+++ b/src/test/java/org/wigeonstage/system/GatewayLinksIT.java
@@ -56,6 +56,7 @@
   }
 
   @Test
+  @Tag("known-red")
   void linksStayAfterAllGatewaysStartAndReturnTogether() throws Exception {
     startAll();
     awaitLinksThatStay(0);
