Add the settings of optional features of gateways

Roll-outs, the bound on memory and learned limits of servers are built side by side; their settings come first, so that each part only reads them.

--- a/src/main/java/org/wigeonstage/settings/GatewaySettings.java
+++ b/src/main/java/org/wigeonstage/settings/GatewaySettings.java
@@ -1,6 +1,8 @@
 package org.wigeonstage.settings;
 
 import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.wigeonstage.quota.QuotaTolerance;
 
@@ -39,6 +41,11 @@
  * @param log the format of the log: {@code json} or {@code text}
  * @param heldPromptParts the IDs of parts of prompts whose requests are not sent to servers
  * @param releasedPromptParts the IDs of parts of prompts that are not held, whatever crashes
+ * @param learnedServerLimits whether the speed of backend servers, and how many requests each
+ *     handles well, is learned from their responses
+ * @param rollout the limits of roll-outs of server versions, or empty if there are none
+ * @param memoryMegabytes the memory that this process may use, in megabytes, or empty if only its
+ *     heap limits it
  */
 public record GatewaySettings(
     String name,
@@ -62,7 +69,10 @@
     int logOneIn,
     String log,
     Set<String> heldPromptParts,
-    Set<String> releasedPromptParts) {
+    Set<String> releasedPromptParts,
+    boolean learnedServerLimits,
+    Optional<RolloutSettings> rollout,
+    OptionalInt memoryMegabytes) {
 
   /** Copies the collections. */
   public GatewaySettings {
--- a/src/main/java/org/wigeonstage/settings/SettingsLoader.java
+++ b/src/main/java/org/wigeonstage/settings/SettingsLoader.java
@@ -11,6 +11,8 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.wigeonstage.common.DocumentFault;
 import org.wigeonstage.common.ErrorCode;
@@ -27,6 +29,12 @@
   private static final String ADDRESS_PATTERN = "[0-9.]{7,15}:[0-9]{1,5}";
   private static final String GATEWAY_DOCUMENT = "the settings file of the gateway";
 
+  /** The feature that moves the traffic of a pool between versions of its servers. */
+  private static final String ROLLOUT_FEATURE = "rollout";
+
+  /** The feature that bounds the memory of a gateway. */
+  private static final String MEMORY_FEATURE = "pressure";
+
   private SettingsLoader() {}
 
   /**
@@ -126,14 +134,19 @@
     checkNumber(tree, "graceSeconds", 1, 3600, faults);
     checkTexts(tree, "heldPromptParts", faults);
     checkTexts(tree, "releasedPromptParts", faults);
-    if (!tree.path("isFirstStart").isBoolean()) {
-      faults.add(new DocumentFault("/isFirstStart", "must be true or false"));
-    }
+    checkTexts(tree, "features", faults);
+    checkNumber(tree, "rolloutMaxShare", 0, 1, faults);
+    checkNumber(tree, "rolloutSlack", 0, 1_000_000, faults);
+    checkNumber(tree, "rolloutRollbackMillis", 1, 600_000, faults);
+    checkNumber(tree, "memoryMegabytes", 64, 1_000_000, faults);
+    checkBoolean(tree, "isFirstStart", faults);
+    checkBoolean(tree, "learnedServerLimits", faults);
     rejectIfFaulty(GATEWAY_DOCUMENT, faults);
     return parseGateway(tree);
   }
 
   private static GatewaySettings parseGateway(JsonNode tree) {
+    Set<String> features = texts(tree, "features");
     return new GatewaySettings(
         tree.path("name").asText(),
         tree.path("failureDomain").asText(),
@@ -156,7 +169,19 @@
         tree.path("logOneIn").asInt(),
         tree.path("log").asText(),
         texts(tree, "heldPromptParts"),
-        texts(tree, "releasedPromptParts"));
+        texts(tree, "releasedPromptParts"),
+        tree.path("learnedServerLimits").asBoolean(),
+        features.contains(ROLLOUT_FEATURE) ? Optional.of(rollout(tree)) : Optional.empty(),
+        features.contains(MEMORY_FEATURE)
+            ? OptionalInt.of(tree.path("memoryMegabytes").asInt())
+            : OptionalInt.empty());
+  }
+
+  private static RolloutSettings rollout(JsonNode tree) {
+    return new RolloutSettings(
+        tree.path("rolloutMaxShare").asDouble(),
+        tree.path("rolloutSlack").asInt(),
+        tree.path("rolloutRollbackMillis").asLong());
   }
 
   private static Set<String> texts(JsonNode tree, String field) {
@@ -179,6 +204,12 @@
     }
   }
 
+  private static void checkBoolean(JsonNode tree, String field, List<DocumentFault> faults) {
+    if (!tree.path(field).isBoolean()) {
+      faults.add(new DocumentFault("/" + field, "must be true or false"));
+    }
+  }
+
   private static void checkText(
       JsonNode tree, String field, String pattern, List<DocumentFault> faults) {
     JsonNode value = tree.path(field);
--- a/src/test/java/org/wigeonstage/settings/SettingsLoaderTest.java
+++ b/src/test/java/org/wigeonstage/settings/SettingsLoaderTest.java
@@ -66,4 +66,35 @@
           .hasMessageContaining("/heldPromptParts");
     }
   }
+
+  @Test
+  void limitsOfFeaturesThatAreNotAskedForHaveNoEffect() {
+    GatewaySettings settings =
+        SettingsLoader.parseGateway(withSettings("\"features\": [\"drain\"]"));
+    assertThat(settings.rollout()).isEmpty();
+    assertThat(settings.memoryMegabytes()).isEmpty();
+  }
+
+  @Test
+  void limitsOfFeaturesThatAreAskedForAreRead() {
+    GatewaySettings settings =
+        SettingsLoader.parseGateway(
+            withSettings("\"features\": [\"rollout\", \"pressure\"], \"memoryMegabytes\": 330"));
+    assertThat(settings.rollout()).contains(new RolloutSettings(0.1, 50, 5000));
+    assertThat(settings.memoryMegabytes()).hasValue(330);
+  }
+
+  @Test
+  void impossibleLimitsOfFeaturesAreRejectedWithTheirRange() {
+    assertThatThrownBy(
+            () ->
+                SettingsLoader.parseGateway(
+                    withSettings("\"rolloutMaxShare\": 1.5, \"rolloutRollbackMillis\": 0")))
+        .hasMessageContaining("/rolloutMaxShare: must be a number from 0.0 to 1.0")
+        .hasMessageContaining("/rolloutRollbackMillis: must be a number from 1.0");
+  }
+
+  private static String withSettings(String settings) {
+    return GATEWAY.replace("\"heldPromptParts\": [\"5c1e\"]", settings);
+  }
 }
