Pass on neither cut responses without a length nor invalid statuses

Callers got the first bytes of a response as a complete one when a server answered a long upload immediately without a length and closed the connection: its orderly end completed the response, whether or not the request had been written. Now it does so only after the whole request was written; otherwise the attempt is cut off, with the reason request_unwritten.

Callers also got the statuses 000, 199, 600, 999, a final 101 and others, as only 2xx and 5xx were looked at. A status outside 200 to 599, or with more than three digits, is now a failed attempt with the reason invalid_status, retried where the route allows.

--- a/src/main/java/org/wigeonstage/forward/AttemptFailure.java
+++ b/src/main/java/org/wigeonstage/forward/AttemptFailure.java
@@ -12,6 +12,8 @@
   LOST(false),
   /** The response was malformed or belonged to another request. */
   INVALID(false),
+  /** The status of the response is none that a final response may have. */
+  INVALID_STATUS(false),
   /** The server ran the request and responded with an error. */
   FAILED(false),
   /** The connection was closed, or received nothing in time, after the head of a response. */
--- a/src/main/java/org/wigeonstage/forward/AttemptPolicy.java
+++ b/src/main/java/org/wigeonstage/forward/AttemptPolicy.java
@@ -32,7 +32,7 @@
           context.mayHaveRun() ? Verdict.REPORT_UNKNOWN : Verdict.REFUSE;
       case FAILED -> Verdict.PASS_ON;
       case TIMED_OUT -> Verdict.REPORT_TIMEOUT;
-      case LOST, INVALID, CUT -> Verdict.REPORT_UNKNOWN;
+      case LOST, INVALID, INVALID_STATUS, CUT -> Verdict.REPORT_UNKNOWN;
     };
   }
 
--- a/src/main/java/org/wigeonstage/gateway/AbortReason.java
+++ b/src/main/java/org/wigeonstage/gateway/AbortReason.java
@@ -7,6 +7,8 @@
 enum AbortReason {
   /** The response was malformed, or belonged to another request. */
   INVALID_RESPONSE,
+  /** The status of the response is none that a final response may have. */
+  INVALID_STATUS,
   /** Another server responded at the address. */
   MISDIRECTED,
   /** No connection was established in time. */
@@ -31,6 +33,7 @@
     return switch (failure) {
       case NOT_SENT -> NOT_CONNECTED;
       case DECLINED, FAILED, INVALID -> INVALID_RESPONSE;
+      case INVALID_STATUS -> INVALID_STATUS;
       case MISDIRECTED -> MISDIRECTED;
       case LOST, CUT -> UNRESPONSIVE;
       case TIMED_OUT -> DEADLINE;
--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -90,7 +90,7 @@
               ? AttemptResult.NEUTRAL
               : AttemptResult.REPLACED;
       case DECLINED -> AttemptResult.DECLINED;
-      case INVALID, FAILED, CUT -> AttemptResult.FAILED;
+      case INVALID, INVALID_STATUS, FAILED, CUT -> AttemptResult.FAILED;
     };
   }
 
--- a/src/main/java/org/wigeonstage/gateway/ResponseClassifier.java
+++ b/src/main/java/org/wigeonstage/gateway/ResponseClassifier.java
@@ -14,6 +14,7 @@
   private static final int OK = 200;
   private static final int MULTIPLE_CHOICES = 300;
   private static final int SERVER_ERROR = 500;
+  private static final int MAX_STATUS = 599;
   private static final int REQUEST_TIMEOUT = 408;
   private static final int MISDIRECTED_REQUEST = 421;
   private static final int TOO_MANY_REQUESTS = 429;
@@ -28,6 +29,10 @@
    */
   static Optional<AttemptFailure> failureOf(
       ResponseHead head, ResponseFields fields, String requestId, boolean isFirstOnConnection) {
+    // No request asks for another protocol, and a response that is not final never gets a body.
+    if (head.status() < OK || head.status() > MAX_STATUS) {
+      return Optional.of(AttemptFailure.INVALID_STATUS);
+    }
     if (!ResponseOrigin.belongsTo(requestId, fields.requestId(), isFirstOnConnection)) {
       return Optional.of(AttemptFailure.INVALID);
     }
--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -217,7 +217,8 @@
 
   /**
    * Ends the exchange after the end of its connection, unless it has ended already. An orderly end
-   * completes a response that does not show itself where its body ends.
+   * completes a response that does not show itself where its body ends, if the server can have read
+   * the whole request.
    */
   void connectionEnded(
       Connection<?> source, boolean isOrderly, Reason reason, @Nullable Throwable cause) {
@@ -230,7 +231,16 @@
 
   /** Returns whether the end of the connection completes the response. */
   boolean isCompletedByEnd(boolean isOrderly) {
-    return isOrderly && endsWithConnection;
+    return isOrderly && endsWithConnection && writtenAt != null;
+  }
+
+  /**
+   * Returns why the response ends with its connection. A response without a length whose server has
+   * closed the connection of an unwritten request is cut off at an unknown place.
+   */
+  Reason endReason(Reason reason) {
+    boolean isUnwritten = endsWithConnection && writtenAt == null;
+    return reason == Reason.SERVER_CLOSED && isUnwritten ? Reason.REQUEST_UNWRITTEN : reason;
   }
 
   /** Ends the exchange after its connection was lost, unless it has ended already. */
@@ -241,7 +251,8 @@
       }
       String message =
           cause == null ? "connection closed before the end of the response" : cause.toString();
-      notifyListener(() -> listener.onFailure(new ConnectionLostException(reason, message, cause)));
+      notifyListener(
+          () -> listener.onFailure(new ConnectionLostException(endReason(reason), message, cause)));
     }
   }
 
--- a/src/main/java/org/wigeonstage/http/ClientTransport.java
+++ b/src/main/java/org/wigeonstage/http/ClientTransport.java
@@ -6,7 +6,6 @@
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpPacket;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -29,7 +28,7 @@
     this.filterChain =
         FilterChainBuilder.stateless()
             .add(new ReadingTransportFilter())
-            .add(new HttpClientFilter())
+            .add(new StrictHttpClientFilter())
             .add(new ResponseFilter(listener))
             .build();
   }
--- a/src/main/java/org/wigeonstage/http/ResponseFilter.java
+++ b/src/main/java/org/wigeonstage/http/ResponseFilter.java
@@ -82,7 +82,8 @@
     Connection<?> connection = context.getConnection();
     ClientExchange exchange = ClientExchange.ATTRIBUTE.get(connection);
     boolean isOrderly = ServerConnection.hasEndedOrderly(connection);
-    Reason reason = ServerConnection.endReason(connection);
+    Reason recorded = ServerConnection.endReason(connection);
+    Reason reason = exchange == null ? recorded : exchange.endReason(recorded);
     boolean isCut = exchange != null && !exchange.isCompletedByEnd(isOrderly);
     listener.onClose(
         new ServerConnectionEnd(String.valueOf(connection.getPeerAddress()), reason, isCut));
--- a/src/main/java/org/wigeonstage/http/ServerConnectionEnd.java
+++ b/src/main/java/org/wigeonstage/http/ServerConnectionEnd.java
@@ -13,6 +13,11 @@
   public enum Reason {
     /** The server closed the connection. */
     SERVER_CLOSED,
+    /**
+     * The server closed the connection in place of the end of a response without a length, before
+     * the whole request was written.
+     */
+    REQUEST_UNWRITTEN,
     /** The server reset the connection, or the network failed. */
     NETWORK_FAILED,
     /** Writing a request failed. */
@@ -40,7 +45,10 @@
 
     /** Returns whether this process closed the connection. */
     public boolean isByThisProcess() {
-      return this != SERVER_CLOSED && this != NETWORK_FAILED && this != WRITE_FAILED;
+      return switch (this) {
+        case SERVER_CLOSED, REQUEST_UNWRITTEN, NETWORK_FAILED, WRITE_FAILED -> false;
+        default -> true;
+      };
     }
 
     /** Returns whether the connection ended because of an error, of the server or this process. */
--- a/src/test/java/org/wigeonstage/gateway/ScriptedServer.java
+++ b/src/test/java/org/wigeonstage/gateway/ScriptedServer.java
@@ -97,10 +97,15 @@
   }
 
   ObjectNode registration() {
+    return registration(new Endpoint("127.0.0.1", serverSocket.getLocalPort()));
+  }
+
+  /** Returns the entry of a server with four slots. */
+  static ObjectNode registration(Endpoint address) {
     return JsonNodeFactory.instance
         .objectNode()
         .put("service", "engines")
-        .put("address", new Endpoint("127.0.0.1", serverSocket.getLocalPort()).toString())
+        .put("address", address.toString())
         .put("zone", "zone-a")
         .put("version", "v1")
         .put("slot_count", 4)
