Use all slots of small pools, and account for the process's own delay

A request left one slot of each server free for each more urgent route rank, also for ranks whose routes never lead to its pool: a plain route of rank 3 left three of six slots free and was rejected with QUEUE_TOO_LONG while half of the pool was idle. Slots are now left free only for ranks whose routes lead to the pool.

The time in which this process was late no longer counts as time for which requests waited for servers, and what can start when it runs again starts before anything is refused.

--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -40,12 +40,6 @@
  */
 final class GatewayCore {
 
-  /** Twice the usual interval between two ticks; a longer one shows a lack of processor time. */
-  private static final Duration MAX_TICK_INTERVAL = Duration.ofMillis(40);
-
-  /** What a late tick adds to {@link #activeTime()}, so that unresponsive servers are detected. */
-  private static final Duration LATE_TICK_ACTIVE_TIME = Duration.ofMillis(5);
-
   private final MonotonicClock clock;
   private final HeaderCodec headerCodec;
   private final PooledHttpClient client;
@@ -66,8 +60,7 @@
   private int gatewayCount = 1;
   private boolean hasNonLeavingPeer;
   private boolean stoppedAccepting;
-  private Duration activeTime = Duration.ZERO;
-  private Duration lastTickAt;
+  private final ProcessDelay processDelay;
   private volatile @Nullable Duration leavingSince;
 
   GatewayCore(
@@ -88,7 +81,7 @@
     this.placementExecutor = new PlacementExecutor(openRequests, guard);
     this.retryBudgets = new RetryBudgets(retryLimits);
     this.logSampler = logSampler;
-    this.lastTickAt = clock.elapsed();
+    this.processDelay = new ProcessDelay(clock.elapsed());
     this.quotas = quotas;
     this.promptHolds = new PromptHolds(clock, metrics, this::checkPrompts);
     this.knownServers = new KnownServers(clock, metrics);
@@ -193,10 +186,21 @@
   private void submit(ForwardedRequest request, Duration now) {
     request.checkPrompt();
     if (!request.isFinished() && !request.isDeferred()) {
+      catchUp(now);
       pool(request.poolName()).submit(request.placement(), now);
     }
   }
 
+  /** Tells the pools of a delay of this process before they decide about requests. */
+  private void catchUp(Duration now) {
+    if (processDelay.isLate(now)) {
+      Duration from = processDelay.lastTickAt();
+      pools.forEach(
+          (name, pool) ->
+              RepeatedTask.runPart("delay of " + name, () -> pool.recordProcessDelay(from, now)));
+    }
+  }
+
   private void callerDisconnected(ForwardedRequest request) {
     Duration readAt = now();
     withLock(
@@ -388,7 +392,9 @@
   /** Applies the client accounts and pools of a configuration. */
   void applyConfiguration(RoutingTable table) {
     quotas.applyAccounts(table.accounts(), now());
-    table.pools().forEach(definition -> pool(definition.name()).applyDefinition(definition));
+    table
+        .pools()
+        .forEach(pool -> pool(pool.name()).applyDefinition(pool, table.routeRanks(pool.name())));
   }
 
   /** Applies a new list of backend servers. */
@@ -451,7 +457,7 @@
    * not considered unresponsive because of that.
    */
   Duration activeTime() {
-    return activeTime;
+    return processDelay.activeTime();
   }
 
   /** Marks an unresponsive server as suspect, so that it gets no new requests. */
@@ -474,11 +480,8 @@
   /** Runs the periodic checks of open requests, interrupted streams and queues. */
   void tick() {
     Duration now = now();
-    Duration sinceLastTick = now.minus(lastTickAt);
-    boolean isOnTime = sinceLastTick.compareTo(MAX_TICK_INTERVAL) <= 0;
-    activeTime = activeTime.plus(isOnTime ? sinceLastTick : LATE_TICK_ACTIVE_TIME);
-    requestMetrics.recordTickInterval(sinceLastTick);
-    lastTickAt = now;
+    catchUp(now);
+    requestMetrics.recordTickInterval(processDelay.tick(now));
     List.copyOf(openRequests.values())
         .forEach(request -> guard.run(request, "check", () -> request.tick(now)));
     RepeatedTask.runPart("check of prompt holds", promptHolds::tick);
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.routes.PoolDefinition;
@@ -34,16 +34,15 @@
   /** How often queues are searched for requests that will not start in time. */
   private static final Duration QUEUE_REVIEW_INTERVAL = Duration.ofMillis(100);
 
-  /** A request is refused early only if it would start too late even this many times faster. */
-  private static final int EARLY_REFUSAL_FACTOR = 2;
-
   private static final Duration NO_SERVER_RETRY_AFTER = Duration.ofSeconds(1);
 
   private final PlacementEffects effects;
   private final ServerSelector selector;
   private final WaitingRequests waitingRequests = new WaitingRequests();
+  private final SlotReservations reservations;
   private final ServerStates servers;
   private final StartRateEstimator startRates;
+  private final QueuePolicy queuePolicy;
   private final BackfillPolicy backfill = new BackfillPolicy();
   private final SlotClaims claims;
   private final RepeatableRun starts = new RepeatableRun();
@@ -59,10 +58,12 @@
    * @param random chooses among equivalent servers
    */
   public PoolScheduler(SchedulingLimits limits, PlacementEffects effects, RandomGenerator random) {
-    this.servers = new ServerStates(limits);
+    this.reservations = new SlotReservations(limits.reservedSlotsPerRank());
+    this.servers = new ServerStates(limits, reservations);
     this.selector = new ServerSelector(random);
     this.effects = effects;
     this.startRates = new StartRateEstimator(limits.rateWindow());
+    this.queuePolicy = new QueuePolicy(waitingRequests, startRates);
     this.claims = new SlotClaims(random);
   }
 
@@ -131,15 +132,13 @@
       return;
     }
     backfill.recordSubmission(request);
-    List<PlacementRequest> queue = waitingRequests.queue(request.urgency());
-    Duration wait = startRates.expectedTimeToStart(queue.size() + 1, request.urgency(), now);
-    if (!request.wasPlacedBefore()
-        && now.plus(wait).compareTo(request.startBy()) > 0
-        && !(queue.isEmpty() && canStartNow(request, now))) {
+    if (queuePolicy.isTooLongFor(request, now)
+        && !(waitingRequests.queue(request.urgency()).isEmpty() && canStartNow(request, now))) {
+      Duration wait = queuePolicy.expectedWaitOfNext(request.urgency(), now);
       refuse(request, RefusalReason.QUEUE_TOO_LONG, wait, now);
       return;
     }
-    queue.add(request);
+    waitingRequests.queue(request.urgency()).add(request);
     startWaiting(now);
   }
 
@@ -202,6 +201,17 @@
     tokensPerEvent = Math.max(1, definition.tokensPerEvent());
   }
 
+  /**
+   * Applies the definition of the pool, and which routes lead to it.
+   *
+   * @param definition the definition
+   * @param routeRanks the ranks of the routes; slots are left free only for these
+   */
+  public void applyDefinition(PoolDefinition definition, Set<Integer> routeRanks) {
+    applyDefinition(definition);
+    reservations.applyRouteRanks(routeRanks);
+  }
+
   /**
    * Returns the number of events in a response of the given length.
    *
@@ -233,6 +243,18 @@
     startWaiting(now);
   }
 
+  /**
+   * Records that this process was late, because it had no processor time. Starts the requests that
+   * waited for it, before any of them can be refused on behalf of the servers.
+   *
+   * @param from when its last periodic check was on time
+   * @param now the current time
+   */
+  public void recordProcessDelay(Duration from, Duration now) {
+    startRates.excludeDelay(from, now);
+    startWaiting(now);
+  }
+
   /**
    * Decays the measurements of the servers, refuses waiting requests that have not started in time
    * or are not expected to, and starts others. To be called periodically.
@@ -249,7 +271,7 @@
     refuseExpired(now);
     if (now.minus(queuesReviewedAt).compareTo(QUEUE_REVIEW_INTERVAL) >= 0) {
       queuesReviewedAt = now;
-      refuseEarly(now);
+      refuseHopeless(now);
     }
     startWaiting(now);
   }
@@ -273,7 +295,8 @@
    * @return whether a start is expected
    */
   public boolean canStartOnAnotherServer(PlacementRequest request, Duration startBy, Duration now) {
-    boolean isInTime = now.plus(expectedWait(request.urgency(), now)).compareTo(startBy) < 0;
+    boolean isInTime =
+        now.plus(queuePolicy.expectedWait(request.urgency(), now)).compareTo(startBy) < 0;
     Collection<ServerState> candidates = isInTime ? servers.all() : availableServers(request, now);
     return candidates.stream()
         .filter(ServerState::acceptsRequests)
@@ -317,33 +340,14 @@
                 refuse(
                     request,
                     RefusalReason.WAITED_TOO_LONG,
-                    expectedWait(request.urgency(), now),
+                    queuePolicy.expectedWait(request.urgency(), now),
                     now));
   }
 
-  /**
-   * Refuses waiting requests that are not expected to start in time, except the head of each queue
-   * and those that were placed before: their callers may have part of a response, and lose nothing
-   * by waiting. Needed when more urgent requests arrive later and occupy every slot from then on.
-   */
-  private void refuseEarly(Duration now) {
-    Map<PlacementRequest, Duration> refused = new LinkedHashMap<>();
-    for (List<PlacementRequest> queue : waitingRequests.queues().values()) {
-      if (queue.isEmpty()) {
-        continue;
-      }
-      Duration queueWait = expectedWait(queue.get(0).urgency(), now);
-      for (int i = queue.size() - 1; i > 0; i--) {
-        Duration wait = queueWait.multipliedBy(i + 1L).dividedBy(queue.size());
-        PlacementRequest request = queue.get(i);
-        Duration earliestStart = now.plus(wait.dividedBy(EARLY_REFUSAL_FACTOR));
-        if (!request.wasPlacedBefore() && earliestStart.compareTo(request.startBy()) > 0) {
-          queue.remove(i);
-          refused.put(request, wait);
-        }
-      }
-    }
-    refused.forEach((request, wait) -> refuse(request, RefusalReason.QUEUE_TOO_LONG, wait, now));
+  private void refuseHopeless(Duration now) {
+    queuePolicy
+        .removeHopeless(now)
+        .forEach((request, wait) -> refuse(request, RefusalReason.QUEUE_TOO_LONG, wait, now));
   }
 
   private void refuse(PlacementRequest request, RefusalReason reason, Duration wait, Duration now) {
@@ -481,9 +485,4 @@
                     now))
         .orElse(List.of());
   }
-
-  /** Returns the expected time until all waiting requests of an urgency have started. */
-  private Duration expectedWait(Urgency urgency, Duration now) {
-    return startRates.expectedTimeToStart(waitingRequests.queue(urgency).size(), urgency, now);
-  }
 }
--- a/src/main/java/org/wigeonstage/placement/ServerState.java
+++ b/src/main/java/org/wigeonstage/placement/ServerState.java
@@ -52,6 +52,7 @@
   private static final double RETAINED_PER_SECOND = 0.93;
 
   private final SchedulingLimits limits;
+  private final SlotReservations reservations;
 
   /** The running requests of this gateway, and whether the first part of each has arrived. */
   private final Map<PlacementRequest, Boolean> firstPartArrivedByRequest = new HashMap<>();
@@ -69,9 +70,10 @@
   private Duration decliningUntil = Duration.ZERO;
   private Duration pausedUntil = Duration.ZERO;
 
-  ServerState(BackendServer server, SchedulingLimits limits) {
+  ServerState(BackendServer server, SchedulingLimits limits, SlotReservations reservations) {
     this.server = server;
     this.limits = limits;
+    this.reservations = reservations;
   }
 
   BackendServer server() {
@@ -246,7 +248,7 @@
   private int maxOccupied(int routeRank) {
     return routeRank == 0
         ? server.slots() + limits.maxQueuedAtServer()
-        : Math.max(1, server.slots() - limits.reservedSlotsPerRank() * routeRank);
+        : Math.max(1, server.slots() - reservations.reservedSlots(routeRank));
   }
 
   /** Returns whether a slot is free that requests of none of the given route ranks may use. */
--- a/src/main/java/org/wigeonstage/placement/ServerStates.java
+++ b/src/main/java/org/wigeonstage/placement/ServerStates.java
@@ -15,11 +15,13 @@
 final class ServerStates {
 
   private final SchedulingLimits limits;
+  private final SlotReservations reservations;
   private final Map<String, ServerState> states = new HashMap<>();
   private Map<String, Integer> runningAtPeers = Map.of();
 
-  ServerStates(SchedulingLimits limits) {
+  ServerStates(SchedulingLimits limits, SlotReservations reservations) {
     this.limits = limits;
+    this.reservations = reservations;
   }
 
   /** Replaces the registered servers, and keeps the estimates for those that remain. */
@@ -29,7 +31,8 @@
     states.values().removeIf(state -> !byId.containsKey(state.server().id()));
     byId.forEach(
         (id, server) -> {
-          ServerState state = states.computeIfAbsent(id, key -> new ServerState(server, limits));
+          ServerState state =
+              states.computeIfAbsent(id, key -> new ServerState(server, limits, reservations));
           state.applyRegistration(server);
           state.updateRunningAtPeers(runningAtPeers.getOrDefault(id, 0));
         });
--- a/src/main/java/org/wigeonstage/placement/StartRateEstimator.java
+++ b/src/main/java/org/wigeonstage/placement/StartRateEstimator.java
@@ -59,6 +59,19 @@
       isWaiting = isNowWaiting;
     }
 
+    /** Removes the time since the given one; requests that still wait do so from now on. */
+    void exclude(Duration from, Duration now) {
+      while (!intervals.isEmpty() && intervals.getLast().until().compareTo(from) > 0) {
+        Interval last = intervals.removeLast();
+        if (last.from().compareTo(from) < 0) {
+          intervals.addLast(new Interval(last.from(), from));
+        }
+      }
+      if (isWaiting) {
+        intervals.addLast(new Interval(now, now));
+      }
+    }
+
     private static boolean isSoonAfter(Duration lastUpdate, Duration now) {
       return now.minus(lastUpdate).compareTo(MAX_UPDATE_INTERVAL) <= 0;
     }
@@ -104,6 +117,14 @@
     times.update(isWaiting, now);
   }
 
+  /**
+   * Excludes a time in which this process was late: requests then waited for it, which says nothing
+   * about the servers.
+   */
+  void excludeDelay(Duration from, Duration now) {
+    waitingTimes.values().forEach(times -> times.exclude(from, now));
+  }
+
   /**
    * Returns the expected time to start a number of waiting requests, based on the requests started
    * while requests of this urgency waited; zero if they have waited too briefly to tell. Starts of
--- a/src/main/java/org/wigeonstage/routes/RoutingTable.java
+++ b/src/main/java/org/wigeonstage/routes/RoutingTable.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** The configuration: the routes, pools and client accounts of one version. Immutable. */
 public final class RoutingTable {
@@ -105,6 +107,20 @@
     return List.copyOf(pools.values());
   }
 
+  /**
+   * Returns the ranks of the routes that lead to a pool.
+   *
+   * @param poolName the pool's name
+   * @return the ranks
+   */
+  public Set<Integer> routeRanks(String poolName) {
+    return routesByHostName.values().stream()
+        .flatMap(List::stream)
+        .filter(route -> route.pools().stream().anyMatch(pool -> pool.pool().equals(poolName)))
+        .map(Route::rank)
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   /**
    * Returns whether callers need API keys on routes that do not allow anonymous requests.
    *
--- a/src/test/java/org/wigeonstage/placement/SimulatedEngine.java
+++ b/src/test/java/org/wigeonstage/placement/SimulatedEngine.java
@@ -38,6 +38,7 @@
   private final double slowness;
   private final Deque<Run> queue = new ArrayDeque<>();
   private final List<Run> running = new ArrayList<>();
+  private double slowdown = 1;
   private boolean isStepping;
   private double stepEndsAt;
   private long chunkTokens;
@@ -53,6 +54,11 @@
     this.slowness = slowness;
   }
 
+  /** Makes steps take a multiple of their usual time from now on. */
+  void slowDown(double factor) {
+    slowdown = factor;
+  }
+
   void add(Run run) {
     queue.addLast(run);
   }
@@ -88,7 +94,7 @@
     chunkTokens = Math.min(CHUNK_TOKENS, promptTokens);
     double millis =
         STEP_MILLIS + STEP_MILLIS_PER_RUN * running.size() + chunkTokens / PROMPT_TOKENS_PER_MILLI;
-    stepEndsAt = atMillis + millis * slowness;
+    stepEndsAt = atMillis + millis * slowness * slowdown;
     isStepping = true;
     return true;
   }
--- a/src/test/java/org/wigeonstage/placement/SimulatedPool.java
+++ b/src/test/java/org/wigeonstage/placement/SimulatedPool.java
@@ -6,11 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.routes.PoolDefinition;
 
 /**
  * Many gateways before the engines of one pool, in virtual time. Each gateway knows the load of its
@@ -35,6 +38,8 @@
 
   private static final int MAX_RETURNS = 1;
 
+  private static final PoolDefinition DEFINITION = new PoolDefinition("pool", "/", 100, 8, 0, 1);
+
   /**
    * A kind of request.
    *
@@ -60,17 +65,39 @@
   /** A time in which a kind of request arrives more often. */
   record Burst(int rank, double factor, long fromMillis, long untilMillis) {}
 
+  /** A time in which the first engines are slower than they are otherwise. */
+  record Slowdown(int engines, double factor, long fromMillis, long untilMillis) {}
+
   /** What became of the requests of one kind. */
   static final class Tally {
     private int asked;
     private int inTime;
     private int late;
     private int refused;
+    private int rejections;
+    private int lateRejections;
 
     int asked() {
       return asked;
     }
 
+    int inTime() {
+      return inTime;
+    }
+
+    int late() {
+      return late;
+    }
+
+    int rejections() {
+      return rejections;
+    }
+
+    /** Returns the rejections that came later than an eighth of the objective. */
+    int lateRejections() {
+      return lateRejections;
+    }
+
     int served() {
       return inTime + late;
     }
@@ -137,9 +164,20 @@
     }
   }
 
+  /** Plans a time in which some engines are slower; to be called before {@link #play}. */
+  SimulatedPool slowDown(Slowdown slowdown) {
+    for (SimulatedEngine engine : engines.subList(0, slowdown.engines())) {
+      schedule(slowdown.fromMillis(), () -> engine.slowDown(slowdown.factor()));
+      schedule(slowdown.untilMillis(), () -> engine.slowDown(1));
+    }
+    return this;
+  }
+
   /** Returns what became of the requests of each rank until the given time. */
   Map<Integer, Tally> play(List<Kind> kinds, List<Burst> bursts, long endMillis) {
     kinds.forEach(kind -> tallies.put(kind.rank(), new Tally()));
+    Set<Integer> ranks = kinds.stream().map(Kind::rank).collect(Collectors.toSet());
+    gateways.forEach(gateway -> gateway.scheduler.applyDefinition(DEFINITION, ranks));
     kinds.forEach(kind -> scheduleArrival(kind, bursts));
     for (now = 0; now < endMillis; now++) {
       while (!events.isEmpty() && events.peek().atMillis() <= now) {
@@ -344,6 +382,9 @@
     public void refuse(PlacementRequest request, RefusalReason reason, Duration retryAfter) {
       Caller caller = callers.remove(request);
       if (caller != null) {
+        long waited = now - request.arrivedAt().toMillis();
+        caller.tally().rejections++;
+        caller.tally().lateRejections += waited > caller.kind.objectiveMillis() / 8 ? 1 : 0;
         caller.refused(retryAfter);
       }
     }
--- a/src/test/java/org/wigeonstage/placement/StartRateEstimatorTest.java
+++ b/src/test/java/org/wigeonstage/placement/StartRateEstimatorTest.java
@@ -69,4 +69,14 @@
     estimator.updateWaiting(URGENCY, true, millis(1620));
     assertThat(expectedMillis(1, 1620)).isLessThanOrEqualTo(TICK_MILLIS);
   }
+
+  /** A gateway with a quarter of a core runs its checks 100 ms late again and again. */
+  @Test
+  void doesNotCountTheTimeInWhichTheProcessWasLate() {
+    for (long now = 0; now <= 1000; now += 120) {
+      estimator.updateWaiting(URGENCY, true, millis(now));
+      estimator.excludeDelay(millis(now), millis(now + 100));
+    }
+    assertThat(expectedMillis(5, 1000)).isZero();
+  }
 }
