Write responses to callers on the thread that produces them

Each part of a response woke the selector thread of the callers' server, which registered the connection for writing, wrote, and removed the registration. The producing thread now writes itself as far as the socket takes the data. Completions that are reported during the write are handled after it, and the action for a disconnect runs on the handler thread, so that a failed write does not end a request in the middle of its step.

--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -128,7 +128,7 @@
       MonotonicClock clock,
       ConnectionListener listener,
       RequestHandler handler) {
-    TCPNIOTransport transport = Transports.create(name, SELECTOR_THREADS);
+    TCPNIOTransport transport = Transports.create(name, SELECTOR_THREADS, true);
     TimingSelectorHandler selectorHandler = new TimingSelectorHandler(clock);
     transport.setSelectorHandler(selectorHandler);
     transport.setWorkerThreadPoolConfig(
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -24,9 +24,11 @@
 /**
  * One request to an {@link HttpServer} and its response. Thread-safe.
  *
- * <p>Writes never block. Bytes that the caller's connection can't take yet are queued in memory;
- * they count as delivered once they have been handed to the operating system. Use {@link
- * #undeliveredBytes} and {@link #onDelivered} to apply back-pressure.
+ * <p>Writes never block. They write to the socket on the calling thread; the listener of {@link
+ * #onDelivered} may run before they return, the action of {@link #onDisconnect} does not. Bytes
+ * that the caller's connection can't take yet are queued in memory; they count as delivered once
+ * they have been handed to the operating system. Use {@link #undeliveredBytes} and {@link
+ * #onDelivered} to apply back-pressure.
  */
 public final class ServerExchange {
 
@@ -53,6 +55,9 @@
   private long writtenBytes;
   private long deliveredBytes;
 
+  /** Whether a thread is in a write method, and therefore handles completions there. */
+  private boolean isWriting;
+
   ServerExchange(CallerConnection callerConnection, CallerRequest request) {
     this.callerConnection = callerConnection;
     this.connection = callerConnection.connection();
@@ -285,11 +290,14 @@
 
   private void write(byte[] data, boolean isLast) {
     boolean isDelivered;
+    long deliveredBefore;
+    long deliveredAfter;
     synchronized (this) {
       if (hasEnded.get()) {
         return;
       }
       hasEnded.set(isLast);
+      deliveredBefore = deliveredBytes;
       // For the end of a response of known length, Grizzly writes nothing and reports no
       // completion.
       if (!isLast || data.length > 0 || !response.isCommitted() || response.isChunked()) {
@@ -297,13 +305,22 @@
         pendingWrites++;
         HttpContent content =
             HttpContent.builder(response).content(Buffers.wrap(null, data)).last(isLast).build();
-        socketConnection().write(content, new WriteCompletionHandler(data.length));
+        isWriting = true;
+        try {
+          socketConnection().write(content, new WriteCompletionHandler(data.length));
+        } finally {
+          isWriting = false;
+        }
       }
+      deliveredAfter = deliveredBytes;
       isDelivered = isLast && pendingWrites == 0;
     }
     if (isLast) {
       removeListeners();
     }
+    if (deliveredAfter > deliveredBefore) {
+      callerConnection.runGuarded(() -> deliveryListener.accept(deliveredAfter));
+    }
     if (isDelivered) {
       complete();
     }
@@ -363,11 +380,21 @@
 
   private void connectionClosed() {
     Runnable action = disconnectAction.getAndSet(null);
-    if (action != null && !hasEnded.get()) {
+    if (action == null || hasEnded.get()) {
+      return;
+    }
+    if (Thread.holdsLock(this)) {
+      // A write has failed. The code that writes must not find the request ended when it goes on.
+      runOnHandlerThread(() -> callerConnection.runGuarded(action));
+    } else {
       callerConnection.runGuarded(action);
     }
   }
 
+  private void runOnHandlerThread(Runnable action) {
+    connection.getTransport().getWorkerThreadPool().execute(action);
+  }
+
   /**
    * Sets the listener for the progress of the response, in place of any earlier one.
    *
@@ -397,8 +424,7 @@
    * @param action the action, run on a handler thread
    */
   public void afterPendingReads(Runnable action) {
-    ReadBarrier.runAfterPendingReads(
-        connection, () -> connection.getTransport().getWorkerThreadPool().execute(action));
+    ReadBarrier.runAfterPendingReads(connection, () -> runOnHandlerThread(action));
   }
 
   private void writeCompleted(int bytes) {
@@ -408,6 +434,9 @@
       deliveredBytes += bytes;
       totalBytes = deliveredBytes;
       pendingWrites--;
+      if (isWriting) {
+        return; // the write method goes on with this
+      }
       isDelivered = hasEnded.get() && pendingWrites == 0;
     }
     if (bytes > 0) {
--- a/src/main/java/org/wigeonstage/http/Transports.java
+++ b/src/main/java/org/wigeonstage/http/Transports.java
@@ -13,13 +13,27 @@
   private Transports() {}
 
   /**
-   * Creates a transport that runs its filters on the selector threads.
+   * Creates a transport that runs its filters and writes on the selector threads.
    *
    * @param name the name of the transport and prefix of its thread names
    * @param selectorThreads the number of selector threads
    * @return the transport, not yet started
    */
   public static TCPNIOTransport create(String name, int selectorThreads) {
+    return create(name, selectorThreads, false);
+  }
+
+  /**
+   * Creates a transport that runs its filters on the selector threads.
+   *
+   * @param name the name of the transport and prefix of its thread names
+   * @param selectorThreads the number of selector threads
+   * @param isDirect whether a thread that calls a write method writes to the socket itself as far
+   *     as possible without blocking, which saves the wake-up of a selector thread; completion
+   *     handlers and close listeners may then run before the write method returns
+   * @return the transport, not yet started
+   */
+  public static TCPNIOTransport create(String name, int selectorThreads, boolean isDirect) {
     ThreadPoolConfig pool =
         ThreadPoolConfig.defaultConfig()
             .setPoolName(name)
@@ -34,7 +48,7 @@
         .setTcpNoDelay(true)
         .setReuseAddress(true)
         .setServerConnectionBackLog(ACCEPT_BACKLOG)
-        .setOptimizedForMultiplexing(true)
+        .setOptimizedForMultiplexing(!isDirect)
         .build();
   }
 }
--- a/src/test/java/org/wigeonstage/benchmark/GatewayCostBenchmark.java
+++ b/src/test/java/org/wigeonstage/benchmark/GatewayCostBenchmark.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
@@ -62,7 +63,7 @@
   private final Endpoint callers = new Endpoint("127.0.0.1", freePort());
   private int requestCount;
 
-  private GatewayCostBenchmark() throws IOException {}
+  private GatewayCostBenchmark() {}
 
   /**
    * Runs the measurement and prints the results.
@@ -161,9 +162,15 @@
         .start();
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
+  /** Returns a free port below those that the system assigns to outgoing connections. */
+  private static int freePort() {
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(20_000, 32_000);
+      try (ServerSocket socket = new ServerSocket(port)) {
+        return socket.getLocalPort();
+      } catch (IOException e) {
+        // The port is in use; try another one.
+      }
     }
   }
 
