Learn the speed and concurrency limits of backend servers

With the setting learnedServerLimits, the times come from the responses: a profile for each version, with the pool's as its prior, and a slowness and a concurrency limit for each run of a server. Without it, the constants apply as before.

Unit tests of placement pass; not measured yet.

--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -25,7 +25,6 @@
 import org.wigeonstage.placement.AttemptResult;
 import org.wigeonstage.placement.PlacementRequest;
 import org.wigeonstage.placement.PoolScheduler;
-import org.wigeonstage.placement.SchedulingLimits;
 import org.wigeonstage.placement.Urgency;
 import org.wigeonstage.quota.AccountQuotas;
 import org.wigeonstage.quota.QuotaTolerance;
@@ -63,6 +62,7 @@
   private final PendingResumptions pendingResumptions = new PendingResumptions(this);
   private final PromptHolds promptHolds;
   private final KnownServers knownServers;
+  private final ServerCapacities capacities;
   private int gatewayCount = 1;
   private boolean hasNonLeavingPeer;
   private boolean stoppedAccepting;
@@ -77,7 +77,8 @@
       MetricRegistry metrics,
       RetryLimits retryLimits,
       AccountQuotas quotas,
-      RequestLogSampler logSampler) {
+      RequestLogSampler logSampler,
+      ServerCapacities capacities) {
     this.clock = clock;
     this.headerCodec = headerCodec;
     this.client = client;
@@ -88,6 +89,7 @@
     this.placementExecutor = new PlacementExecutor(openRequests, guard);
     this.retryBudgets = new RetryBudgets(retryLimits);
     this.logSampler = logSampler;
+    this.capacities = capacities;
     this.lastTickAt = clock.elapsed();
     this.quotas = quotas;
     this.promptHolds = new PromptHolds(clock, metrics, this::checkPrompts);
@@ -489,6 +491,6 @@
 
   private PoolScheduler pool(String name) {
     return pools.computeIfAbsent(
-        name, key -> new PoolScheduler(SchedulingLimits.DEFAULTS, placementExecutor, random));
+        name, key -> capacities.createScheduler(name, placementExecutor, random));
   }
 }
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -53,6 +53,7 @@
   private final Closer closer = Closer.create();
   private final MetricRegistry metrics = new MetricRegistry();
   private final GatewayCore core;
+  private final ServerCapacities capacities;
   private final ConfigurationState configuration;
   private final ReadLagMonitor readLag;
   private final SchedulingDelayMonitor schedulingDelay;
@@ -72,6 +73,7 @@
     this.client =
         closer.register(
             PooledHttpClient.start("backend", 1, clock, new ServerConnectionEndRecorder(metrics)));
+    this.capacities = new ServerCapacities(settings.learnedServerLimits(), metrics);
     this.core =
         new GatewayCore(
             clock,
@@ -80,7 +82,8 @@
             metrics,
             retryLimits(settings),
             new AccountQuotas(settings.quotaTolerance(), settings.isFirstStart(), clock.elapsed()),
-            new RequestLogSampler(settings.logOneIn()));
+            new RequestLogSampler(settings.logOneIn()),
+            capacities);
     this.readLag = new ReadLagMonitor(clock);
     this.schedulingDelay = new SchedulingDelayMonitor(clock, TICK_INTERVAL);
     this.configuration = new ConfigurationState(clocks, maxConfigurationAge(settings));
@@ -230,6 +233,8 @@
   private void tick() {
     schedulingDelay.tick();
     RepeatedTask.runPart("checks of open requests", () -> core.withLock(core::tick));
+    RepeatedTask.runPart(
+        "record of server limits", () -> core.withLock(() -> capacities.tick(core.now())));
     RepeatedTask.runPart("measurement of the read lag", readLag::tick);
     RepeatedTask.runPart("checks of held requests", () -> core.withLock(requestHandler::tick));
     RepeatedTask.runPart("exchange with peers", () -> core.withLock(peerSynchronizer::tick));
--- /dev/null
+++ b/src/main/java/org/wigeonstage/gateway/ServerCapacities.java
@@ -0,0 +1,92 @@
+package org.wigeonstage.gateway;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.ToIntFunction;
+import java.util.random.RandomGenerator;
+import org.wigeonstage.capacity.CapacitySummary;
+import org.wigeonstage.capacity.PoolCapacity;
+import org.wigeonstage.placement.PlacementEffects;
+import org.wigeonstage.placement.PoolScheduler;
+import org.wigeonstage.placement.SchedulingLimits;
+import org.wigeonstage.telemetry.DecisionLog;
+import org.wigeonstage.telemetry.MetricName;
+
+/**
+ * What is learned about the servers of all pools, if the settings demand it. Guarded by the lock of
+ * {@link GatewayCore}, except for the metrics, which read copies.
+ */
+final class ServerCapacities {
+
+  private static final Duration UPDATE_INTERVAL = Duration.ofMillis(500);
+
+  private final SchedulingLimits limits;
+  private final MetricRegistry metrics;
+  private final Map<String, PoolCapacity> pools = new HashMap<>();
+  private Duration updatedAt = Duration.ZERO;
+  private volatile Map<String, CapacitySummary> summaries = Map.of();
+
+  ServerCapacities(boolean isLearned, MetricRegistry metrics) {
+    this.limits = SchedulingLimits.DEFAULTS.withLearnedServerLimits(isLearned);
+    this.metrics = metrics;
+  }
+
+  PoolScheduler createScheduler(String pool, PlacementEffects effects, RandomGenerator random) {
+    PoolScheduler scheduler = new PoolScheduler(limits, effects, random);
+    scheduler
+        .capacity()
+        .ifPresent(
+            capacity -> {
+              pools.put(pool, capacity);
+              registerMetrics(pool);
+            });
+    return scheduler;
+  }
+
+  private void registerMetrics(String pool) {
+    registerGauge("capacity.limit.min", pool, CapacitySummary::smallestLimit);
+    registerGauge("capacity.limit.median", pool, CapacitySummary::medianLimit);
+    registerGauge("capacity.limit.max", pool, CapacitySummary::largestLimit);
+    registerGauge("capacity.slowServers", pool, CapacitySummary::slowServers);
+  }
+
+  private void registerGauge(String name, String pool, ToIntFunction<CapacitySummary> figure) {
+    CapacitySummary none = new CapacitySummary(0, 0, 0, 0);
+    metrics.register(
+        MetricName.of(name, "pool", pool),
+        (Gauge<Integer>) () -> figure.applyAsInt(summaries.getOrDefault(pool, none)));
+  }
+
+  /** Logs changes of limits, and updates the metrics. */
+  void tick(Duration now) {
+    if (now.minus(updatedAt).compareTo(UPDATE_INTERVAL) < 0) {
+      return;
+    }
+    updatedAt = now;
+    Map<String, CapacitySummary> current = new HashMap<>();
+    pools.forEach(
+        (pool, capacity) -> {
+          capacity
+              .takeLimitChanges()
+              .forEach(
+                  change ->
+                      DecisionLog.write(
+                          "server-limit",
+                          "pool",
+                          pool,
+                          "server",
+                          change.runId(),
+                          "limit",
+                          change.limit(),
+                          "slots",
+                          change.slots(),
+                          "slownessPercent",
+                          change.slownessPercent()));
+          current.put(pool, capacity.summary());
+        });
+    summaries = current;
+  }
+}
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -9,6 +9,7 @@
 import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.wigeonstage.capacity.PoolCapacity;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.routes.PoolDefinition;
 
@@ -183,14 +184,16 @@
    * @return the expected time
    */
   public Duration expectedDuration(long promptTokens, long outputTokens) {
-    return expectedDurationOf(promptTokens, (double) outputTokens / tokensPerEvent);
+    return servers.expectedDuration(promptTokens, (double) outputTokens / tokensPerEvent);
   }
 
-  private Duration expectedDurationOf(long promptTokens, double events) {
-    double meanGapMillis =
-        servers.all().stream().mapToDouble(ServerState::eventGapMillis).average().orElse(0);
-    double millis = events * meanGapMillis + promptTokens * ServerState.PREFILL_MILLIS_PER_TOKEN;
-    return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
+  /**
+   * Returns what is learned about the speed of the servers.
+   *
+   * @return the learned figures, or empty if the limits don't demand it
+   */
+  public Optional<PoolCapacity> capacity() {
+    return servers.capacity();
   }
 
   /**
@@ -226,9 +229,8 @@
         .find(serverId)
         .ifPresent(
             state -> {
-              state.recordEnd(request);
+              state.recordEnd(request, result, now);
               claims.recordRelease();
-              state.recordResult(result, now);
             });
     startWaiting(now);
   }
@@ -246,6 +248,7 @@
       backfill.decay(sinceDecay);
       decayedAt = now;
     }
+    servers.update(now);
     refuseExpired(now);
     if (now.minus(queuesReviewedAt).compareTo(QUEUE_REVIEW_INTERVAL) >= 0) {
       queuesReviewedAt = now;
@@ -423,7 +426,7 @@
     claims.recordStart(request.urgency());
     ServerEstimate estimate = state.estimate(request);
     request.markTried(state.server().id());
-    state.recordStart(request);
+    state.recordStart(request, now);
     effects.start(request, state.server(), estimate);
   }
 
@@ -453,7 +456,7 @@
     boolean isContended =
         unclaimed <= waitingRequests.countAtPeers(urgency)
             && SlotClaims.areNeededFor(
-                expectedDurationOf(request.promptTokens(), request.expectedEvents()));
+                servers.expectedDuration(request.promptTokens(), request.expectedEvents()));
     return unclaimed > 0 && (!isContended || claims.mayStart(urgency))
         ? servers.withFreeSlot(urgency.routeRank(), now)
         : List.of();
--- a/src/main/java/org/wigeonstage/placement/SchedulingLimits.java
+++ b/src/main/java/org/wigeonstage/placement/SchedulingLimits.java
@@ -15,6 +15,8 @@
  * @param declineBackoff how long a server is avoided after it declined a request, which it does
  *     while it is full; the time doubles with each consecutive decline
  * @param maxBackoff the longest time for which a server is avoided
+ * @param learnsServerLimits whether the speed of servers, and how many requests each handles well,
+ *     is learned from their responses
  */
 public record SchedulingLimits(
     int reservedSlotsPerRank,
@@ -22,7 +24,8 @@
     Duration rateWindow,
     Duration suspectBackoff,
     Duration declineBackoff,
-    Duration maxBackoff) {
+    Duration maxBackoff,
+    boolean learnsServerLimits) {
 
   /** The limits for backend servers that run requests in order of arrival. */
   public static final SchedulingLimits DEFAULTS =
@@ -32,5 +35,23 @@
           Duration.ofSeconds(2),
           Duration.ofMillis(400),
           Duration.ofMillis(50),
-          Duration.ofMillis(3000));
+          Duration.ofMillis(3000),
+          false);
+
+  /**
+   * Returns the same limits with or without learning about the servers.
+   *
+   * @param isLearned whether to learn
+   * @return the changed limits
+   */
+  public SchedulingLimits withLearnedServerLimits(boolean isLearned) {
+    return new SchedulingLimits(
+        reservedSlotsPerRank,
+        maxQueuedAtServer,
+        rateWindow,
+        suspectBackoff,
+        declineBackoff,
+        maxBackoff,
+        isLearned);
+  }
 }
--- a/src/main/java/org/wigeonstage/placement/ServerState.java
+++ b/src/main/java/org/wigeonstage/placement/ServerState.java
@@ -16,20 +16,6 @@
   /** The weight of a failed request in the failure rate. */
   private static final double FAILURE_SMOOTHING_FACTOR = 0.2;
 
-  /** The time to process (prefill) a prompt token: model engines process about 100 per ms. */
-  static final double PREFILL_MILLIS_PER_TOKEN = 0.01;
-
-  /** The time per event of a stream at normal speed, assumed until it has been measured. */
-  private static final double INITIAL_EVENT_GAP_MILLIS = 25;
-
-  /**
-   * How much later the first part of a response arrives from a full server than from an idle one.
-   */
-  private static final double FULL_LOAD_DELAY_MILLIS = 20;
-
-  /** How long a request waits at a full server for each request ahead of it. */
-  private static final double QUEUE_DELAY_MILLIS = 60;
-
   /** Further doublings of a backoff exceed the longest one, and would eventually overflow. */
   private static final int MAX_DOUBLINGS = 6;
 
@@ -39,12 +25,6 @@
   private static final double NANOS_PER_MILLI = 1e6;
   private static final double NANOS_PER_SECOND = 1e9;
 
-  /**
-   * The time to the first part for a short prompt, assumed until it has been measured. It is low so
-   * that new servers receive requests.
-   */
-  private static final double INITIAL_FIRST_PART_MILLIS = 2;
-
   /**
    * The share of the measured delay and failure rate that remains after one second, so that a slow
    * phase has half of its effect after about ten seconds.
@@ -52,14 +32,17 @@
   private static final double RETAINED_PER_SECOND = 0.93;
 
   private final SchedulingLimits limits;
+  private ServerSpeed speed;
 
   /** The running requests of this gateway, and whether the first part of each has arrived. */
   private final Map<PlacementRequest, Boolean> firstPartArrivedByRequest = new HashMap<>();
 
   private BackendServer server;
   private int runningAtPeers;
-  private double measuredEventGapMillis;
-  private double firstPartMillis = INITIAL_FIRST_PART_MILLIS;
+
+  /** The prompt tokens of running requests of this gateway whose first part is awaited. */
+  private long pendingPromptTokens;
+
   private double failureRate;
   private int consecutiveSuspicions;
   private int consecutiveDeclines;
@@ -69,9 +52,10 @@
   private Duration decliningUntil = Duration.ZERO;
   private Duration pausedUntil = Duration.ZERO;
 
-  ServerState(BackendServer server, SchedulingLimits limits) {
+  ServerState(BackendServer server, SchedulingLimits limits, ServerSpeed speed) {
     this.server = server;
     this.limits = limits;
+    this.speed = speed;
   }
 
   BackendServer server() {
@@ -87,43 +71,58 @@
     server = newServer;
   }
 
+  /** Replaces the estimated speed, because the server was restarted. */
+  void replaceSpeed(ServerSpeed newSpeed) {
+    speed = newSpeed;
+  }
+
   void updateRunningAtPeers(int count) {
     runningAtPeers = count;
   }
 
-  void recordStart(PlacementRequest request) {
+  void recordStart(PlacementRequest request, Duration now) {
+    int occupiedBefore = occupied();
     firstPartArrivedByRequest.put(request, Boolean.FALSE);
+    pendingPromptTokens += request.promptTokens();
+    speed.recordStart(request, pendingPromptTokens, occupiedBefore, now);
   }
 
   void recordFirstPart(PlacementRequest request, Duration sinceStart) {
-    if (firstPartArrivedByRequest.replace(request, Boolean.TRUE) == null) {
+    Boolean previous = firstPartArrivedByRequest.replace(request, Boolean.TRUE);
+    if (previous == null) {
       return;
     }
-    double withoutPrefillMillis =
-        sinceStart.toMillis() - request.promptTokens() * PREFILL_MILLIS_PER_TOKEN;
-    firstPartMillis += SMOOTHING_FACTOR * (Math.max(withoutPrefillMillis, 0) - firstPartMillis);
+    pendingPromptTokens -= previous ? 0 : request.promptTokens();
+    speed.recordFirstPart(request, sinceStart);
     consecutiveSuspicions = 0;
     consecutiveDeclines = 0;
     consecutiveConnectFailures = 0;
   }
 
   void recordEventGap(double millis) {
-    measuredEventGapMillis =
-        measuredEventGapMillis == 0
-            ? millis
-            : measuredEventGapMillis + SMOOTHING_FACTOR * (millis - measuredEventGapMillis);
+    speed.recordEventGap(millis);
   }
 
   double eventGapMillis() {
-    return measuredEventGapMillis == 0 ? INITIAL_EVENT_GAP_MILLIS : measuredEventGapMillis;
+    return speed.eventGapMillis(occupied());
+  }
+
+  double prefillMillisPerToken() {
+    return speed.prefillMillisPerToken();
   }
 
-  void recordEnd(PlacementRequest request) {
-    firstPartArrivedByRequest.remove(request);
+  /** Records the end of an attempt with a result. */
+  void recordEnd(PlacementRequest request, AttemptResult result, Duration now) {
+    Boolean hadFirstPart = firstPartArrivedByRequest.remove(request);
+    if (hadFirstPart != null) {
+      pendingPromptTokens -= hadFirstPart ? 0 : request.promptTokens();
+      speed.recordEnd(request, result == AttemptResult.SERVED, occupied(), now);
+    }
+    recordResult(result, now);
   }
 
   /** Updates the estimates with the result of an attempt. */
-  void recordResult(AttemptResult result, Duration now) {
+  private void recordResult(AttemptResult result, Duration now) {
     switch (result) {
       case NOT_CONNECTED -> recordConnectFailure(now);
       case SERVED -> recordSuccess();
@@ -156,10 +155,13 @@
    * requests again.
    */
   void decay(Duration elapsed) {
-    double retained = Math.pow(RETAINED_PER_SECOND, elapsed.toNanos() / NANOS_PER_SECOND);
-    firstPartMillis =
-        INITIAL_FIRST_PART_MILLIS + retained * (firstPartMillis - INITIAL_FIRST_PART_MILLIS);
-    failureRate *= retained;
+    speed.decay(elapsed);
+    failureRate *= retainedAfter(elapsed);
+  }
+
+  /** Returns the share of a measured delay or failure rate that remains after a time. */
+  static double retainedAfter(Duration elapsed) {
+    return Math.pow(RETAINED_PER_SECOND, elapsed.toNanos() / NANOS_PER_SECOND);
   }
 
   /** Records that the server failed to respond, and makes it suspect for a backoff. */
@@ -242,16 +244,21 @@
     return Math.max(0, maxOccupied(routeRank) - occupied());
   }
 
+  /** Returns how many requests the server is to run at once. */
+  private int limit() {
+    return speed.limit(server.slots());
+  }
+
   /** Returns how many requests may occupy the server when one of a route rank is added. */
   private int maxOccupied(int routeRank) {
     return routeRank == 0
-        ? server.slots() + limits.maxQueuedAtServer()
-        : Math.max(1, server.slots() - limits.reservedSlotsPerRank() * routeRank);
+        ? limit() + limits.maxQueuedAtServer()
+        : Math.max(1, limit() - limits.reservedSlotsPerRank() * routeRank);
   }
 
   /** Returns whether a slot is free that requests of none of the given route ranks may use. */
   boolean hasReservedSlot(Set<Integer> waitingRanks) {
-    if (!acceptsRequests() || occupied() >= server.slots()) {
+    if (!acceptsRequests() || occupied() >= limit()) {
       return false;
     }
     for (int routeRank : waitingRanks) {
@@ -264,19 +271,8 @@
 
   /** Returns the expected time until the first part of the response to the request. */
   Duration expectedTimeToFirstPart(PlacementRequest request) {
-    long pendingPromptTokens = request.promptTokens();
-    for (Map.Entry<PlacementRequest, Boolean> entry : firstPartArrivedByRequest.entrySet()) {
-      if (!entry.getValue()) {
-        pendingPromptTokens += entry.getKey().promptTokens();
-      }
-    }
-    double slowdown = eventGapMillis() / INITIAL_EVENT_GAP_MILLIS;
-    double utilization = (double) occupied() / Math.max(server.slots(), 1);
-    double millis =
-        firstPartMillis
-            + pendingPromptTokens * PREFILL_MILLIS_PER_TOKEN * slowdown
-            + FULL_LOAD_DELAY_MILLIS * utilization
-            + QUEUE_DELAY_MILLIS * slowdown * Math.max(0, occupied() + 1 - server.slots());
+    long promptTokens = pendingPromptTokens + request.promptTokens();
+    double millis = speed.firstPartMillis(promptTokens, occupied(), server.slots());
     return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
   }
 
--- a/src/main/java/org/wigeonstage/placement/ServerStates.java
+++ b/src/main/java/org/wigeonstage/placement/ServerStates.java
@@ -8,18 +8,32 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
+import org.wigeonstage.capacity.PoolCapacity;
 import org.wigeonstage.fleet.BackendServer;
 
 /** The servers of one pool with their estimated states, and which of them can take a request. */
 final class ServerStates {
 
+  private static final double NANOS_PER_MILLI = 1e6;
+
   private final SchedulingLimits limits;
   private final Map<String, ServerState> states = new HashMap<>();
+  private final Optional<PoolCapacity> capacity;
   private Map<String, Integer> runningAtPeers = Map.of();
 
   ServerStates(SchedulingLimits limits) {
     this.limits = limits;
+    this.capacity =
+        limits.learnsServerLimits() ? Optional.of(new PoolCapacity()) : Optional.empty();
+  }
+
+  /** Returns what is learned about the servers, if the limits demand it. */
+  Optional<PoolCapacity> capacity() {
+    return capacity;
   }
 
   /** Replaces the registered servers, and keeps the estimates for those that remain. */
@@ -29,10 +43,30 @@
     states.values().removeIf(state -> !byId.containsKey(state.server().id()));
     byId.forEach(
         (id, server) -> {
-          ServerState state = states.computeIfAbsent(id, key -> new ServerState(server, limits));
+          ServerState state =
+              states.computeIfAbsent(
+                  id, key -> new ServerState(server, limits, createSpeed(server)));
+          if (!state.server().runId().equals(server.runId())) {
+            state.replaceSpeed(createSpeed(server));
+          }
           state.applyRegistration(server);
           state.updateRunningAtPeers(runningAtPeers.getOrDefault(id, 0));
         });
+    capacity.ifPresent(
+        learned ->
+            learned.retain(
+                registered.stream().map(BackendServer::runId).collect(Collectors.toSet()),
+                registered.stream().map(BackendServer::version).collect(Collectors.toSet())));
+  }
+
+  /** Returns an estimate for a new run of a server, which begins with the usual speed. */
+  private ServerSpeed createSpeed(BackendServer server) {
+    return capacity
+        .<ServerSpeed>map(
+            learned ->
+                new LearnedServerSpeed(
+                    learned.server(server.runId(), server.version(), server.slots())))
+        .orElseGet(AssumedServerSpeed::new);
   }
 
   /** Replaces the numbers of requests of peers that run on each server. */
@@ -114,6 +148,25 @@
     return true;
   }
 
+  /** Updates what is learned about the servers. */
+  void update(Duration now) {
+    capacity.ifPresent(learned -> learned.update(now));
+  }
+
+  /** Returns how long a server of average speed is expected to take for a complete response. */
+  Duration expectedDuration(long promptTokens, double events) {
+    double gapMillis = average(ServerState::eventGapMillis).orElse(0);
+    double prefillMillisPerToken =
+        average(ServerState::prefillMillisPerToken)
+            .orElse(AssumedServerSpeed.PREFILL_MILLIS_PER_TOKEN);
+    double millis = events * gapMillis + promptTokens * prefillMillisPerToken;
+    return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
+  }
+
+  private OptionalDouble average(ToDoubleFunction<ServerState> figure) {
+    return states.values().stream().mapToDouble(figure).average();
+  }
+
   /** Decays the measurements, so that servers that were slow or failed receive requests again. */
   void decay(Duration elapsed) {
     states.values().forEach(state -> state.decay(elapsed));
--- a/src/test/java/org/wigeonstage/LayeringTest.java
+++ b/src/test/java/org/wigeonstage/LayeringTest.java
@@ -25,6 +25,7 @@
     "org.wigeonstage.routing..",
     "org.wigeonstage.routes..",
     "org.wigeonstage.forward..",
+    "org.wigeonstage.capacity..",
     "org.wigeonstage.placement..",
     "org.wigeonstage.quota..",
     "org.wigeonstage.crash..",
