--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -133,6 +133,7 @@
       return;
     }
     backfill.recordSubmission(request);
+    reservations.recordArrival(request.urgency().routeRank(), expectedDurationOf(request));
     if (queuePolicy.isTooLongFor(request, now)
         && !(waitingRequests.queue(request.urgency()).isEmpty() && canStartNow(request, now))) {
       Duration wait = queuePolicy.expectedWaitOfNext(request.urgency(), now);
@@ -186,6 +187,10 @@
     return servers.expectedDuration(promptTokens, (double) outputTokens / tokensPerEvent);
   }
 
+  private Duration expectedDurationOf(PlacementRequest request) {
+    return servers.expectedDuration(request.promptTokens(), request.expectedEvents());
+  }
+
   /**
    * Returns what is learned about the speed of the servers.
    *
@@ -268,6 +273,7 @@
     if (sinceDecay.compareTo(DECAY_INTERVAL) >= 0) {
       servers.decay(sinceDecay);
       backfill.decay(sinceDecay);
+      servers.updateReservations(sinceDecay);
       decayedAt = now;
     }
     servers.update(now);
@@ -459,8 +465,7 @@
     int unclaimed = countUnclaimedSlots(urgency, now);
     boolean isContended =
         unclaimed <= waitingRequests.countAtPeers(urgency)
-            && SlotClaims.areNeededFor(
-                servers.expectedDuration(request.promptTokens(), request.expectedEvents()));
+            && SlotClaims.areNeededFor(expectedDurationOf(request));
     return unclaimed > 0 && (!isContended || claims.mayStart(urgency))
         ? servers.withFreeSlot(urgency.routeRank(), now)
         : List.of();
