--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -37,6 +37,7 @@
 import org.wigeonstage.wire.Link;
 import org.wigeonstage.wire.LinkConnector;
 import org.wigeonstage.wire.LinkListener;
+import org.wigeonstage.wire.LinkOptions;
 import org.wigeonstage.wire.LinkServer;
 
 /**
@@ -103,9 +104,12 @@
     this.pendingLinks = new PendingLinks(this.metrics);
     this.random = new SplittableRandom(Objects.hash(name, incarnation));
     core.promptHolds().setOwnTurn(this::isOwnTurn);
-    this.connector = closer.register(LinkConnector.start(this::hello, this, metrics));
+    this.connector =
+        closer.register(LinkConnector.start(this::hello, this, metrics, LinkOptions.REPORTS));
     this.endpoint =
-        closer.register(LinkServer.start(listen, this::hello, this, metrics)).endpoint();
+        closer
+            .register(LinkServer.start(listen, this::hello, this, metrics, LinkOptions.REPORTS))
+            .endpoint();
   }
 
   private Message.Hello hello() {
--- a/src/main/java/org/wigeonstage/http/Transports.java
+++ b/src/main/java/org/wigeonstage/http/Transports.java
@@ -1,5 +1,8 @@
 package org.wigeonstage.http;
 
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.NIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
@@ -51,4 +54,23 @@
         .setOptimizedForMultiplexing(!isDirect)
         .build();
   }
+
+  /**
+   * Runs an action on the selector thread of a connection, which may be closed.
+   *
+   * @param connection the connection
+   * @param action the action; must not block
+   */
+  public static void runOnSelectorThread(Connection<?> connection, Runnable action) {
+    NIOConnection nioConnection = (NIOConnection) connection;
+    ((NIOTransport) nioConnection.getTransport())
+        .getSelectorHandler()
+        .enque(
+            nioConnection.getSelectorRunner(),
+            () -> {
+              action.run();
+              return true;
+            },
+            null);
+  }
 }
--- a/src/main/java/org/wigeonstage/wire/Link.java
+++ b/src/main/java/org/wigeonstage/wire/Link.java
@@ -112,9 +112,7 @@
    * @param message the message
    */
   public void send(Message message) {
-    if (connection.isOpen()) {
-      connection.write(message);
-    }
+    write(message);
   }
 
   /**
@@ -123,11 +121,23 @@
    * @param message the message
    */
   public void send(EncodedMessage message) {
+    write(message);
+  }
+
+  private synchronized void write(Object message) {
     if (connection.isOpen()) {
       connection.write(message);
     }
   }
 
+  /**
+   * Returns whether the current thread is sending a message. A failure to write closes the
+   * connection before the sending method returns.
+   */
+  boolean isSendingOnCurrentThread() {
+    return Thread.holdsLock(this);
+  }
+
   /** Closes the link once all messages have been written. */
   public void closeAfterWrites() {
     connection.closeSilently();
--- a/src/main/java/org/wigeonstage/wire/LinkConnector.java
+++ b/src/main/java/org/wigeonstage/wire/LinkConnector.java
@@ -13,13 +13,10 @@
 import org.wigeonstage.common.WigeonstageException;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.http.Endpoint;
-import org.wigeonstage.http.Transports;
 
 /** Opens links. */
 public final class LinkConnector implements Closeable {
 
-  private static final int THREADS = 2;
-
   private final TCPNIOTransport transport;
 
   private LinkConnector(TCPNIOTransport transport) {
@@ -37,7 +34,25 @@
    */
   public static LinkConnector start(
       Supplier<Message.Hello> helloSupplier, LinkListener listener, MetricRegistry metrics) {
-    TCPNIOTransport transport = Transports.create("link-connector", THREADS, true);
+    return start(helloSupplier, listener, metrics, LinkOptions.HAND_OVER);
+  }
+
+  /**
+   * Starts a connector.
+   *
+   * @param helloSupplier creates the first message for each link
+   * @param listener the listener for the links, called on the threads of the connector
+   * @param metrics the registry of the counter of bad frames
+   * @param options how the links are read and written
+   * @return the connector
+   * @throws WigeonstageException if the connector can't be started
+   */
+  public static LinkConnector start(
+      Supplier<Message.Hello> helloSupplier,
+      LinkListener listener,
+      MetricRegistry metrics,
+      LinkOptions options) {
+    TCPNIOTransport transport = options.createTransport("link-connector");
     transport.setProcessor(LinkFilterChains.create(helloSupplier, listener, metrics));
     try {
       transport.start();
--- a/src/main/java/org/wigeonstage/wire/LinkFilter.java
+++ b/src/main/java/org/wigeonstage/wire/LinkFilter.java
@@ -11,6 +11,7 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.handover.Message;
+import org.wigeonstage.http.Transports;
 
 /**
  * Exchanges the hello messages on each link, and passes all later messages to a {@link
@@ -88,7 +89,12 @@
   public NextAction handleClose(FilterChainContext context) {
     Link link = Link.ATTRIBUTE.get(context.getConnection());
     if (link != null && link.hasPeerHello() && link.markClosed()) {
-      listener.closed(link);
+      if (link.isSendingOnCurrentThread()) {
+        // The listener is not called inside the step in which it sends.
+        Transports.runOnSelectorThread(context.getConnection(), () -> listener.closed(link));
+      } else {
+        listener.closed(link);
+      }
     }
     return context.getInvokeAction();
   }
--- a/src/main/java/org/wigeonstage/wire/LinkServer.java
+++ b/src/main/java/org/wigeonstage/wire/LinkServer.java
@@ -11,13 +11,10 @@
 import org.wigeonstage.common.WigeonstageException;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.http.Endpoint;
-import org.wigeonstage.http.Transports;
 
 /** Accepts links. */
 public final class LinkServer implements Closeable {
 
-  private static final int THREADS = 2;
-
   private final TCPNIOTransport transport;
   private final Endpoint endpoint;
 
@@ -41,7 +38,27 @@
       Supplier<Message.Hello> helloSupplier,
       LinkListener listener,
       MetricRegistry metrics) {
-    TCPNIOTransport transport = Transports.create("link-server", THREADS, true);
+    return start(address, helloSupplier, listener, metrics, LinkOptions.HAND_OVER);
+  }
+
+  /**
+   * Starts a server.
+   *
+   * @param address the address to listen on
+   * @param helloSupplier creates the first message for each link
+   * @param listener the listener for the links, called on the threads of the server
+   * @param metrics the registry of the counter of bad frames
+   * @param options how the links are read and written
+   * @return the server
+   * @throws WigeonstageException if the server can't listen on the address
+   */
+  public static LinkServer start(
+      Endpoint address,
+      Supplier<Message.Hello> helloSupplier,
+      LinkListener listener,
+      MetricRegistry metrics,
+      LinkOptions options) {
+    TCPNIOTransport transport = options.createTransport("link-server");
     transport.setProcessor(LinkFilterChains.create(helloSupplier, listener, metrics));
     try {
       TCPNIOServerConnection serverConnection = transport.bind(address.socketAddress());
