Weigh the evidence of server speed by how much it varies

The learned cost of load is several times the assumed one, so all gateways chose the one least loaded server; with learned speeds, three servers drawn at random are compared. The time to the first part depends on the prompts of other gateways, so it counts less than the pace, which is now also taken from responses that still run.

--- a/src/main/java/org/wigeonstage/capacity/PoolCapacity.java
+++ b/src/main/java/org/wigeonstage/capacity/PoolCapacity.java
@@ -64,6 +64,20 @@
     profiles.keySet().retainAll(versions);
   }
 
+  /**
+   * Records how fast a server has generated some events of a response that still runs.
+   *
+   * @param runId the run of the server
+   * @param millis the mean time between two of them
+   * @param now the current time
+   */
+  public void recordPartialGap(String runId, double millis, Duration now) {
+    ServerCapacity server = servers.get(runId);
+    if (server != null) {
+      server.recordPartialGap(millis, now);
+    }
+  }
+
   /**
    * Updates the estimates and limits. To be called often; most calls have no effect.
    *
--- a/src/main/java/org/wigeonstage/capacity/ServerCapacity.java
+++ b/src/main/java/org/wigeonstage/capacity/ServerCapacity.java
@@ -18,9 +18,12 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
-  /** The gap averages over the events of a response, so it varies less than the first part. */
+  /** The gap is an average over the events of a response. */
   private static final double GAP_WEIGHT = 2;
 
+  /** A part of a response says less; a slow one takes seconds until it is complete. */
+  private static final double PARTIAL_GAP_WEIGHT = 0.5;
+
   /** A first part counts as late while it is awaited from this multiple of the usual time on. */
   private static final double OVERDUE_RATIO = 2;
 
@@ -38,6 +41,9 @@
 
   private static final double MAX_SLOWNESS = 12;
 
+  /** Shorter gaps are read together, and are not meaningful. */
+  private static final double MIN_GAP_MILLIS = 0.1;
+
   private record PeerEvidence(double logSlowness, double weight, Duration receivedAt) {}
 
   private final String runId;
@@ -105,6 +111,12 @@
     return millis / Math.max(1, profile.firstPartMillis(sample.promptTokens(), sample.load()));
   }
 
+  /** Records how fast the server has generated the last few events of a running response. */
+  void recordPartialGap(double millis, Duration now) {
+    double usual = Math.max(MIN_GAP_MILLIS, profile.gapMillis(Math.min(1, load(lastOccupied))));
+    evidence.add(Math.max(MIN_GAP_MILLIS, millis) / usual, PARTIAL_GAP_WEIGHT, now);
+  }
+
   /**
    * Records how fast the server has generated the events of a response. Called before {@link #end}.
    *
@@ -128,7 +140,7 @@
     double gapMillis = pendingGapMillis;
     pendingGapMillis = 0;
     double load = (sample.load() + load(occupied)) / 2;
-    double gapRatio = gapMillis / Math.max(0.1, profile.gapMillis(load));
+    double gapRatio = gapMillis / Math.max(MIN_GAP_MILLIS, profile.gapMillis(load));
     if (gapMillis > 0 && (isServed || gapRatio > 1)) {
       evidence.add(gapRatio, GAP_WEIGHT, now);
     }
--- a/src/main/java/org/wigeonstage/capacity/SpeedEvidence.java
+++ b/src/main/java/org/wigeonstage/capacity/SpeedEvidence.java
@@ -25,13 +25,13 @@
   private static final Duration CONFIRMATION_TIME = Duration.ofSeconds(1);
 
   /** The weight of the assumption that the server runs as usual. */
-  static final double PRIOR_WEIGHT = 0.5;
+  static final double PRIOR_WEIGHT = 1;
 
-  /** Two samples in a row that differ this much from the mean show that the speed has changed. */
+  /** Samples in a row that all differ this much from the mean show that the speed has changed. */
   private static final double CHANGE = 0.6;
 
-  /** Samples that vary much, and have a low weight for that, don't show a change. */
-  private static final double MIN_WEIGHT_FOR_CHANGE = 0.5;
+  /** The weight of these samples; more than that of a single one. */
+  private static final double MIN_WEIGHT_OF_CHANGE = 1.2;
 
   /** What remains of the weight of earlier samples after a change. */
   private static final double RETAINED_AT_CHANGE = 0.2;
@@ -39,18 +39,17 @@
   private double sum;
   private double weight;
   private double lastDeviation;
+  private double deviatingWeight;
   private Duration sampledAt = Duration.ZERO;
   private Duration decayedAt = Duration.ZERO;
 
   void add(double ratio, double sampleWeight, Duration now) {
     double sample = Math.min(Math.max(Math.log(ratio), MIN_LOG_RATIO), MAX_LOG_RATIO);
     double deviation = sample - mean();
-    boolean isChange =
-        sampleWeight >= MIN_WEIGHT_FOR_CHANGE
-            && Math.abs(deviation) > CHANGE
-            && Math.abs(lastDeviation) > CHANGE
-            && deviation * lastDeviation > 0;
-    if (isChange) {
+    boolean isDeviating = Math.abs(deviation) > CHANGE;
+    boolean isContinued = isDeviating && deviatingWeight > 0 && deviation * lastDeviation > 0;
+    deviatingWeight = isDeviating ? (isContinued ? deviatingWeight : 0) + sampleWeight : 0;
+    if (isContinued && deviatingWeight >= MIN_WEIGHT_OF_CHANGE) {
       sum *= RETAINED_AT_CHANGE;
       weight *= RETAINED_AT_CHANGE;
     }
--- a/src/main/java/org/wigeonstage/capacity/SpeedProfile.java
+++ b/src/main/java/org/wigeonstage/capacity/SpeedProfile.java
@@ -42,7 +42,14 @@
    */
   private static final double USUAL_LOG_DEVIATION = 0.5;
 
-  private static final double MIN_SAMPLE_WEIGHT = 0.1;
+  /**
+   * The time to the first part depends on prompts of other gateways, so it says less than the event
+   * gap. At 1, in virtual time, each gateway reported two false slowdowns a second in a calm pool
+   * of 31 engines; at 0.3, a third of one.
+   */
+  private static final double FIRST_PART_WEIGHT = 0.3;
+
+  private static final double MIN_FIRST_PART_WEIGHT = 0.03;
 
   private final @Nullable SpeedProfile parent;
   private final LinearFit firstPart = new LinearFit(INITIAL_FIRST_PART, FIRST_PART_SCALES);
@@ -115,10 +122,12 @@
     return gap.valueAt(1, load);
   }
 
-  /** Returns the weight of a time to the first part as evidence, less than 1 if these vary much. */
+  /**
+   * Returns the weight of a time to the first part as evidence, which is low if these vary much.
+   */
   double firstPartWeight() {
     double share = USUAL_LOG_DEVIATION / Math.max(USUAL_LOG_DEVIATION, logDeviation);
-    return Math.max(MIN_SAMPLE_WEIGHT, share * share);
+    return Math.max(MIN_FIRST_PART_WEIGHT, FIRST_PART_WEIGHT * share * share);
   }
 
   /** Returns how long a request usually occupies its slot. */
--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -41,6 +41,9 @@
   /** A response with fewer events is still at its beginning. */
   private static final int BEGINNING_EVENTS = 3;
 
+  /** The number of events over which the pace of a running response is averaged. */
+  private static final int PARTIAL_GAP_EVENTS = 8;
+
   private final ForwardedRequest request;
   private final GatewayCore core;
   private final BackendServer server;
@@ -62,6 +65,12 @@
 
   private boolean isClosedByGateway;
 
+  /** When the event arrived with which the current part of the stream began. */
+  private @Nullable Duration partialGapFrom;
+
+  /** Whether the caller read so slowly that the server had to wait. */
+  private boolean wasPaused;
+
   Attempt(
       ForwardedRequest request,
       GatewayCore core,
@@ -220,6 +229,21 @@
     if (eventCount == BEGINNING_EVENTS) {
       recordServerResponse();
     }
+    if (eventCount % PARTIAL_GAP_EVENTS == 1) {
+      recordPartialGap();
+    }
+  }
+
+  /** Records the mean gap of the last events, unless a slow caller has delayed them. */
+  private void recordPartialGap() {
+    Duration from = partialGapFrom;
+    partialGapFrom = lastDataAt;
+    if (from != null && !wasPaused) {
+      Duration gap = lastDataAt.minus(from).dividedBy(PARTIAL_GAP_EVENTS);
+      observe(
+          "record of a pace",
+          () -> core.capacities().recordPartialGap(request.poolName(), server, gap, core.now()));
+    }
   }
 
   /** Records that the server has continued the response past its beginning, or completed it. */
@@ -316,6 +340,7 @@
   }
 
   void pause() {
+    wasPaused = true;
     ClientExchange current = exchange;
     if (current != null) {
       current.pause();
@@ -340,7 +365,9 @@
 
   private void recordTimes() {
     Duration first = firstPartAt;
-    if (first != null && eventCount > 1) {
+    // The assumed speeds include the delays of slow callers; the learned ones don't.
+    boolean isMeasured = !wasPaused || !core.capacities().areLearned();
+    if (first != null && eventCount > 1 && isMeasured) {
       core.recordEventGap(request, server, lastDataAt.minus(first).dividedBy(eventCount - 1));
     }
     ClientExchange current = exchange;
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -132,6 +132,10 @@
     return promptHolds;
   }
 
+  ServerCapacities capacities() {
+    return capacities;
+  }
+
   KnownServers knownServers() {
     return knownServers;
   }
--- a/src/main/java/org/wigeonstage/gateway/ServerCapacities.java
+++ b/src/main/java/org/wigeonstage/gateway/ServerCapacities.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 import org.wigeonstage.capacity.CapacitySummary;
 import org.wigeonstage.capacity.PoolCapacity;
+import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.placement.PlacementEffects;
 import org.wigeonstage.placement.PoolScheduler;
 import org.wigeonstage.placement.SchedulingLimits;
@@ -21,6 +22,7 @@
  */
 final class ServerCapacities {
 
+  private static final double NANOS_PER_MILLI = 1e6;
   private static final Duration UPDATE_INTERVAL = Duration.ofMillis(500);
 
   private final SchedulingLimits limits;
@@ -34,6 +36,10 @@
     this.metrics = metrics;
   }
 
+  boolean areLearned() {
+    return limits.learnsServerLimits();
+  }
+
   PoolScheduler createScheduler(String pool, PlacementEffects effects, RandomGenerator random) {
     PoolScheduler scheduler = new PoolScheduler(limits, effects, random);
     scheduler
@@ -46,6 +52,14 @@
     return scheduler;
   }
 
+  /** Records the mean time between some events of a response that still runs. */
+  void recordPartialGap(String pool, BackendServer server, Duration gap, Duration now) {
+    PoolCapacity capacity = pools.get(pool);
+    if (capacity != null) {
+      capacity.recordPartialGap(server.runId(), gap.toNanos() / NANOS_PER_MILLI, now);
+    }
+  }
+
   private void registerMetrics(String pool) {
     registerGauge("capacity.limit.min", pool, CapacitySummary::smallestLimit);
     registerGauge("capacity.limit.median", pool, CapacitySummary::medianLimit);
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -61,7 +61,7 @@
    */
   public PoolScheduler(SchedulingLimits limits, PlacementEffects effects, RandomGenerator random) {
     this.servers = new ServerStates(limits);
-    this.selector = new ServerSelector(random);
+    this.selector = new ServerSelector(random, limits.learnsServerLimits());
     this.effects = effects;
     this.startRates = new StartRateEstimator(limits.rateWindow());
     this.claims = new SlotClaims(random);
--- a/src/main/java/org/wigeonstage/placement/ServerSelector.java
+++ b/src/main/java/org/wigeonstage/placement/ServerSelector.java
@@ -12,10 +12,26 @@
   /** Servers whose costs are within this range of the lowest are treated as equivalent. */
   private static final double COST_TOLERANCE_MILLIS = 4;
 
+  /**
+   * How many servers are compared when their speeds are learned. The learned cost of load is
+   * several times the assumed one, so that the least loaded server would be the single choice of
+   * all gateways until they know of each other's requests.
+   */
+  private static final int MAX_COMPARED = 3;
+
+  private static final int MIN_COMPARED = 2;
+
   private final RandomGenerator random;
+  private final boolean comparesFew;
 
-  ServerSelector(RandomGenerator random) {
+  /**
+   * Creates a selector.
+   *
+   * @param comparesFew whether only a few servers, drawn at random for each request, are compared
+   */
+  ServerSelector(RandomGenerator random, boolean comparesFew) {
     this.random = random;
+    this.comparesFew = comparesFew;
   }
 
   /** Picks one of the cheapest servers at random, so that peers with the same figures spread. */
@@ -24,6 +40,27 @@
     if (candidates.isEmpty()) {
       return Optional.empty();
     }
+    return Optional.of(cheapest(comparesFew ? draw(candidates) : candidates, request, now));
+  }
+
+  /** Draws a few of the servers, without repetition. */
+  private List<ServerState> draw(List<ServerState> candidates) {
+    int count = Math.min(MAX_COMPARED, Math.max(MIN_COMPARED, candidates.size() / 2));
+    if (candidates.size() <= count) {
+      return candidates;
+    }
+    List<ServerState> drawn = new ArrayList<>(count);
+    while (drawn.size() < count) {
+      ServerState candidate = candidates.get(random.nextInt(candidates.size()));
+      if (!drawn.contains(candidate)) {
+        drawn.add(candidate);
+      }
+    }
+    return drawn;
+  }
+
+  private ServerState cheapest(
+      List<ServerState> candidates, PlacementRequest request, Duration now) {
     double[] costs = new double[candidates.size()];
     double lowest = Double.MAX_VALUE;
     for (int i = 0; i < costs.length; i++) {
@@ -37,6 +74,6 @@
         equivalent.add(candidates.get(i));
       }
     }
-    return Optional.of(equivalent.get(random.nextInt(equivalent.size())));
+    return equivalent.get(random.nextInt(equivalent.size()));
   }
 }
--- a/src/test/java/org/wigeonstage/placement/SimulatedEngine.java
+++ b/src/test/java/org/wigeonstage/placement/SimulatedEngine.java
@@ -22,6 +22,7 @@
   static final class Run {
     private final Runnable onFirstEvent;
     private final Runnable onEnd;
+    private Runnable onProgress = () -> {};
     private final long tokens;
     private long promptTokensLeft;
     private long generated;
@@ -32,10 +33,19 @@
       this.onFirstEvent = onFirstEvent;
       this.onEnd = onEnd;
     }
+
+    void onProgress(Runnable action) {
+      onProgress = action;
+    }
   }
 
+  /** The number of events between two calls of the action for the progress of a run. */
+  static final int PROGRESS_EVENTS = 8;
+
   private final int slots;
-  private final double slowness;
+  private double slowness;
+  private int comfortableRuns = Integer.MAX_VALUE;
+  private double crowdedSlowness = 1;
   private final Deque<Run> queue = new ArrayDeque<>();
   private final List<Run> running = new ArrayList<>();
   private boolean isStepping;
@@ -53,6 +63,17 @@
     this.slowness = slowness;
   }
 
+  /** Changes the speed from the next step on. */
+  void setSlowness(double newSlowness) {
+    slowness = newSlowness;
+  }
+
+  /** Makes steps with more than a number of runs take several times as long. */
+  void slowDownAbove(int runs, double factor) {
+    comfortableRuns = runs;
+    crowdedSlowness = factor;
+  }
+
   void add(Run run) {
     queue.addLast(run);
   }
@@ -88,7 +109,8 @@
     chunkTokens = Math.min(CHUNK_TOKENS, promptTokens);
     double millis =
         STEP_MILLIS + STEP_MILLIS_PER_RUN * running.size() + chunkTokens / PROMPT_TOKENS_PER_MILLI;
-    stepEndsAt = atMillis + millis * slowness;
+    double crowding = running.size() > comfortableRuns ? crowdedSlowness : 1;
+    stepEndsAt = atMillis + millis * slowness * crowding;
     isStepping = true;
     return true;
   }
@@ -107,6 +129,8 @@
       run.generated++;
       if (run.generated == TOKENS_PER_EVENT) {
         run.onFirstEvent.run();
+      } else if (run.generated % (PROGRESS_EVENTS * TOKENS_PER_EVENT) == TOKENS_PER_EVENT) {
+        run.onProgress.run();
       }
       if (run.generated >= run.tokens) {
         running.remove(run);
--- a/src/test/java/org/wigeonstage/placement/SimulatedPool.java
+++ b/src/test/java/org/wigeonstage/placement/SimulatedPool.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
+import org.wigeonstage.capacity.PoolCapacity;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.http.Endpoint;
 
@@ -99,9 +100,11 @@
                   ? Double.compare(a.atMillis(), b.atMillis())
                   : Long.compare(a.number(), b.number()));
   private final SplittableRandom random;
+  private final SchedulingLimits limits;
   private final long countedFromMillis;
   private final long countedUntilMillis;
   private long eventCount;
+  private long speedReports;
   private long now;
 
   /**
@@ -123,6 +126,28 @@
       long countedFromMillis,
       long countedUntilMillis,
       long seed) {
+    this(
+        gatewayCount,
+        engineCount,
+        slots,
+        slowness,
+        countedFromMillis,
+        countedUntilMillis,
+        seed,
+        SchedulingLimits.DEFAULTS);
+  }
+
+  /** Creates a pool without load, whose gateways have the given limits. */
+  SimulatedPool(
+      int gatewayCount,
+      int engineCount,
+      int slots,
+      List<Double> slowness,
+      long countedFromMillis,
+      long countedUntilMillis,
+      long seed,
+      SchedulingLimits limits) {
+    this.limits = limits;
     this.random = new SplittableRandom(seed);
     this.countedFromMillis = countedFromMillis;
     this.countedUntilMillis = countedUntilMillis;
@@ -149,6 +174,7 @@
       for (int i = 0; i < gateways.size(); i++) {
         if ((now + i) % TICK_MILLIS == 0) {
           gateways.get(i).scheduler.tick(Duration.ofMillis(now));
+          gateways.get(i).reportSpeeds();
         }
         if ((now + i) % REPORT_INTERVAL_MILLIS == 0) {
           gateways.get(i).reportLoad();
@@ -161,6 +187,30 @@
     return tallies;
   }
 
+  /** Changes something at a time, or observes it. */
+  void at(long atMillis, Runnable action) {
+    schedule(atMillis, action);
+  }
+
+  SimulatedEngine engine(int index) {
+    return engines.get(index);
+  }
+
+  /** Returns the limits that a gateway has learned, by engine. */
+  List<Integer> limits(int gateway) {
+    PoolCapacity capacity = gateways.get(gateway).scheduler.capacity().orElseThrow();
+    List<Integer> result = new ArrayList<>();
+    for (int i = 0; i < engines.size(); i++) {
+      result.add(capacity.server(i + "@0", "", 0).limit());
+    }
+    return result;
+  }
+
+  /** Returns how many reports of speeds were sent, each to all peers. */
+  long speedReports() {
+    return speedReports;
+  }
+
   private void schedule(double atMillis, Runnable action) {
     events.add(new Event(atMillis, eventCount++, action));
   }
@@ -252,8 +302,7 @@
 
   /** One gateway: its scheduler, and the runs that it started. */
   private final class Gateway implements PlacementEffects {
-    private final PoolScheduler scheduler =
-        new PoolScheduler(SchedulingLimits.DEFAULTS, this, random.split());
+    private final PoolScheduler scheduler = new PoolScheduler(limits, this, random.split());
     private final Map<PlacementRequest, Caller> callers = new HashMap<>();
     private final Map<PlacementRequest, Runnable> cancellations = new HashMap<>();
     private Map<String, Integer> reportedRunning = Map.of();
@@ -289,6 +338,26 @@
       add(waiting, reportedWaiting, 1);
     }
 
+    /** Sends what was learned about servers to the peers. */
+    void reportSpeeds() {
+      scheduler
+          .capacity()
+          .map(capacity -> capacity.takeReports(Duration.ofMillis(now)))
+          .filter(reports -> !reports.isEmpty())
+          .ifPresent(
+              reports -> {
+                speedReports += reports.size();
+                String name = "gateway-" + gateways.indexOf(this);
+                gateways.stream()
+                    .filter(gateway -> gateway != this)
+                    .map(gateway -> gateway.scheduler.capacity().orElseThrow())
+                    .forEach(
+                        peer ->
+                            reports.forEach(
+                                report -> peer.applyReport(name, report, Duration.ofMillis(now))));
+              });
+    }
+
     /** Applies the sum of what the peers have reported last. */
     void applyPeerLoad() {
       Map<String, Integer> runningAtPeers = new HashMap<>(running);
@@ -330,6 +399,19 @@
                 scheduler.endAttempt(
                     request, server.id(), AttemptResult.SERVED, Duration.ofMillis(now));
               });
+      long[] progressAt = {0};
+      run.onProgress(
+          () -> {
+            double gap =
+                (double) (now - Math.max(progressAt[0], firstEventAt[0]))
+                    / SimulatedEngine.PROGRESS_EVENTS;
+            progressAt[0] = now;
+            scheduler
+                .capacity()
+                .ifPresent(
+                    capacity ->
+                        capacity.recordPartialGap(server.runId(), gap, Duration.ofMillis(now)));
+          });
       engine.add(run);
       cancellations.put(
           request,
