--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -125,6 +125,10 @@
     return promptHolds;
   }
 
+  ServerCapacities capacities() {
+    return capacities;
+  }
+
   KnownServers knownServers() {
     return knownServers;
   }
