Apply only what has changed in the loads of peers

Each report copied all counts of its peer, and each tick summed the whole load of every peer that had reported anew. Changes are now added to the sums, maps without changes are kept, complete reports are encoded once for all peers, and expired idle connections are looked for every 200 ms instead of in each tick.

--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -32,6 +32,12 @@
 
   private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
 
+  /**
+   * Interval between checks for expired idle connections. Connections expire 700 ms before their
+   * servers close them, and are checked again before they are reused.
+   */
+  private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(200);
+
   /**
    * Maximum age of the configuration, as a share of the time for which a removed key may still be
    * accepted; the rest covers the transit time of requests.
@@ -65,6 +71,8 @@
   private final ScheduledExecutorService controlExecutor =
       ControlExecutors.newSingleThreadExecutor("control");
 
+  private Duration idleCheckedAt = Duration.ZERO;
+
   private GatewayProcess(GatewaySettings settings, FleetStore store, HeaderCodec headerCodec) {
     this.settings = settings;
     MonotonicClock clock = MonotonicClock.system();
@@ -233,7 +241,11 @@
     RepeatedTask.runPart("measurement of the read lag", readLag::tick);
     RepeatedTask.runPart("checks of held requests", () -> core.withLock(requestHandler::tick));
     RepeatedTask.runPart("exchange with peers", () -> core.withLock(peerSynchronizer::tick));
-    RepeatedTask.runPart("checks of idle connections", client::closeExpired);
+    Duration now = core.now();
+    if (now.minus(idleCheckedAt).compareTo(IDLE_CHECK_INTERVAL) >= 0) {
+      idleCheckedAt = now;
+      RepeatedTask.runPart("checks of idle connections", client::closeExpired);
+    }
   }
 
   private boolean isReady() {
--- a/src/main/java/org/wigeonstage/gateway/PeerLoadSums.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerLoadSums.java
@@ -22,6 +22,16 @@
     }
   }
 
+  /**
+   * Applies changes to the load of a peer.
+   *
+   * @param previous the running requests that are included for the peer, by server
+   * @param changed the counts that differ from these, 0 for servers without running requests
+   */
+  void apply(Map<String, Integer> previous, Map<String, Integer> changed) {
+    changed.forEach((server, count) -> add(server, count - previous.getOrDefault(server, 0)));
+  }
+
   private void add(String server, int count) {
     int sum = runningByServer.getOrDefault(server, 0) + count;
     if (sum == 0) {
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -220,10 +220,10 @@
     if (now.minus(lastSentAt).compareTo(REPORT_INTERVAL) >= 0) {
       lastSentAt = now;
       reportLoad(now);
+      updateMetrics(now);
     }
     applyPeerLoads(now);
     pendingLinks.tick(now);
-    updateMetrics(now);
   }
 
   private void updateMetrics(Duration now) {
@@ -241,13 +241,14 @@
   private void reportLoad(Duration now) {
     Message.GatewayLoad load = core.load();
     EncodedMessage changes = EncodedMessage.of(LoadChanges.between(lastLoad, load));
+    Supplier<EncodedMessage> complete = Suppliers.memoize(() -> EncodedMessage.of(load));
     lastLoad = load;
     // Closing a link reports it at once, which may add the state of a peer.
     Map.copyOf(peers)
         .forEach(
             (peerName, peer) ->
                 RepeatedTask.runPart(
-                    "exchange with " + peerName, () -> synchronize(peer, load, changes, now)));
+                    "exchange with " + peerName, () -> synchronize(peer, complete, changes, now)));
   }
 
   /** Sends own observations of crashes at once, and at times all that are known. */
@@ -261,6 +262,9 @@
     }
     for (PeerState peer : peers.values()) {
       Link link = peer.preferredLink();
+      if (!mustRepeat && changes.isEmpty() && peer.crashReportLink == link) {
+        continue;
+      }
       if (link != null && link.peerHello().configVersion() >= Message.CRASH_REPORTS) {
         if (mustRepeat || peer.crashReportLink != link) {
           peer.crashReportLink = link;
@@ -280,6 +284,9 @@
     List<Message.ServerLeaving> unreported = core.knownServers().takeUnreported();
     for (PeerState peer : peers.values()) {
       Link link = peer.preferredLink();
+      if (unreported.isEmpty() && peer.leavingServersLink == link) {
+        continue;
+      }
       if (link != null && link.peerHello().configVersion() >= Message.LEAVING_SERVERS) {
         boolean isNewLink = peer.leavingServersLink != link;
         peer.leavingServersLink = link;
@@ -314,21 +321,25 @@
 
   /** Maintains the links to a peer, and sends the load to it. */
   private void synchronize(
-      PeerState peer, Message.GatewayLoad load, EncodedMessage changes, Duration now) {
+      PeerState peer, Supplier<EncodedMessage> complete, EncodedMessage changes, Duration now) {
     peer.usage.tick(core.gatewayCount(), now);
     peer.links.tick(peer.registration != null, now);
-    peer.links.preferred().ifPresent(link -> report(peer, link, load, changes, now));
+    peer.links.preferred().ifPresent(link -> report(peer, link, complete, changes, now));
   }
 
   /** Sends the changes to the previous load, or the complete load if the peer lacks that one. */
   private static void report(
-      PeerState peer, Link link, Message.GatewayLoad load, EncodedMessage changes, Duration now) {
+      PeerState peer,
+      Link link,
+      Supplier<EncodedMessage> complete,
+      EncodedMessage changes,
+      Duration now) {
     boolean hasPreviousLoad = peer.reportedLink == link;
     peer.reportedLink = null;
     if (hasPreviousLoad && now.compareTo(peer.completeReportAt) < 0) {
       link.send(changes);
     } else {
-      link.send(load);
+      link.send(complete.get());
       peer.completeReportAt = now.plus(COMPLETE_REPORT_INTERVAL);
     }
     peer.reportedLink = link;
@@ -349,8 +360,10 @@
    */
   private void applyPeerLoads(Duration now) {
     List<WaitingCount> waiting = new ArrayList<>();
+    boolean hasNonLeavingPeer = false;
     for (PeerState peer : peers.values()) {
       boolean isKnown = peer.usage.isUsageKnown(now);
+      hasNonLeavingPeer |= isKnown && !peer.load.isLeaving();
       Map<String, Integer> running = isKnown ? peer.load.runningByServer() : Map.of();
       loadSums.replace(peer.includedRunning, running);
       peer.includedRunning = running;
@@ -358,9 +371,6 @@
         waiting.addAll(peer.load.waiting());
       }
     }
-    boolean hasNonLeavingPeer =
-        peers.values().stream()
-            .anyMatch(peer -> peer.usage.isUsageKnown(now) && !peer.load.isLeaving());
     core.applyPeerLoad(loadSums.runningByServer(), waiting, hasNonLeavingPeer);
   }
 
@@ -438,7 +448,12 @@
       return; // changes to a load that was sent on a replaced link
     }
     peer.lastReportAt = now;
+    Map<String, Integer> running = peer.load.runningByServer();
     peer.load = LoadChanges.apply(peer.load, load);
+    if (!load.isComplete() && peer.includedRunning == running) {
+      loadSums.apply(running, load.runningByServer());
+      peer.includedRunning = peer.load.runningByServer();
+    }
     peer.usage.applyReport(
         link.peerHello().incarnation(),
         load.totalUsage(),
--- a/src/main/java/org/wigeonstage/handover/LoadChanges.java
+++ b/src/main/java/org/wigeonstage/handover/LoadChanges.java
@@ -61,14 +61,19 @@
     if (report.isComplete()) {
       return report;
     }
-    Map<String, Long> usage = new HashMap<>(known.totalUsage());
-    usage.putAll(report.totalUsage());
+    // What has not changed is not copied: most reports contain a few changes or none.
     return new Message.GatewayLoad(
         true,
         report.isLeaving(),
-        mergedCounts(known.runningByServer(), report.runningByServer()),
-        toWaiting(mergedCounts(toCounts(known.waiting()), toCounts(report.waiting()))),
-        usage,
+        report.runningByServer().isEmpty()
+            ? known.runningByServer()
+            : mergedCounts(known.runningByServer(), report.runningByServer()),
+        report.waiting().isEmpty()
+            ? known.waiting()
+            : toWaiting(mergedCounts(toCounts(known.waiting()), toCounts(report.waiting()))),
+        report.totalUsage().isEmpty()
+            ? known.totalUsage()
+            : merged(known.totalUsage(), report.totalUsage()),
         known.recentUsage(),
         known.toleratedBurstUsed());
   }
@@ -92,9 +97,14 @@
     return changed;
   }
 
-  private static <K> Map<K, Integer> mergedCounts(Map<K, Integer> known, Map<K, Integer> changed) {
-    Map<K, Integer> merged = new HashMap<>(known);
+  private static <K, V> Map<K, V> merged(Map<K, V> known, Map<K, V> changed) {
+    Map<K, V> merged = new HashMap<>(known);
     merged.putAll(changed);
+    return merged;
+  }
+
+  private static <K> Map<K, Integer> mergedCounts(Map<K, Integer> known, Map<K, Integer> changed) {
+    Map<K, Integer> merged = merged(known, changed);
     merged.values().removeIf(count -> count == 0);
     return merged;
   }
--- a/src/test/java/org/wigeonstage/gateway/PeerLoadSumsTest.java
+++ b/src/test/java/org/wigeonstage/gateway/PeerLoadSumsTest.java
@@ -32,4 +32,14 @@
     sums.replace(load, Map.of());
     assertThat(sums.runningByServer()).isEmpty();
   }
+
+  /** Guards against sums that drift from the loads when only the changes of a peer are applied. */
+  @Test
+  void appliesChangesToTheLoadOfOnePeer() {
+    Map<String, Integer> load = Map.of("a", 2, "b", 1);
+    sums.replace(Map.of(), load);
+    sums.replace(Map.of(), Map.of("a", 3));
+    sums.apply(load, Map.of("a", 1, "b", 0, "c", 4));
+    assertThat(sums.runningByServer()).isEqualTo(Map.of("a", 4, "c", 4));
+  }
 }
