Reject early, and let rejected callers return spread over time

Less urgent streams waited for a slot for up to a whole objective and were then rejected, or started too late. They now wait in the queue for an eighth of it; the time for which this process was late does not count. The limits for attempts at another server are unchanged. Queues are searched for requests that will not start in time every 40 ms in place of 100.

Retry-After was 200 ms for nearly all, so that the callers returned together. It is now spread at random over the time from the expected capacity to a third of the caller's remaining time, one part of it for each urgency.

Requests of an urgency start in order of their deadlines. A caller that returns has less time left than new ones and goes ahead; nothing that a caller says of itself is used for it but the deadline, after which its request is given up.

--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -162,6 +162,7 @@
             inbound.fields().promptTokens(),
             pool(poolName).eventCount(inbound.fields().expectedOutputTokens()),
             arrivedAt.plus(timeLimit));
+    WaitLimits.maxQueueTime(route).ifPresent(placement::limitQueueTime);
     Duration now = now();
     RequestLog log = new RequestLog(inbound.fields().requestId(), arrivedAt, clock);
     log.addAcceptance(inbound, placement, poolName, timeLimit);
--- a/src/main/java/org/wigeonstage/gateway/WaitLimits.java
+++ b/src/main/java/org/wigeonstage/gateway/WaitLimits.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.Comparators;
 import java.time.Duration;
+import java.util.Optional;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.routes.RouteKind;
 
@@ -20,6 +21,12 @@
   /** Time for a rejection to reach the caller before it disconnects. */
   private static final Duration REJECTION_MARGIN = Duration.ofMillis(300);
 
+  /**
+   * Part of the objective that less urgent streams may wait in the queue. In SimulatedPool, an
+   * eighth gave more worth than a quarter, half and the whole, under each overload tried.
+   */
+  private static final int QUEUE_TIME_DIVISOR = 8;
+
   /** Share of its time limit that a plain request may wait for a slot. */
   private static final double PLAIN_WAIT_SHARE = 0.6;
 
@@ -48,6 +55,18 @@
     return Comparators.min(maxWait, timeLimit.minus(REJECTION_MARGIN));
   }
 
+  /**
+   * Returns how long a request waits in the queue for its first slot, or empty if as long as {@link
+   * #maxSlotWait}. Streams of less urgent routes wait for a small part of their objective, so that
+   * the time that is left suffices for the first part, and a rejection leaves time to return.
+   * Starts that are later take slots from requests that are in time.
+   */
+  static Optional<Duration> maxQueueTime(Route route) {
+    return route.kind() == RouteKind.STREAMING && route.rank() > 0
+        ? Optional.of(route.firstPartObjective().dividedBy(QUEUE_TIME_DIVISOR))
+        : Optional.empty();
+  }
+
   /**
    * Returns how long after an event of a stream to try to send the next one: the time that its
    * caller waits, less the time for a rejection to reach it.
--- a/src/main/java/org/wigeonstage/placement/PlacementRequest.java
+++ b/src/main/java/org/wigeonstage/placement/PlacementRequest.java
@@ -1,7 +1,9 @@
 package org.wigeonstage.placement;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -19,6 +21,8 @@
   private final long promptTokens;
   private final long expectedEvents;
   private final Duration deadline;
+  private Optional<Duration> maxQueueTime = Optional.empty();
+  private Optional<Duration> queuedUntil = Optional.empty();
   private boolean hasResponseStarted;
   private final Set<String> triedServers = new HashSet<>();
 
@@ -114,6 +118,34 @@
     return startBy;
   }
 
+  /**
+   * Limits the time for which the request waits for a slot before it is sent to a server for the
+   * first time.
+   *
+   * @param newMaxQueueTime the longest time from the submission
+   */
+  public void limitQueueTime(Duration newMaxQueueTime) {
+    maxQueueTime = Optional.of(newMaxQueueTime);
+  }
+
+  /** Records that the request begins to wait for a slot. */
+  void markQueued(Duration now) {
+    queuedUntil = maxQueueTime.map(now::plus);
+  }
+
+  /** Lets the request wait longer, because for a time this process could not start it. */
+  void extendQueueTime(Duration time) {
+    queuedUntil = queuedUntil.map(time::plus);
+  }
+
+  /** Returns until when the request waits for a slot. */
+  Duration waitsUntil() {
+    return queuedUntil
+        .filter(until -> !wasPlacedBefore())
+        .map(until -> Comparators.min(until, startBy))
+        .orElse(startBy);
+  }
+
   /** Returns whether the first part of the response would be late at the given time. */
   boolean isLate(Duration firstPartAt) {
     return firstPartAt.compareTo(firstPartDueBy) > 0;
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -1,5 +1,6 @@
 package org.wigeonstage.placement;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -31,8 +32,11 @@
 
   private static final Duration DECAY_INTERVAL = Duration.ofMillis(500);
 
-  /** How often queues are searched for requests that will not start in time. */
-  private static final Duration QUEUE_REVIEW_INTERVAL = Duration.ofMillis(100);
+  /**
+   * How often queues are searched for requests that will not start in time: within an eighth of
+   * objectives from 0.4 s.
+   */
+  private static final Duration QUEUE_REVIEW_INTERVAL = Duration.ofMillis(40);
 
   private static final Duration NO_SERVER_RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -45,10 +49,12 @@
   private final QueuePolicy queuePolicy;
   private final BackfillPolicy backfill = new BackfillPolicy();
   private final SlotClaims claims;
+  private final RetryAfter retryAfter;
   private final RepeatableRun starts = new RepeatableRun();
   private int tokensPerEvent = 1;
   private Duration decayedAt = Duration.ZERO;
   private Duration queuesReviewedAt = Duration.ZERO;
+  private Duration delayRecordedUntil = Duration.ZERO;
 
   /**
    * Creates a scheduler without servers.
@@ -65,6 +71,7 @@
     this.startRates = new StartRateEstimator(limits.rateWindow());
     this.queuePolicy = new QueuePolicy(waitingRequests, startRates);
     this.claims = new SlotClaims(random);
+    this.retryAfter = new RetryAfter(random);
   }
 
   /**
@@ -133,13 +140,14 @@
     }
     backfill.recordSubmission(request);
     reservations.recordArrival(request.urgency().routeRank(), expectedDurationOf(request));
+    request.markQueued(now);
     if (queuePolicy.isTooLongFor(request, now)
         && !(waitingRequests.queue(request.urgency()).isEmpty() && canStartNow(request, now))) {
       Duration wait = queuePolicy.expectedWaitOfNext(request.urgency(), now);
       refuse(request, RefusalReason.QUEUE_TOO_LONG, wait, now);
       return;
     }
-    waitingRequests.queue(request.urgency()).add(request);
+    waitingRequests.add(request);
     startWaiting(now);
   }
 
@@ -256,6 +264,8 @@
    * @param now the current time
    */
   public void recordProcessDelay(Duration from, Duration now) {
+    waitingRequests.extendQueueTimes(now.minus(Comparators.max(from, delayRecordedUntil)));
+    delayRecordedUntil = now;
     startRates.excludeDelay(from, now);
     startWaiting(now);
   }
@@ -358,7 +368,7 @@
 
   private void refuse(PlacementRequest request, RefusalReason reason, Duration wait, Duration now) {
     backfill.recordRefusal(request);
-    effects.refuse(request, reason, RetryAfter.of(request, wait, now));
+    effects.refuse(request, reason, retryAfter.of(request, wait, now));
   }
 
   /** Returns whether a request would find a slot that no more urgent one waits for. */
@@ -399,7 +409,7 @@
         return;
       }
       PlacementRequest next =
-          firstOnTime(queue, now.plus(server.get().expectedTimeToFirstPart(first)));
+          WaitingRequests.firstOnTime(queue, now.plus(server.get().expectedTimeToFirstPart(first)));
       queue.remove(next);
       start(next, next == first ? server.get() : choose(next, now).orElse(server.get()), now);
     }
@@ -417,16 +427,6 @@
     }
   }
 
-  /** Returns the first request whose first part would be on time, or else the head of the queue. */
-  private static PlacementRequest firstOnTime(List<PlacementRequest> queue, Duration firstPartAt) {
-    for (PlacementRequest request : queue) {
-      if (!request.isLate(firstPartAt)) {
-        return request;
-      }
-    }
-    return queue.get(0);
-  }
-
   private void start(PlacementRequest request, ServerState state, Duration now) {
     startRates.recordStart(request.urgency(), now);
     backfill.recordStart(request);
--- a/src/main/java/org/wigeonstage/placement/QueuePolicy.java
+++ b/src/main/java/org/wigeonstage/placement/QueuePolicy.java
@@ -41,7 +41,7 @@
    */
   boolean isTooLongFor(PlacementRequest request, Duration now) {
     return !request.wasPlacedBefore()
-        && now.plus(expectedWaitOfNext(request.urgency(), now)).compareTo(request.startBy()) > 0;
+        && now.plus(expectedWaitOfNext(request.urgency(), now)).compareTo(request.waitsUntil()) > 0;
   }
 
   /**
@@ -70,7 +70,7 @@
       Duration wait = queueWait.multipliedBy(i + 1L).dividedBy(size);
       PlacementRequest request = queue.get(i);
       Duration earliestStart = now.plus(wait.dividedBy(EARLY_REFUSAL_FACTOR));
-      if (!request.wasPlacedBefore() && earliestStart.compareTo(request.startBy()) > 0) {
+      if (!request.wasPlacedBefore() && earliestStart.compareTo(request.waitsUntil()) > 0) {
         queue.remove(i);
         removed.put(request, wait);
       }
--- a/src/main/java/org/wigeonstage/placement/ServerStates.java
+++ b/src/main/java/org/wigeonstage/placement/ServerStates.java
@@ -126,13 +126,17 @@
   void updateReservations(Duration elapsed) {
     int own = 0;
     int all = 0;
+    int slots = 0;
     int accepting = 0;
     for (ServerState state : states.values()) {
       own += state.running();
       all += state.occupied();
-      accepting += state.acceptsRequests() ? 1 : 0;
+      if (state.acceptsRequests()) {
+        slots += state.server().slots();
+        accepting++;
+      }
     }
-    reservations.update(own, all, accepting, elapsed);
+    reservations.update(own, all, accepting, slots, elapsed);
   }
 
   /** Returns how many requests of this gateway run on each server. */
--- a/src/main/java/org/wigeonstage/placement/SlotReservations.java
+++ b/src/main/java/org/wigeonstage/placement/SlotReservations.java
@@ -31,8 +31,8 @@
    */
   private static final Duration MAX_HORIZON = Duration.ofMillis(500);
 
-  /** A third of an engine with nine slots; less urgent requests may always fill the rest. */
-  private static final int MAX_EXTRA_SLOTS = 3;
+  /** The part of a server's slots that is left free at most, besides one slot for each rank. */
+  private static final int MAX_EXTRA_DIVISOR = 3;
 
   /** The weight of the newest expected duration. */
   private static final double SMOOTHING_FACTOR = 0.1;
@@ -81,20 +81,23 @@
    * @param ownRuns the requests of this gateway that run on any server
    * @param allRuns those of all gateways
    * @param servers the number of servers
+   * @param slots the number of all their slots
    * @param elapsed the time since the last update
    */
-  void update(int ownRuns, int allRuns, int servers, Duration elapsed) {
+  void update(int ownRuns, int allRuns, int servers, int slots, Duration elapsed) {
     if (allRuns > 0) {
       double share = (double) ownRuns / allRuns;
       ownShare += (isShareKnown ? SHARE_SMOOTHING_FACTOR : 1) * (share - ownShare);
       isShareKnown = true;
     }
     double retained = Math.exp(-elapsed.toNanos() / NANOS_PER_SECOND / TIME_CONSTANT_SECONDS);
+    int serverCount = Math.max(1, servers);
+    int maxExtraSlots = slots / serverCount / MAX_EXTRA_DIVISOR;
     double moreUrgentPerSecond = 0;
     for (Arrivals own : arrivals.values()) {
       double horizon = Math.min(own.meanSeconds, MAX_HORIZON.toNanos() / NANOS_PER_SECOND);
-      double perServer = moreUrgentPerSecond * horizon / Math.max(1, servers);
-      own.extraSlots = (int) Math.min(MAX_EXTRA_SLOTS, Math.round(perServer));
+      double perServer = moreUrgentPerSecond * horizon / serverCount;
+      own.extraSlots = (int) Math.min(maxExtraSlots, Math.round(perServer));
       moreUrgentPerSecond += own.weight / TIME_CONSTANT_SECONDS / Math.max(MIN_SHARE, ownShare);
       own.weight *= retained;
     }
--- a/src/main/java/org/wigeonstage/placement/WaitingRequests.java
+++ b/src/main/java/org/wigeonstage/placement/WaitingRequests.java
@@ -24,6 +24,26 @@
     return queues.computeIfAbsent(urgency, key -> new ArrayList<>());
   }
 
+  /**
+   * Adds a request before those of its urgency with a later deadline. A caller that returns after a
+   * refusal has less time left than new ones, and so goes ahead of them.
+   */
+  void add(PlacementRequest request) {
+    List<PlacementRequest> queue = queue(request.urgency());
+    int index = queue.size();
+    while (index > 0 && queue.get(index - 1).deadline().compareTo(request.deadline()) > 0) {
+      index--;
+    }
+    queue.add(index, request);
+  }
+
+  /** Lets all requests wait longer, because for a time this process could not start them. */
+  void extendQueueTimes(Duration time) {
+    for (List<PlacementRequest> queue : queues.values()) {
+      queue.forEach(request -> request.extendQueueTime(time));
+    }
+  }
+
   /** Returns the queues, the most urgent first. */
   Map<Urgency, List<PlacementRequest>> queues() {
     return Collections.unmodifiableMap(queues);
@@ -84,6 +104,16 @@
     return ranks;
   }
 
+  /** Returns the first request whose first part would be on time, or else the head of the queue. */
+  static PlacementRequest firstOnTime(List<PlacementRequest> queue, Duration firstPartAt) {
+    for (PlacementRequest request : queue) {
+      if (!request.isLate(firstPartAt)) {
+        return request;
+      }
+    }
+    return queue.get(0);
+  }
+
   void remove(PlacementRequest request) {
     List<PlacementRequest> queue = queues.get(request.urgency());
     if (queue != null) {
@@ -91,14 +121,14 @@
     }
   }
 
-  /** Removes and returns the requests whose latest useful start has passed. */
+  /** Removes and returns the requests that have waited for as long as they may. */
   List<PlacementRequest> removeExpired(Duration now) {
     List<PlacementRequest> expired = new ArrayList<>();
     for (List<PlacementRequest> queue : queues.values()) {
       Iterator<PlacementRequest> requests = queue.iterator();
       while (requests.hasNext()) {
         PlacementRequest request = requests.next();
-        if (now.compareTo(request.startBy()) >= 0) {
+        if (now.compareTo(request.waitsUntil()) >= 0) {
           requests.remove();
           expired.add(request);
         }
