Reject requests that are too late at a gateway that is behind

A gateway with a quarter of a core read requests up to 134 ms late (p90) and then worked on all of them in order, also on those that could no longer be in time. While it is behind, less urgent requests whose age exceeds a part of their objective are rejected before their quota is acquired, with a short, spread Retry-After: callers return on a new connection, often at another gateway. The most urgent requests are always accepted.

Tested for the decision alone; not measured with starved processes.

--- a/src/main/java/org/wigeonstage/gateway/CallerRequestHandler.java
+++ b/src/main/java/org/wigeonstage/gateway/CallerRequestHandler.java
@@ -58,6 +58,7 @@
             new RouteFilter(),
             new LeavingFilter(core, grace),
             new AuthenticationFilter(),
+            new DelayFilter(core, readLag),
             new QuotaFilter(core));
   }
 
