Reject late requests at a gateway that is behind by their own objective

The age from which a less urgent request was rejected was the shortest objective of all more urgent ones, divided by their number: a tag with an objective of 410 ms was rejected at 30 ms, though it could be on time. It is now its own objective.

--- a/src/main/java/org/wigeonstage/gateway/DelayAdmission.java
+++ b/src/main/java/org/wigeonstage/gateway/DelayAdmission.java
@@ -1,21 +1,18 @@
 package org.wigeonstage.gateway;
 
 import java.time.Duration;
-import java.util.Map;
-import java.util.TreeMap;
+import java.util.TreeSet;
 import org.wigeonstage.placement.Urgency;
 
 /**
  * Decides which requests are too late already at a process that is behind, by urgency.
  *
  * <p>Working on a request that can't be in time any more delays all others. The most urgent
- * requests are always accepted, because they are of use also when late. Each less urgent one is
- * accepted for a smaller part of the shortest objective up to its urgency, so that no request is
- * rejected before a less urgent one of the same age.
+ * requests are always accepted, because they are of use also when late.
  */
 final class DelayAdmission {
 
-  private final TreeMap<Urgency, Duration> objectives = new TreeMap<>();
+  private final TreeSet<Urgency> urgencies = new TreeSet<>();
 
   /**
    * Returns whether a request is too late.
@@ -28,16 +25,7 @@
     if (objective.isZero()) {
       return false; // the route has no objective
     }
-    objectives.merge(urgency, objective, DelayAdmission::shorter);
-    Map<Urgency, Duration> moreUrgent = objectives.headMap(urgency);
-    Duration shortest = objective;
-    for (Duration other : moreUrgent.values()) {
-      shortest = shorter(shortest, other);
-    }
-    return !moreUrgent.isEmpty() && age.compareTo(shortest.dividedBy(moreUrgent.size())) >= 0;
-  }
-
-  private static Duration shorter(Duration a, Duration b) {
-    return a.compareTo(b) <= 0 ? a : b;
+    urgencies.add(urgency);
+    return urgencies.lower(urgency) != null && age.compareTo(objective) >= 0;
   }
 }
