--- a/src/main/java/org/wigeonstage/platform/ServerDecoder.java
+++ b/src/main/java/org/wigeonstage/platform/ServerDecoder.java
@@ -33,7 +33,7 @@
     if (!STATES.contains(state)) {
       throw RegistrationFields.invalid("state");
     }
-    fields.text("version");
+    String version = fields.text("version");
     fields.wholeNumber("sequence", Long.MIN_VALUE, Long.MAX_VALUE);
     fields.checkNumber("cold_remaining_ms");
     return new BackendServer(
@@ -43,6 +43,7 @@
         fields.text("zone"),
         (int) fields.wholeNumber("slot_count", 1, MAX_SLOTS),
         state.equals(LEAVING_STATE),
-        fields.optionalWholeNumber("born").orElse(0));
+        fields.optionalWholeNumber("born").orElse(0),
+        version);
   }
 }
--- /dev/null
+++ b/src/main/java/org/wigeonstage/rollout/EvidenceRecorder.java
@@ -0,0 +1,98 @@
+package org.wigeonstage.rollout;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.wigeonstage.fleet.BackendServer;
+
+/**
+ * Counts the responses that a gateway receives from the servers of a pool while an order is open.
+ *
+ * <p>Not thread-safe.
+ */
+public final class EvidenceRecorder {
+
+  /** The number of pairs of route and server that are counted; others are ignored. */
+  private static final int MAX_ENTRIES = 256;
+
+  private final String target;
+  private final Map<Key, Entry> entries = new HashMap<>();
+
+  private record Key(String route, String serverId) {}
+
+  private static final class Entry {
+    private int responses;
+    private int failures;
+    private final Map<Integer, Integer> firstParts = new HashMap<>();
+    private final Map<Integer, Integer> durations = new HashMap<>();
+  }
+
+  /**
+   * Creates a recorder without responses.
+   *
+   * @param target the target version of the order
+   */
+  public EvidenceRecorder(String target) {
+    this.target = target;
+  }
+
+  /**
+   * Records a failed response.
+   *
+   * @param route the route of the request
+   * @param server the server
+   */
+  public void recordFailure(String route, BackendServer server) {
+    Entry entry = entry(route, server);
+    entry.responses++;
+    entry.failures++;
+  }
+
+  /**
+   * Records a response, or one that was given up late.
+   *
+   * @param route the route of the request
+   * @param server the server
+   * @param firstPart the time to the first part
+   * @param duration the time to the end
+   */
+  public void recordResponse(
+      String route, BackendServer server, Duration firstPart, Duration duration) {
+    Entry entry = entry(route, server);
+    entry.responses++;
+    entry.firstParts.merge(TimeHistogram.bucketOf(firstPart), 1, Integer::sum);
+    entry.durations.merge(TimeHistogram.bucketOf(duration), 1, Integer::sum);
+  }
+
+  private Entry entry(String route, BackendServer server) {
+    String serverId = server.version().equals(target) ? server.id() : ResponseCounts.OTHER_VERSIONS;
+    Key key = new Key(route, serverId);
+    Entry known = entries.get(key);
+    if (known != null || entries.size() >= MAX_ENTRIES) {
+      return known == null ? new Entry() : known;
+    }
+    Entry added = new Entry();
+    entries.put(key, added);
+    return added;
+  }
+
+  /**
+   * Returns the responses that were recorded.
+   *
+   * @return the counts by route and server
+   */
+  public List<ResponseCounts> counts() {
+    return entries.entrySet().stream()
+        .map(
+            entry ->
+                new ResponseCounts(
+                    entry.getKey().route(),
+                    entry.getKey().serverId(),
+                    entry.getValue().responses,
+                    entry.getValue().failures,
+                    new TimeHistogram(entry.getValue().firstParts),
+                    new TimeHistogram(entry.getValue().durations)))
+        .toList();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/wigeonstage/rollout/RolloutDecider.java
@@ -0,0 +1,224 @@
+package org.wigeonstage.rollout;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Decides about an open order at the elected gateway: its step, and the states to be written.
+ *
+ * <p>Designed for versions that are faulty from the start, later, under load or on one route. The
+ * target version is observed at a share that a faulty version may get for nearly half of the time
+ * that the order allows; then all traffic is shifted within a short time, so that the other servers
+ * have the rest of it to finish what they run.
+ *
+ * <p>The decider acts only while most of the gateways report to it, so that there are no two of
+ * them. Each write is conditional on the revision that the decision is based on, which another
+ * decider's write changes. Not thread-safe.
+ */
+public final class RolloutDecider {
+
+  /** Reports are sent every 100 ms; a gateway without a processor may be late for some time. */
+  private static final Duration REPORT_VALIDITY = Duration.ofSeconds(1);
+
+  /** A gateway can't have been started again within this time after its last report. */
+  private static final Duration CONFIRMATION_VALIDITY = Duration.ofMillis(300);
+
+  private static final Duration WRITE_RETRY_INTERVAL = Duration.ofMillis(300);
+
+  /** The part of the time after which a version without a fault gets all traffic. */
+  private static final double OBSERVATION_PART = 0.45;
+
+  /** The part of the time after which this happens also without evidence for each route. */
+  private static final double MAX_OBSERVATION_PART = 0.6;
+
+  private static final int RAMP_DIVISOR = 16;
+  private static final int MIN_RESPONSES = 10;
+
+  private final Duration startedAt;
+  private final Map<String, TimedReport> reports = new HashMap<>();
+  private RolloutOrder order;
+  private RolloutStep step = RolloutStep.NONE;
+  private Duration rampStartedAt = Duration.ZERO;
+  private boolean isWriting;
+  private Duration writeAgainAt = Duration.ZERO;
+
+  /** Why the order is rolled back, or empty if it is not. */
+  private String fault = "";
+
+  private record TimedReport(RolloutReport report, Duration receivedAt) {
+
+    boolean isWithin(Duration validity, Duration now) {
+      return now.minus(receivedAt).compareTo(validity) <= 0;
+    }
+  }
+
+  /**
+   * Creates a decider.
+   *
+   * @param order the order
+   * @param startedAt when the order was known first
+   */
+  public RolloutDecider(RolloutOrder order, Duration startedAt) {
+    this.order = order;
+    this.startedAt = startedAt;
+  }
+
+  /**
+   * Returns the order that the next write is conditional on.
+   *
+   * @return the order
+   */
+  public RolloutOrder order() {
+    return order;
+  }
+
+  /**
+   * Applies a later revision of the same order.
+   *
+   * @param newOrder the order with the same target
+   */
+  public void applyOrder(RolloutOrder newOrder) {
+    if (newOrder.revision() > order.revision()) {
+      order = newOrder;
+    }
+  }
+
+  /**
+   * Applies a report; one about another order is ignored.
+   *
+   * @param gateway the gateway that has sent it
+   * @param report the report
+   * @param now the current time
+   */
+  public void applyReport(String gateway, RolloutReport report, Duration now) {
+    if (report.order().hasSameTarget(order)) {
+      reports.put(gateway, new TimedReport(report, now));
+    }
+  }
+
+  /** Records that a write has ended, successfully or because the object has changed. */
+  public void writeEnded() {
+    isWriting = false;
+  }
+
+  /**
+   * Records that a write has failed or may have been lost. It is repeated with the same condition,
+   * so that it takes effect at most once.
+   *
+   * @param now the current time
+   */
+  public void writeFailed(Duration now) {
+    isWriting = false;
+    writeAgainAt = now.plus(WRITE_RETRY_INTERVAL);
+  }
+
+  /**
+   * Decides.
+   *
+   * @param gateways the gateways that may send requests, this one included
+   * @param targetServers the number of servers of the target version
+   * @param now the current time
+   * @return the decision; a write that it contains must be carried out
+   */
+  public RolloutDecision decide(Set<String> gateways, int targetServers, Duration now) {
+    long reporting =
+        gateways.stream().filter(name -> hasReport(name, REPORT_VALIDITY, now)).count();
+    boolean isMajority = reporting * 2 > gateways.size();
+    VersionComparison comparison = new VersionComparison(allReports());
+    updateStep(comparison, isMajority, targetServers, now);
+    String reason =
+        fault.isEmpty()
+            ? comparison.responses() + " responses, " + comparison.failures() + " failures"
+            : fault;
+    Optional<RolloutState> write =
+        isMajority && !isWriting && now.compareTo(writeAgainAt) >= 0
+            ? nextState(gateways, now)
+            : Optional.empty();
+    isWriting |= write.isPresent();
+    return new RolloutDecision(step, write, reason);
+  }
+
+  private List<RolloutReport> allReports() {
+    return reports.values().stream().map(TimedReport::report).toList();
+  }
+
+  private boolean hasReport(String gateway, Duration validity, Duration now) {
+    TimedReport report = reports.get(gateway);
+    return report != null && report.isWithin(validity, now);
+  }
+
+  private void updateStep(
+      VersionComparison comparison, boolean isMajority, int targetServers, Duration now) {
+    // Gateways return from the last step only after a write, so a new decider continues with it.
+    boolean isFull =
+        step == RolloutStep.FULL || allReports().stream().anyMatch(RolloutReport::hasLeftOthers);
+    if (fault.isEmpty()) {
+      fault = comparison.fault(!isFull, targetServers);
+    }
+    if (isFull) {
+      step = RolloutStep.FULL;
+    } else if (!fault.isEmpty() || !isMajority) {
+      step = RolloutStep.NONE;
+    } else {
+      step = nextStep(comparison, now.minus(startedAt), now);
+    }
+    if (fault.isEmpty() && !isFull && !isRamp() && elapsedPart(now) >= 1) {
+      fault = "not enough evidence in time: " + comparison.responses() + " responses";
+    }
+  }
+
+  private boolean isRamp() {
+    return step.compareTo(RolloutStep.RAMP) >= 0;
+  }
+
+  private double elapsedPart(Duration now) {
+    return (double) now.minus(startedAt).toMillis() / order.duration().toMillis();
+  }
+
+  private RolloutStep nextStep(VersionComparison comparison, Duration elapsed, Duration now) {
+    if (!rampStartedAt.isZero()) {
+      Duration rampTime = order.duration().dividedBy(RAMP_DIVISOR);
+      return now.minus(rampStartedAt).compareTo(rampTime) >= 0
+          ? RolloutStep.FULL
+          : RolloutStep.RAMP;
+    }
+    double part = (double) elapsed.toMillis() / order.duration().toMillis();
+    boolean isObserved =
+        (part >= OBSERVATION_PART && comparison.isSufficient())
+            || (part >= MAX_OBSERVATION_PART && comparison.responses() >= MIN_RESPONSES);
+    // An order whose state can't be written can't be completed either.
+    if (isObserved && order.state() == RolloutState.ACTIVE) {
+      rampStartedAt = now;
+      return RolloutStep.RAMP;
+    }
+    return comparison.responses() >= MIN_RESPONSES ? RolloutStep.OBSERVE : RolloutStep.FIRST;
+  }
+
+  private Optional<RolloutState> nextState(Set<String> gateways, Duration now) {
+    if (!order.isOpen()) {
+      return Optional.empty();
+    }
+    if (!fault.isEmpty()) {
+      return Optional.of(RolloutState.ROLLED_BACK);
+    }
+    if (order.state() == RolloutState.REQUESTED) {
+      return Optional.of(RolloutState.ACTIVE);
+    }
+    boolean isComplete =
+        step == RolloutStep.FULL && gateways.stream().allMatch(name -> hasLeftOthers(name, now));
+    return isComplete ? Optional.of(RolloutState.COMPLETED) : Optional.empty();
+  }
+
+  /** Returns whether nothing of a gateway runs at other versions, or will be sent there. */
+  private boolean hasLeftOthers(String gateway, Duration now) {
+    TimedReport report = reports.get(gateway);
+    return report != null
+        && report.isWithin(CONFIRMATION_VALIDITY, now)
+        && report.report().hasLeftOthers()
+        && report.report().runningAtOthers() == 0;
+  }
+}
--- a/src/test/java/org/wigeonstage/LayeringTest.java
+++ b/src/test/java/org/wigeonstage/LayeringTest.java
@@ -28,7 +28,8 @@
     "org.wigeonstage.placement..",
     "org.wigeonstage.quota..",
     "org.wigeonstage.crash..",
-    "org.wigeonstage.peering.."
+    "org.wigeonstage.peering..",
+    "org.wigeonstage.rollout.."
   };
 
   @ArchTest
