Read roll-out orders from the store, and write their states

The adapter watches the kind of orders and writes states on the condition of the revision that a decision is based on. An entry that can't be read is left out with one log line; a sound order that it replaces stays in force. The stand-in for the store learns the status call.

--- a/src/main/java/org/wigeonstage/platform/PlatformAdapter.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformAdapter.java
@@ -4,11 +4,16 @@
 import org.wigeonstage.forward.HeaderCodec;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.rollout.RolloutStore;
 
-/** Provides the platform's implementations of {@link FleetStore} and {@link HeaderCodec}. */
+/**
+ * Provides the platform's implementations of {@link FleetStore}, {@link RolloutStore} and {@link
+ * HeaderCodec}.
+ */
 public final class PlatformAdapter {
 
   private final FleetStore fleetStore;
+  private final RolloutStore rolloutStore;
   private final HeaderCodec headerCodec = new PlatformHeaderCodec();
 
   /**
@@ -18,7 +23,9 @@
    * @param store the address and port of the store
    */
   public PlatformAdapter(HttpClient client, Endpoint store) {
-    this.fleetStore = new PlatformFleetStore(new PlatformStoreClient(client, store));
+    PlatformStoreClient storeClient = new PlatformStoreClient(client, store);
+    this.fleetStore = new PlatformFleetStore(storeClient);
+    this.rolloutStore = new PlatformRolloutStore(storeClient);
   }
 
   /**
@@ -30,6 +37,15 @@
     return fleetStore;
   }
 
+  /**
+   * Returns the store of the roll-out orders, which makes no calls until it is used.
+   *
+   * @return the store
+   */
+  public RolloutStore rolloutStore() {
+    return rolloutStore;
+  }
+
   /**
    * Returns the codec for the platform's header fields.
    *
--- a/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
@@ -133,6 +133,20 @@
     }
   }
 
+  /**
+   * Writes the status of an object if it has the revision that the body names. Returns the object
+   * after the write, or as it is if it has another revision.
+   */
+  StoreObject putStatus(String kind, String name, JsonNode object) {
+    byte[] body = Json.write(object).getBytes(StandardCharsets.UTF_8);
+    String encodedName = URLEncoder.encode(name, StandardCharsets.UTF_8);
+    HttpResponse response = call("PUT", kind + "/" + encodedName + "/status", body);
+    if (response.status() != CONFLICT) {
+      checkStatus(response, OK);
+    }
+    return decode(() -> StoreObject.decode(RawJson.of(response.body())));
+  }
+
   private HttpResponse call(String method, String path, byte[] body) {
     return call(method, path, body, CALL_TIMEOUT);
   }
--- a/src/main/java/org/wigeonstage/platform/RegistrationFields.java
+++ b/src/main/java/org/wigeonstage/platform/RegistrationFields.java
@@ -78,6 +78,16 @@
     }
   }
 
+  /** Returns a number in the given range. */
+  double number(String field, double min, double max) {
+    JsonNode value = registration.path(field);
+    if (!value.isNumber() || !(value.asDouble() >= min && value.asDouble() <= max)) {
+      throw new WigeonstageException(
+          ErrorCode.BAD_REQUEST, field + " must be a number from " + min + " to " + max);
+    }
+    return value.asDouble();
+  }
+
   /** Returns the IPv4 address and port of another process. */
   Endpoint address(String field) {
     Matcher matcher = ADDRESS.matcher(text(field));
--- a/src/main/java/org/wigeonstage/platform/StoreObject.java
+++ b/src/main/java/org/wigeonstage/platform/StoreObject.java
@@ -16,9 +16,12 @@
  * @param name the name, which is unique among the objects of a kind
  * @param revision the revision of the store at which the object last changed, or 0 if not given
  * @param spec the content, or a missing node if it is absent or can't be read
+ * @param status what the system has written about the object, or a missing node if it has written
+ *     nothing or it can't be read
  * @param fault why the content can't be read, or null if it can be
  */
-record StoreObject(String name, long revision, JsonNode spec, @Nullable String fault) {
+record StoreObject(
+    String name, long revision, JsonNode spec, JsonNode status, @Nullable String fault) {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int LOG_INTERVAL_SECONDS = 10;
@@ -48,7 +51,8 @@
       return unreadable(name.asText(), revision, "it has " + object.length() + " bytes");
     }
     try {
-      return new StoreObject(name.asText(), revision, spec.parse(), null);
+      return new StoreObject(
+          name.asText(), revision, spec.parse(), status(fields.get("status")), null);
     } catch (RuntimeException e) { // must not affect the other objects of the list
       return unreadable(name.asText(), revision, String.valueOf(e.getMessage()));
     }
@@ -66,6 +70,15 @@
   }
 
   private static StoreObject unreadable(String name, long revision, String fault) {
-    return new StoreObject(name, revision, MissingNode.getInstance(), fault);
+    return new StoreObject(
+        name, revision, MissingNode.getInstance(), MissingNode.getInstance(), fault);
+  }
+
+  private static JsonNode status(@Nullable RawJson status) {
+    try {
+      return status == null ? MissingNode.getInstance() : status.parse();
+    } catch (RuntimeException e) { // must not make the content unreadable
+      return MissingNode.getInstance();
+    }
   }
 }
--- a/src/main/java/org/wigeonstage/platform/standin/StoreStandin.java
+++ b/src/main/java/org/wigeonstage/platform/standin/StoreStandin.java
@@ -22,7 +22,7 @@
 
 /**
  * A stand-in for the platform's store: objects by kind and name with one revision counter, paged
- * lists, watches and conditional writes.
+ * lists, watches, conditional writes and a status that the system writes.
  *
  * <p>It keeps objects in memory and has neither finalizers nor rate limits. It can simulate faults:
  * refuse all calls, perform writes without responding, drop its history and abort watches.
@@ -31,6 +31,7 @@
 
   private static final String OBJECTS_PATH = "/wigeonstage/objects/";
   private static final String JSON = "application/json";
+  private static final String STATUS = "status";
   private static final int MAX_BODY_BYTES = 1024 * 1024;
   private static final int OK = 200;
   private static final int CREATED = 201;
@@ -45,6 +46,7 @@
   private final ScheduledExecutorService timer =
       ControlExecutors.newSingleThreadExecutor("store-timer");
   private final List<Change> history = new ArrayList<>();
+  private final List<String> statusWrites = new ArrayList<>();
   private final List<Watch> pendingWatches = new ArrayList<>();
   private long revision = 1;
   private long historyStart;
@@ -148,7 +150,10 @@
     ObjectNode object = JsonNodeFactory.instance.objectNode();
     object.putObject("metadata").put("name", name).put("revision", revision);
     object.set("spec", spec);
-    objects(kind).put(name, object);
+    ObjectNode previous = objects(kind).put(name, object);
+    if (previous != null && previous.has(STATUS)) {
+      object.set(STATUS, previous.get(STATUS));
+    }
     recordChange(kind, object, false);
     return object;
   }
@@ -184,7 +189,13 @@
     synchronized (this) {
       switch (exchange.method()) {
         case "POST" -> create(exchange, parts[0]);
-        case "PUT" -> replace(exchange, parts[0], parts[1]);
+        case "PUT" -> {
+          if (parts.length == 3 && parts[2].equals(STATUS)) {
+            replaceStatus(exchange, parts[0], parts[1]);
+          } else {
+            replace(exchange, parts[0], parts[1]);
+          }
+        }
         default -> read(exchange, parts);
       }
     }
@@ -327,6 +338,34 @@
     }
   }
 
+  /** Replaces the status of an object that has the submitted revision. */
+  private void replaceStatus(ServerExchange exchange, String kind, String name) {
+    ObjectNode existing = objects(kind).get(name);
+    JsonNode submitted = Json.parse(exchange.text());
+    if (existing == null) {
+      respond(exchange, NOT_FOUND, JsonNodeFactory.instance.objectNode());
+      return;
+    }
+    JsonNode metadata = existing.path("metadata");
+    JsonNode expected = submitted.path("metadata").path("revision");
+    if (!expected.isNumber() || expected.asLong() != metadata.path("revision").asLong()) {
+      respond(exchange, CONFLICT, existing);
+      return;
+    }
+    statusWrites.add(submitted.path(STATUS).path("state").asText());
+    existing.set(STATUS, submitted.path(STATUS));
+    respond(exchange, OK, store(kind, name, existing.path("spec")));
+  }
+
+  /**
+   * Returns the states of the status writes that took effect.
+   *
+   * @return the states in the order of the writes
+   */
+  public synchronized List<String> statusWrites() {
+    return List.copyOf(statusWrites);
+  }
+
   private void respond(ServerExchange exchange, int status, JsonNode body) {
     if (losesResponses && !exchange.method().equals("GET")) {
       exchange.abort();
--- a/src/main/java/org/wigeonstage/rollout/RolloutDecider.java
+++ b/src/main/java/org/wigeonstage/rollout/RolloutDecider.java
@@ -29,6 +29,9 @@
 
   private static final Duration WRITE_RETRY_INTERVAL = Duration.ofMillis(300);
 
+  /** The interval doubles up to 2.4 s, because each call to the store has its price. */
+  private static final int MAX_DOUBLINGS = 3;
+
   /** The part of the time after which a version without a fault gets all traffic. */
   private static final double OBSERVATION_PART = 0.45;
 
@@ -45,6 +48,7 @@
   private Duration rampStartedAt = Duration.ZERO;
   private boolean isWriting;
   private Duration writeAgainAt = Duration.ZERO;
+  private int failedWrites;
 
   /** Why the order is rolled back, or empty if it is not. */
   private String fault = "";
@@ -103,6 +107,7 @@
   /** Records that a write has ended, successfully or because the object has changed. */
   public void writeEnded() {
     isWriting = false;
+    failedWrites = 0;
   }
 
   /**
@@ -113,7 +118,9 @@
    */
   public void writeFailed(Duration now) {
     isWriting = false;
-    writeAgainAt = now.plus(WRITE_RETRY_INTERVAL);
+    int doublings = Math.min(failedWrites, MAX_DOUBLINGS);
+    writeAgainAt = now.plus(WRITE_RETRY_INTERVAL.multipliedBy(1L << doublings));
+    failedWrites++;
   }
 
   /**
--- a/src/test/java/org/wigeonstage/PlatformNamesTest.java
+++ b/src/test/java/org/wigeonstage/PlatformNamesTest.java
@@ -47,6 +47,8 @@
           "burst_size",
           "slot_count",
           "cold_remaining_ms",
+          "duration_s",
+          "rolled_back",
           "draining",
           "tenant",
           "WIGEONSTAGE_BOOT");
