Add the messages between gateways about roll-outs

A gateway reports its counts by route and server to the elected one, only those that have changed, and the elected one sends its step to the others. Earlier builds, which close links on unknown messages, get neither.

--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -10,6 +10,8 @@
 import org.wigeonstage.request.Outcome;
 import org.wigeonstage.request.RequestId;
 import org.wigeonstage.request.RequestSpec;
+import org.wigeonstage.rollout.RolloutDirective;
+import org.wigeonstage.rollout.RolloutReport;
 
 /** A message of the hand-over protocol. Each message is sent in a separate frame. */
 public sealed interface Message {
@@ -35,6 +37,12 @@
    */
   long LINK_CHOICE = 3;
 
+  /**
+   * The value of {@link Hello#configVersion} of gateways that accept {@link RolloutStatus} and
+   * {@link RolloutCommand} messages, too.
+   */
+  long ROLLOUTS = 4;
+
   /** A message about one request. */
   sealed interface RequestMessage extends Message {
     /**
@@ -53,7 +61,7 @@
    * @param name the name of the sender
    * @param incarnation a number that grows with each start of the sender
    * @param configVersion the version of the configuration in force at the sender; a gateway, whose
-   *     peers do not need it, states {@link #LINK_CHOICE}
+   *     peers do not need it, states {@link #ROLLOUTS}
    */
   record Hello(int protocolVersion, String role, String name, long incarnation, long configVersion)
       implements Message {}
@@ -241,6 +249,22 @@
    */
   record LinkClosing(String reason) implements Message {}
 
+  /**
+   * Reports the evidence of a gateway about an open roll-out order to the elected gateway. Sent
+   * only to gateways whose hello message states at least {@link #ROLLOUTS}.
+   *
+   * @param report the report
+   */
+  record RolloutStatus(RolloutReport report) implements Message {}
+
+  /**
+   * Carries the step of a roll-out order from the elected gateway to the others. Sent only to
+   * gateways whose hello message states at least {@link #ROLLOUTS}.
+   *
+   * @param directive the order and its step
+   */
+  record RolloutCommand(RolloutDirective directive) implements Message {}
+
   /**
    * The load and the quota usage of a gateway, which it sends to its peers periodically: first
    * completely, then as the changes since the previous message on the same link (see {@link
--- a/src/main/java/org/wigeonstage/rollout/EvidenceRecorder.java
+++ b/src/main/java/org/wigeonstage/rollout/EvidenceRecorder.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.rollout;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,7 @@
   private static final class Entry {
     private int responses;
     private int failures;
+    private boolean isReported;
     private final Map<Integer, Integer> firstParts = new HashMap<>();
     private final Map<Integer, Integer> durations = new HashMap<>();
   }
@@ -68,31 +70,39 @@
   private Entry entry(String route, BackendServer server) {
     String serverId = server.version().equals(target) ? server.id() : ResponseCounts.OTHER_VERSIONS;
     Key key = new Key(route, serverId);
-    Entry known = entries.get(key);
-    if (known != null || entries.size() >= MAX_ENTRIES) {
-      return known == null ? new Entry() : known;
+    Entry entry = entries.get(key);
+    if (entry == null) {
+      entry = new Entry();
+      if (entries.size() < MAX_ENTRIES) {
+        entries.put(key, entry);
+      }
     }
-    Entry added = new Entry();
-    entries.put(key, added);
-    return added;
+    entry.isReported = false;
+    return entry;
   }
 
   /**
-   * Returns the responses that were recorded.
+   * Returns the counts that have changed since the last call, or all.
    *
+   * @param includesReported whether to return all
    * @return the counts by route and server
    */
-  public List<ResponseCounts> counts() {
-    return entries.entrySet().stream()
-        .map(
-            entry ->
+  public List<ResponseCounts> takeCounts(boolean includesReported) {
+    List<ResponseCounts> counts = new ArrayList<>();
+    entries.forEach(
+        (key, entry) -> {
+          if (includesReported || !entry.isReported) {
+            entry.isReported = true;
+            counts.add(
                 new ResponseCounts(
-                    entry.getKey().route(),
-                    entry.getKey().serverId(),
-                    entry.getValue().responses,
-                    entry.getValue().failures,
-                    new TimeHistogram(entry.getValue().firstParts),
-                    new TimeHistogram(entry.getValue().durations)))
-        .toList();
+                    key.route(),
+                    key.serverId(),
+                    entry.responses,
+                    entry.failures,
+                    new TimeHistogram(entry.firstParts),
+                    new TimeHistogram(entry.durations)));
+          }
+        });
+    return counts;
   }
 }
--- a/src/main/java/org/wigeonstage/rollout/ResponseCounts.java
+++ b/src/main/java/org/wigeonstage/rollout/ResponseCounts.java
@@ -26,6 +26,11 @@
     return !serverId.equals(OTHER_VERSIONS);
   }
 
+  ResponseCounts withoutTimes() {
+    return new ResponseCounts(
+        route, serverId, responses, failures, TimeHistogram.EMPTY, TimeHistogram.EMPTY);
+  }
+
   ResponseCounts plus(ResponseCounts other) {
     return new ResponseCounts(
         route,
--- a/src/main/java/org/wigeonstage/rollout/RolloutDecider.java
+++ b/src/main/java/org/wigeonstage/rollout/RolloutDecider.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.rollout;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,11 +39,16 @@
   /** The part of the time after which this happens also without evidence for each route. */
   private static final double MAX_OBSERVATION_PART = 0.6;
 
+  /** Comparing more often finds a fault hardly sooner; a response takes as long. */
+  private static final Duration COMPARISON_INTERVAL = Duration.ofMillis(200);
+
   private static final int RAMP_DIVISOR = 16;
   private static final int MIN_RESPONSES = 10;
 
   private final Duration startedAt;
-  private final Map<String, TimedReport> reports = new HashMap<>();
+  private final Map<String, GatewayEvidence> evidenceByGateway = new HashMap<>();
+  private VersionComparison comparison = new VersionComparison(List.of(), false);
+  private Duration comparedAt = Duration.ZERO;
   private RolloutOrder order;
   private RolloutStep step = RolloutStep.NONE;
   private Duration rampStartedAt = Duration.ZERO;
@@ -53,13 +59,20 @@
   /** Why the order is rolled back, or empty if it is not. */
   private String fault = "";
 
-  private record TimedReport(RolloutReport report, Duration receivedAt) {
+  /** The latest report of a gateway, and all counts that it has reported. */
+  private static final class GatewayEvidence {
+    private final Map<CountsKey, ResponseCounts> counts = new HashMap<>();
+    private boolean hasLeftOthers;
+    private int runningAtOthers;
+    private Duration receivedAt = Duration.ZERO;
 
     boolean isWithin(Duration validity, Duration now) {
       return now.minus(receivedAt).compareTo(validity) <= 0;
     }
   }
 
+  private record CountsKey(String route, String serverId) {}
+
   /**
    * Creates a decider.
    *
@@ -99,8 +112,16 @@
    * @param now the current time
    */
   public void applyReport(String gateway, RolloutReport report, Duration now) {
-    if (report.order().hasSameTarget(order)) {
-      reports.put(gateway, new TimedReport(report, now));
+    if (!report.order().hasSameTarget(order)) {
+      return;
+    }
+    GatewayEvidence evidence =
+        evidenceByGateway.computeIfAbsent(gateway, key -> new GatewayEvidence());
+    evidence.receivedAt = now;
+    evidence.hasLeftOthers = report.hasLeftOthers();
+    evidence.runningAtOthers = report.runningAtOthers();
+    for (ResponseCounts counts : report.counts()) {
+      evidence.counts.put(new CountsKey(counts.route(), counts.serverId()), counts);
     }
   }
 
@@ -135,8 +156,7 @@
     long reporting =
         gateways.stream().filter(name -> hasReport(name, REPORT_VALIDITY, now)).count();
     boolean isMajority = reporting * 2 > gateways.size();
-    VersionComparison comparison = new VersionComparison(allReports());
-    updateStep(comparison, isMajority, targetServers, now);
+    updateStep(isMajority, targetServers, now);
     String reason =
         fault.isEmpty()
             ? comparison.responses() + " responses, " + comparison.failures() + " failures"
@@ -149,29 +169,34 @@
     return new RolloutDecision(step, write, reason);
   }
 
-  private List<RolloutReport> allReports() {
-    return reports.values().stream().map(TimedReport::report).toList();
+  private boolean hasReport(String gateway, Duration validity, Duration now) {
+    GatewayEvidence evidence = evidenceByGateway.get(gateway);
+    return evidence != null && evidence.isWithin(validity, now);
   }
 
-  private boolean hasReport(String gateway, Duration validity, Duration now) {
-    TimedReport report = reports.get(gateway);
-    return report != null && report.isWithin(validity, now);
+  /** Compares the versions; once the target version has all traffic, only their failures. */
+  private void compare(boolean isFull, int targetServers, Duration now) {
+    if (fault.isEmpty() && now.minus(comparedAt).compareTo(COMPARISON_INTERVAL) >= 0) {
+      comparedAt = now;
+      List<ResponseCounts> counts = new ArrayList<>();
+      evidenceByGateway.values().forEach(evidence -> counts.addAll(evidence.counts.values()));
+      comparison = new VersionComparison(counts, !isFull);
+      fault = comparison.fault(targetServers);
+    }
   }
 
-  private void updateStep(
-      VersionComparison comparison, boolean isMajority, int targetServers, Duration now) {
+  private void updateStep(boolean isMajority, int targetServers, Duration now) {
     // Gateways return from the last step only after a write, so a new decider continues with it.
     boolean isFull =
-        step == RolloutStep.FULL || allReports().stream().anyMatch(RolloutReport::hasLeftOthers);
-    if (fault.isEmpty()) {
-      fault = comparison.fault(!isFull, targetServers);
-    }
+        step == RolloutStep.FULL
+            || evidenceByGateway.values().stream().anyMatch(evidence -> evidence.hasLeftOthers);
+    compare(isFull, targetServers, now);
     if (isFull) {
       step = RolloutStep.FULL;
     } else if (!fault.isEmpty() || !isMajority) {
       step = RolloutStep.NONE;
     } else {
-      step = nextStep(comparison, now.minus(startedAt), now);
+      step = nextStep(now);
     }
     if (fault.isEmpty() && !isFull && !isRamp() && elapsedPart(now) >= 1) {
       fault = "not enough evidence in time: " + comparison.responses() + " responses";
@@ -186,14 +211,14 @@
     return (double) now.minus(startedAt).toMillis() / order.duration().toMillis();
   }
 
-  private RolloutStep nextStep(VersionComparison comparison, Duration elapsed, Duration now) {
+  private RolloutStep nextStep(Duration now) {
     if (!rampStartedAt.isZero()) {
       Duration rampTime = order.duration().dividedBy(RAMP_DIVISOR);
       return now.minus(rampStartedAt).compareTo(rampTime) >= 0
           ? RolloutStep.FULL
           : RolloutStep.RAMP;
     }
-    double part = (double) elapsed.toMillis() / order.duration().toMillis();
+    double part = elapsedPart(now);
     boolean isObserved =
         (part >= OBSERVATION_PART && comparison.isSufficient())
             || (part >= MAX_OBSERVATION_PART && comparison.responses() >= MIN_RESPONSES);
@@ -222,10 +247,10 @@
 
   /** Returns whether nothing of a gateway runs at other versions, or will be sent there. */
   private boolean hasLeftOthers(String gateway, Duration now) {
-    TimedReport report = reports.get(gateway);
-    return report != null
-        && report.isWithin(CONFIRMATION_VALIDITY, now)
-        && report.report().hasLeftOthers()
-        && report.report().runningAtOthers() == 0;
+    GatewayEvidence evidence = evidenceByGateway.get(gateway);
+    return evidence != null
+        && evidence.isWithin(CONFIRMATION_VALIDITY, now)
+        && evidence.hasLeftOthers
+        && evidence.runningAtOthers == 0;
   }
 }
--- a/src/main/java/org/wigeonstage/rollout/RolloutParticipant.java
+++ b/src/main/java/org/wigeonstage/rollout/RolloutParticipant.java
@@ -196,13 +196,15 @@
   }
 
   /**
-   * Returns the report to the elected gateway.
+   * Returns the next report to the elected gateway.
    *
    * @param runningByServer the numbers of running requests by server
+   * @param isFirst whether the elected gateway lacks the previous reports
    * @param now the current time
    * @return the report, or empty if no order is open
    */
-  public Optional<RolloutReport> report(Map<String, Integer> runningByServer, Duration now) {
+  public Optional<RolloutReport> report(
+      Map<String, Integer> runningByServer, boolean isFirst, Duration now) {
     return order()
         .filter(RolloutOrder::isOpen)
         .map(
@@ -212,6 +214,6 @@
                     now.minus(startedAt),
                     hasLeftOthers,
                     filter.countAtOthers(runningByServer),
-                    evidence.counts()));
+                    evidence.takeCounts(isFirst)));
   }
 }
--- a/src/main/java/org/wigeonstage/rollout/RolloutReport.java
+++ b/src/main/java/org/wigeonstage/rollout/RolloutReport.java
@@ -11,7 +11,8 @@
  * @param hasLeftOthers whether the gateway sends no requests to servers of other versions any more,
  *     until another revision of the order allows it
  * @param runningAtOthers the number of its requests that run on such servers
- * @param counts the responses that it has received since it has known the order
+ * @param counts the responses that it has received since it has known the order; those of which
+ *     nothing has changed since its previous report are left out
  */
 public record RolloutReport(
     RolloutOrder order,
--- a/src/main/java/org/wigeonstage/rollout/TimeHistogram.java
+++ b/src/main/java/org/wigeonstage/rollout/TimeHistogram.java
@@ -45,6 +45,9 @@
    * @return the sum
    */
   public TimeHistogram plus(TimeHistogram other) {
+    if (other.countsByBucket.isEmpty()) {
+      return this;
+    }
     Map<Integer, Integer> sum = new HashMap<>(countsByBucket);
     other.countsByBucket.forEach((bucket, count) -> sum.merge(bucket, count, Integer::sum));
     return new TimeHistogram(sum);
--- a/src/main/java/org/wigeonstage/rollout/VersionComparison.java
+++ b/src/main/java/org/wigeonstage/rollout/VersionComparison.java
@@ -56,16 +56,23 @@
   private final Map<String, ResponseCounts> othersByRoute = new HashMap<>();
   private final Map<String, Map<String, ResponseCounts>> targetByRoute = new HashMap<>();
 
-  VersionComparison(Collection<RolloutReport> reports) {
-    for (RolloutReport report : reports) {
-      for (ResponseCounts counts : report.counts()) {
-        if (counts.isOfTarget()) {
-          targetByRoute
-              .computeIfAbsent(counts.route(), key -> new HashMap<>())
-              .merge(counts.serverId(), counts, ResponseCounts::plus);
-        } else {
-          othersByRoute.merge(counts.route(), counts, ResponseCounts::plus);
-        }
+  private final boolean comparesTimes;
+
+  /**
+   * Sums up the counts of all gateways.
+   *
+   * @param comparesTimes whether other versions have the same load, so that times are comparable
+   */
+  VersionComparison(Collection<ResponseCounts> allCounts, boolean comparesTimes) {
+    this.comparesTimes = comparesTimes;
+    for (ResponseCounts reported : allCounts) {
+      ResponseCounts counts = comparesTimes ? reported : reported.withoutTimes();
+      if (counts.isOfTarget()) {
+        targetByRoute
+            .computeIfAbsent(counts.route(), key -> new HashMap<>())
+            .merge(counts.serverId(), counts, ResponseCounts::plus);
+      } else {
+        othersByRoute.merge(counts.route(), counts, ResponseCounts::plus);
       }
     }
   }
@@ -127,10 +134,9 @@
   /**
    * Returns what is worse at the target version, or empty if nothing is.
    *
-   * @param comparesTimes whether other versions have the same load, so that times are comparable
    * @param serverCount the number of servers of the target version
    */
-  String fault(boolean comparesTimes, int serverCount) {
+  String fault(int serverCount) {
     List<Sample> allFailures = new ArrayList<>();
     for (Map.Entry<String, Map<String, ResponseCounts>> entry : targetByRoute.entrySet()) {
       Collection<ResponseCounts> target = entry.getValue().values();
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -63,6 +63,8 @@
           new Message.ServerLeaving(in.unpackString(), Duration.ofMillis(in.unpackLong()));
       case LINK_CONFIRMED -> new Message.LinkConfirmed();
       case LINK_CLOSING -> new Message.LinkClosing(in.unpackString());
+      case ROLLOUT_STATUS -> new Message.RolloutStatus(RolloutCodec.readReport(in));
+      case ROLLOUT_COMMAND -> new Message.RolloutCommand(RolloutCodec.readDirective(in));
       default -> readRequestMessage(type, RequestId.of(in.unpackString()), in);
     };
   }
@@ -215,7 +217,7 @@
     return in.tryUnpackNil() ? null : in.unpackString();
   }
 
-  private static <T> T enumConstant(T[] constants, int ordinal) {
+  static <T> T enumConstant(T[] constants, int ordinal) {
     if (ordinal < 0 || ordinal >= constants.length) {
       throw new BadFrameException(
           "enum ordinal must be at least 0 and below " + constants.length + ", was " + ordinal,
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -68,6 +68,10 @@
       packType(packer, MessageType.LINK_CONFIRMED);
     } else if (message instanceof Message.LinkClosing closing) {
       packType(packer, MessageType.LINK_CLOSING).packString(closing.reason());
+    } else if (message instanceof Message.RolloutStatus status) {
+      RolloutCodec.write(packType(packer, MessageType.ROLLOUT_STATUS), status.report());
+    } else if (message instanceof Message.RolloutCommand command) {
+      RolloutCodec.write(packType(packer, MessageType.ROLLOUT_COMMAND), command.directive());
     }
   }
 
--- a/src/test/java/org/wigeonstage/rollout/SimulatedRollout.java
+++ b/src/test/java/org/wigeonstage/rollout/SimulatedRollout.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -202,18 +203,19 @@
       return;
     }
     RolloutDecider current = elected.decider;
-    if (current == null || !current.order().hasSameTarget(known)) {
+    boolean isNew = current == null || !current.order().hasSameTarget(known);
+    if (isNew) {
       current = new RolloutDecider(known, elected.participant.startedAt());
       elected.decider = current;
     }
-    RolloutDecider decider = current;
+    RolloutDecider decider = Objects.requireNonNull(current);
     decider.applyOrder(known);
     gateways.forEach(
         (name, gateway) -> {
           if (gateway.isAlive && gateway.hearsPeers) {
             gateway
                 .participant
-                .report(gateway.running, now)
+                .report(gateway.running, isNew, now)
                 .ifPresent(report -> decider.applyReport(name, report, now));
           }
         });
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -25,9 +25,19 @@
 import org.wigeonstage.request.RequestId;
 import org.wigeonstage.request.RequestSpec;
 import org.wigeonstage.request.Tier;
+import org.wigeonstage.rollout.ResponseCounts;
+import org.wigeonstage.rollout.RolloutDirective;
+import org.wigeonstage.rollout.RolloutOrder;
+import org.wigeonstage.rollout.RolloutReport;
+import org.wigeonstage.rollout.RolloutState;
+import org.wigeonstage.rollout.RolloutStep;
+import org.wigeonstage.rollout.TimeHistogram;
 
 class MessageCodecTest {
 
+  private static final RolloutOrder ORDER =
+      new RolloutOrder("n", "p", "v2", Duration.ofSeconds(12), 1L << 40, RolloutState.ACTIVE);
+
   private static final RequestId ID = RequestId.of("r-1");
   private static final HttpCall CALL =
       new HttpCall("POST", "/confirm?x=1", null, "body".getBytes(StandardCharsets.UTF_8));
@@ -89,7 +99,23 @@
                 Map.of("shop", 1L << 40),
                 Map.of("shop", 7L),
                 Map.of("shop", 8L)),
-            new Message.ConfigSnapshot(8, "{}"));
+            new Message.ConfigSnapshot(8, "{}"),
+            new Message.RolloutCommand(
+                new RolloutDirective(ORDER, RolloutStep.RAMP, Duration.ofMillis(7))),
+            new Message.RolloutStatus(
+                new RolloutReport(
+                    ORDER,
+                    Duration.ofMillis(7),
+                    true,
+                    2,
+                    List.of(
+                        new ResponseCounts(
+                            "chat",
+                            "s1",
+                            5,
+                            2,
+                            TimeHistogram.EMPTY,
+                            new TimeHistogram(Map.of(40, 3)))))));
     for (Message message : messages) {
       assertThat(MessageDecoder.decode(MessageEncoder.encode(message))).isEqualTo(message);
     }
