Apply roll-outs of server versions at gateways

Gateways with the feature watch the orders, ask the version filter of each pool which servers may get a request, and exchange evidence and steps over their links; the elected one writes the states. Requests that wait, repeat or resume pass the same filter. Without the feature no call is made and no message is sent.

--- a/src/main/java/org/wigeonstage/cli/GatewayCommand.java
+++ b/src/main/java/org/wigeonstage/cli/GatewayCommand.java
@@ -54,7 +54,8 @@
       PlatformAdapter adapter = new PlatformAdapter(client, Endpoint.parse(settings.store()));
       GatewayProcess process =
           closer.register(
-              GatewayProcess.start(settings, adapter.fleetStore(), adapter.headerCodec()));
+              GatewayProcess.start(
+                  settings, adapter.fleetStore(), adapter.rolloutStore(), adapter.headerCodec()));
       watch.deliverTo(text -> process.reload(SettingsLoader.parseGateway(text)));
       return ShutdownSignal.await(process::drain, closer);
     }
--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -38,6 +38,9 @@
   /** Limit for a suspect server, which recently failed to respond to other requests. */
   private static final Duration SUSPECT_TIMEOUT = Duration.ofMillis(250);
 
+  /** A given up response is late if it took this multiple of the objective of its first part. */
+  private static final int LATE_FACTOR = 2;
+
   /** A response with fewer events is still at its beginning. */
   private static final int BEGINNING_EVENTS = 3;
 
@@ -334,10 +337,28 @@
     if (!reported) {
       reported = true;
       observe("record of a time", this::recordTimes);
+      observe("record of a version", () -> recordForRollout(result));
       core.endAttempt(request, server, result);
     }
   }
 
+  /** Records the response as evidence about the version of its server. */
+  private void recordForRollout(AttemptResult result) {
+    Duration elapsed = core.now().minus(startedAt);
+    Route route = request.inbound().route();
+    boolean isFailure = result == AttemptResult.FAILED || result == AttemptResult.UNREACHABLE;
+    // A response that was given up shows something only if it was late.
+    boolean isLate =
+        result == AttemptResult.NEUTRAL
+            && isConnected()
+            && elapsed.compareTo(route.firstPartObjective().multipliedBy(LATE_FACTOR)) > 0;
+    if (isFailure || isLate || result == AttemptResult.SERVED) {
+      Duration firstPart = firstPartAt == null ? elapsed : timeToFirstPart(startedAt);
+      core.rollouts()
+          .recordResponse(request.poolName(), route.name(), server, isFailure, firstPart, elapsed);
+    }
+  }
+
   private void recordTimes() {
     Duration first = firstPartAt;
     if (first != null && eventCount > 1) {
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -63,6 +63,7 @@
   private final PendingResumptions pendingResumptions = new PendingResumptions(this);
   private final PromptHolds promptHolds;
   private final KnownServers knownServers;
+  private final Rollouts rollouts;
   private int gatewayCount = 1;
   private boolean hasNonLeavingPeer;
   private boolean stoppedAccepting;
@@ -92,24 +93,21 @@
     this.quotas = quotas;
     this.promptHolds = new PromptHolds(clock, metrics, this::checkPrompts);
     this.knownServers = new KnownServers(clock, metrics);
+    this.rollouts = new Rollouts(metrics);
   }
 
-  /** Runs an action with the lock held. */
   synchronized void withLock(Runnable action) {
     action.run();
   }
 
-  /** Returns a value that is computed with the lock held. */
   synchronized int readWithLock(IntSupplier reader) {
     return reader.getAsInt();
   }
 
-  /** Returns the reading of the monotonic clock. */
   Duration now() {
     return clock.elapsed();
   }
 
-  /** Returns the guard that runs the steps of requests. */
   RequestGuard guard() {
     return guard;
   }
@@ -134,6 +132,10 @@
     return knownServers;
   }
 
+  Rollouts rollouts() {
+    return rollouts;
+  }
+
   /** Ends or defers the open requests that must not be sent to a server any more. */
   private void checkPrompts() {
     // Streams that wait for the retry budget are checked when they are submitted again.
@@ -187,6 +189,7 @@
         .onDelivered(
             offset -> withLock(() -> guard.run(request, "delivery", request::dataDelivered)));
     retryBudgets.recordRequest(request.poolName(), inbound.arrivedAt());
+    rollouts.recordArrival(request.poolName());
     submit(request, now());
   }
 
@@ -223,7 +226,6 @@
     openRequests.put(request.placement(), request);
   }
 
-  /** Withdraws a request from placement. */
   void withdraw(ForwardedRequest request) {
     pool(request.poolName()).withdraw(request.placement());
   }
@@ -489,6 +491,9 @@
 
   private PoolScheduler pool(String name) {
     return pools.computeIfAbsent(
-        name, key -> new PoolScheduler(SchedulingLimits.DEFAULTS, placementExecutor, random));
+        name,
+        key ->
+            rollouts.attach(
+                key, new PoolScheduler(SchedulingLimits.DEFAULTS, placementExecutor, random)));
   }
 }
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -8,6 +8,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import org.wigeonstage.common.ClockReader;
 import org.wigeonstage.common.ControlExecutors;
@@ -23,6 +24,7 @@
 import org.wigeonstage.http.ServerOptions;
 import org.wigeonstage.quota.AccountQuotas;
 import org.wigeonstage.quota.RetryLimits;
+import org.wigeonstage.rollout.RolloutStore;
 import org.wigeonstage.settings.GatewaySettings;
 import org.wigeonstage.telemetry.DecisionLog;
 import org.wigeonstage.telemetry.ProbePages;
@@ -60,12 +62,17 @@
   private final HttpServer callerServer;
   private final HttpServer readinessServer;
   private final StoreWatcher storeWatcher;
+  private final Optional<RolloutWatcher> rolloutWatcher;
   private final CallerRequestHandler requestHandler;
   private final PeerSynchronizer peerSynchronizer;
   private final ScheduledExecutorService controlExecutor =
       ControlExecutors.newSingleThreadExecutor("control");
 
-  private GatewayProcess(GatewaySettings settings, FleetStore store, HeaderCodec headerCodec) {
+  private GatewayProcess(
+      GatewaySettings settings,
+      FleetStore store,
+      RolloutStore rolloutStore,
+      HeaderCodec headerCodec) {
     this.settings = settings;
     MonotonicClock clock = MonotonicClock.system();
     ClockReader clocks = ClockReader.system();
@@ -86,6 +93,10 @@
     this.configuration = new ConfigurationState(clocks, maxConfigurationAge(settings));
     this.storeWatcher =
         closer.register(new StoreWatcher(store, watchTimes(settings), clocks, configuration, core));
+    this.rolloutWatcher =
+        settings
+            .rollout()
+            .map(limits -> closer.register(new RolloutWatcher(rolloutStore, core, limits)));
     this.requestHandler =
         new CallerRequestHandler(core, configuration, readLag, settings.gracePeriod());
     this.callerServer =
@@ -126,14 +137,20 @@
    *
    * @param settings the settings of the gateway
    * @param store the store of the configuration, the backend servers and the registered gateways
+   * @param rolloutStore the store of roll-out orders, which is used only if the settings have
+   *     limits of roll-outs
    * @param headerCodec the codec of the platform's header fields
    * @return the running gateway
    */
   public static GatewayProcess start(
-      GatewaySettings settings, FleetStore store, HeaderCodec headerCodec) {
-    GatewayProcess process = new GatewayProcess(settings, store, headerCodec);
+      GatewaySettings settings,
+      FleetStore store,
+      RolloutStore rolloutStore,
+      HeaderCodec headerCodec) {
+    GatewayProcess process = new GatewayProcess(settings, store, rolloutStore, headerCodec);
     process.applyPromptOverrides(settings);
     process.storeWatcher.start();
+    process.rolloutWatcher.ifPresent(RolloutWatcher::start);
     process.peerSynchronizer.start();
     RepeatedTask.startWithFixedDelay(
         process.controlExecutor, "periodic checks", TICK_INTERVAL, TICK_INTERVAL, process::tick);
--- a/src/main/java/org/wigeonstage/gateway/PeerState.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerState.java
@@ -47,6 +47,9 @@
 
   Duration lastReportAt;
 
+  /** Whether its port refuses connections, which shows that it does not run. */
+  boolean isStopped;
+
   PeerState(AccountQuotas quotas, long ownIncarnation, PeerLinks<Link> links, Duration now) {
     this.links = links;
     this.usage = new PeerUsage(quotas, ownIncarnation, now);
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -80,6 +80,7 @@
   private final PendingLinks pendingLinks;
   private final SplittableRandom random;
   private final PeerLoadSums loadSums = new PeerLoadSums();
+  private final RolloutLinks rolloutLinks;
 
   /**
    * Names of peers that expired. Registrations outlive their gateways, so an expired peer counts
@@ -101,6 +102,7 @@
     this.core = core;
     this.metrics = new PeerLinkMetrics(metrics);
     this.pendingLinks = new PendingLinks(this.metrics);
+    this.rolloutLinks = new RolloutLinks(name, peers);
     this.random = new SplittableRandom(Objects.hash(name, incarnation));
     core.promptHolds().setOwnTurn(this::isOwnTurn);
     this.connector = closer.register(LinkConnector.start(this::hello, this, metrics));
@@ -109,8 +111,7 @@
   }
 
   private Message.Hello hello() {
-    return new Message.Hello(
-        Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.LINK_CHOICE);
+    return new Message.Hello(Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.ROLLOUTS);
   }
 
   void start() {
@@ -219,6 +220,7 @@
     }
     applyPeerLoads(now);
     pendingLinks.tick(now);
+    core.rollouts().tick(rolloutLinks, now);
     updateMetrics(now);
   }
 
@@ -335,6 +337,7 @@
     String message = String.valueOf(cause.getMessage());
     if (cause instanceof ConnectException && message.contains("refused")) {
       peer.usage.markStopped(core.now());
+      peer.isStopped = true;
     }
   }
 
@@ -419,6 +422,10 @@
       core.promptHolds().applyReport(crash.report(), link.peerHello().name());
     } else if (message instanceof Message.ServerLeaving leaving) {
       core.recordLeaving(leaving.runId(), leaving.age(), link.peerHello().name());
+    } else if (message instanceof Message.RolloutStatus status) {
+      core.rollouts().applyReport(link.peerHello().name(), status.report(), core.now());
+    } else if (message instanceof Message.RolloutCommand command) {
+      core.rollouts().applyDirective(command.directive(), core.now());
     }
   }
 
@@ -434,6 +441,7 @@
       return; // changes to a load that was sent on a replaced link
     }
     peer.lastReportAt = now;
+    peer.isStopped = false;
     peer.load = LoadChanges.apply(peer.load, load);
     peer.usage.applyReport(
         link.peerHello().incarnation(),
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.rollout.VersionFilter;
 import org.wigeonstage.routes.PoolDefinition;
 
 /**
@@ -66,6 +67,15 @@
     this.claims = new SlotClaims(random);
   }
 
+  /**
+   * Sets the filter that decides by versions which servers may get requests.
+   *
+   * @param filter the filter
+   */
+  public void setVersionFilter(VersionFilter filter) {
+    servers.setVersionFilter(filter);
+  }
+
   /**
    * Replaces the registered servers of the pool, and keeps the estimates for those that remain.
    *
@@ -423,7 +433,7 @@
     claims.recordStart(request.urgency());
     ServerEstimate estimate = state.estimate(request);
     request.markTried(state.server().id());
-    state.recordStart(request);
+    servers.recordStart(state, request);
     effects.start(request, state.server(), estimate);
   }
 
--- a/src/main/java/org/wigeonstage/placement/ServerStates.java
+++ b/src/main/java/org/wigeonstage/placement/ServerStates.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.rollout.VersionFilter;
 
 /** The servers of one pool with their estimated states, and which of them can take a request. */
 final class ServerStates {
@@ -17,15 +18,22 @@
   private final SchedulingLimits limits;
   private final Map<String, ServerState> states = new HashMap<>();
   private Map<String, Integer> runningAtPeers = Map.of();
+  private VersionFilter versionFilter = new VersionFilter();
 
   ServerStates(SchedulingLimits limits) {
     this.limits = limits;
   }
 
+  /** Sets the filter that decides by versions which servers may get requests. */
+  void setVersionFilter(VersionFilter filter) {
+    versionFilter = filter;
+  }
+
   /** Replaces the registered servers, and keeps the estimates for those that remain. */
   void applyServers(List<BackendServer> registered) {
     Map<String, BackendServer> byId = new HashMap<>();
     registered.forEach(server -> byId.put(server.id(), server));
+    versionFilter.applyServers(registered);
     states.values().removeIf(state -> !byId.containsKey(state.server().id()));
     byId.forEach(
         (id, server) -> {
@@ -50,7 +58,28 @@
   }
 
   boolean isAnyAccepting() {
-    return states.values().stream().anyMatch(ServerState::acceptsRequests);
+    return states.values().stream()
+        .anyMatch(state -> state.acceptsRequests() && versionFilter.mayServe(state.server()));
+  }
+
+  /** Records that a request is sent to a server. */
+  void recordStart(ServerState state, PlacementRequest request) {
+    versionFilter.recordStart(state.server());
+    state.recordStart(request);
+  }
+
+  /** Returns the servers that have to be chosen from because of their versions. */
+  private List<ServerState> preferred(List<ServerState> candidates) {
+    if (versionFilter.isOpen()) {
+      return candidates;
+    }
+    List<ServerState> preferred = new ArrayList<>();
+    for (ServerState state : candidates) {
+      if (versionFilter.prefers(state.server())) {
+        preferred.add(state);
+      }
+    }
+    return preferred.isEmpty() ? candidates : preferred;
   }
 
   /** Returns the servers with a free slot for a route rank. */
@@ -61,7 +90,7 @@
         result.add(state);
       }
     }
-    return result;
+    return preferred(result);
   }
 
   /** Returns the number of slots that are free for a route rank. */
@@ -90,7 +119,7 @@
         result.add(state);
       }
     }
-    return result;
+    return preferred(result);
   }
 
   /** Returns the servers that may get requests if they have a free slot. */
@@ -98,7 +127,9 @@
     boolean areAllSuspect = areAllSuspect(now);
     List<ServerState> usable = new ArrayList<>();
     for (ServerState state : states.values()) {
-      if (!state.isAvoided(now) && (areAllSuspect || !state.isSuspect(now))) {
+      if (versionFilter.allows(state.server())
+          && !state.isAvoided(now)
+          && (areAllSuspect || !state.isSuspect(now))) {
         usable.add(state);
       }
     }
@@ -107,7 +138,9 @@
 
   private boolean areAllSuspect(Duration now) {
     for (ServerState state : states.values()) {
-      if (state.acceptsRequests() && !state.isSuspect(now)) {
+      if (versionFilter.allows(state.server())
+          && state.acceptsRequests()
+          && !state.isSuspect(now)) {
         return false;
       }
     }
--- a/src/main/java/org/wigeonstage/platform/standin/Rehearsal.java
+++ b/src/main/java/org/wigeonstage/platform/standin/Rehearsal.java
@@ -63,7 +63,8 @@
   private static GatewayProcess startGateway(
       String name, StoreStandin store, PlatformAdapter adapter) throws IOException {
     GatewaySettings settings = SettingsLoader.parseGateway(settings(name, store.endpoint()));
-    return GatewayProcess.start(settings, adapter.fleetStore(), adapter.headerCodec());
+    return GatewayProcess.start(
+        settings, adapter.fleetStore(), adapter.rolloutStore(), adapter.headerCodec());
   }
 
   private static void awaitPeers(GatewayProcess first, GatewayProcess second)
--- a/src/main/java/org/wigeonstage/platform/standin/StoreStandin.java
+++ b/src/main/java/org/wigeonstage/platform/standin/StoreStandin.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -42,6 +43,7 @@
 
   private final Map<String, TreeMap<String, ObjectNode>> kinds = new TreeMap<>();
   private final AtomicLong calls = new AtomicLong();
+  private final Map<String, Long> callsByKind = new ConcurrentHashMap<>();
   private final HttpServer server;
   private final ScheduledExecutorService timer =
       ControlExecutors.newSingleThreadExecutor("store-timer");
@@ -120,6 +122,16 @@
     return calls.get();
   }
 
+  /**
+   * Returns the number of calls about objects of a kind, without those that were refused.
+   *
+   * @param kind the kind
+   * @return the number
+   */
+  public long callsOf(String kind) {
+    return callsByKind.getOrDefault(kind, 0L);
+  }
+
   /**
    * Writes an object, as the operator or a backend server does.
    *
@@ -186,6 +198,7 @@
       return;
     }
     String[] parts = exchange.path().substring(OBJECTS_PATH.length()).split("/", -1);
+    callsByKind.merge(parts[0], 1L, Long::sum);
     synchronized (this) {
       switch (exchange.method()) {
         case "POST" -> create(exchange, parts[0]);
--- a/src/main/java/org/wigeonstage/rollout/VersionFilter.java
+++ b/src/main/java/org/wigeonstage/rollout/VersionFilter.java
@@ -33,6 +33,7 @@
   private Set<String> exposedIds = Set.of();
   private boolean hasOthers;
   private double credit;
+  private String creditedTarget = "";
 
   /**
    * Replaces the servers of the pool.
@@ -51,10 +52,11 @@
    *
    * @param newRule the rule
    * @param initialCredit the number of requests that the target version may get before others have
-   *     arrived, if this rule is the first one of an order
+   *     arrived, if this rule is the first one that gives it a share
    */
   public void apply(VersionRule newRule, double initialCredit) {
-    if (!newRule.target().equals(rule.target())) {
+    if (newRule.share() > 0 && !newRule.target().equals(creditedTarget)) {
+      creditedTarget = newRule.target();
       credit = initialCredit;
     }
     if (!newRule.equals(rule)) {
--- a/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
+++ b/src/test/java/org/wigeonstage/gateway/GatewayFixture.java
@@ -134,6 +134,7 @@
         GatewayProcess.start(
             SettingsLoader.parseGateway(settings(name).toString()),
             wrapper.apply(adapter.fleetStore()),
+            adapter.rolloutStore(),
             codecWrapper.apply(adapter.headerCodec())));
   }
 
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -99,23 +99,22 @@
                 Map.of("shop", 1L << 40),
                 Map.of("shop", 7L),
                 Map.of("shop", 8L)),
-            new Message.ConfigSnapshot(8, "{}"),
-            new Message.RolloutCommand(
-                new RolloutDirective(ORDER, RolloutStep.RAMP, Duration.ofMillis(7))),
-            new Message.RolloutStatus(
-                new RolloutReport(
-                    ORDER,
-                    Duration.ofMillis(7),
-                    true,
-                    2,
-                    List.of(
-                        new ResponseCounts(
-                            "chat",
-                            "s1",
-                            5,
-                            2,
-                            TimeHistogram.EMPTY,
-                            new TimeHistogram(Map.of(40, 3)))))));
+            new Message.ConfigSnapshot(8, "{}"));
+    for (Message message : messages) {
+      assertThat(MessageDecoder.decode(MessageEncoder.encode(message))).isEqualTo(message);
+    }
+  }
+
+  @Test
+  void decodesEveryEncodedMessageAboutRollouts() {
+    ResponseCounts counts =
+        new ResponseCounts(
+            "chat", "s1", 5, 2, TimeHistogram.EMPTY, new TimeHistogram(Map.of(40, 3)));
+    Duration age = Duration.ofMillis(7);
+    List<Message> messages =
+        List.of(
+            new Message.RolloutCommand(new RolloutDirective(ORDER, RolloutStep.RAMP, age)),
+            new Message.RolloutStatus(new RolloutReport(ORDER, age, true, 2, List.of(counts))));
     for (Message message : messages) {
       assertThat(MessageDecoder.decode(MessageEncoder.encode(message))).isEqualTo(message);
     }
