Tolerate a slow start of the servers of a new version

Servers that have just started may be slow for some seconds. Times are now compared over recent responses, and a version is rolled back for them only if it is still slow 0.6 of the rollback time after its fortieth late response.

--- a/src/main/java/org/wigeonstage/gateway/PoolRollout.java
+++ b/src/main/java/org/wigeonstage/gateway/PoolRollout.java
@@ -205,7 +205,7 @@
     RolloutDecider current = decider;
     boolean isNew = current == null || !current.order().hasSameTarget(order);
     if (current == null || isNew) {
-      current = new RolloutDecider(order, participant.startedAt());
+      current = new RolloutDecider(order, settings.rollbackDelay(), participant.startedAt());
       decider = current;
       reportedLink = null;
       loggedStep = RolloutStep.NONE;
--- a/src/main/java/org/wigeonstage/rollout/ResponseCounts.java
+++ b/src/main/java/org/wigeonstage/rollout/ResponseCounts.java
@@ -31,6 +31,17 @@
         route, serverId, responses, failures, TimeHistogram.EMPTY, TimeHistogram.EMPTY);
   }
 
+  /** Returns the difference; 0 instead of a negative one. */
+  ResponseCounts minus(ResponseCounts earlier) {
+    return new ResponseCounts(
+        route,
+        serverId,
+        Math.max(0, responses - earlier.responses),
+        Math.max(0, failures - earlier.failures),
+        firstParts.minus(earlier.firstParts),
+        durations.minus(earlier.durations));
+  }
+
   ResponseCounts plus(ResponseCounts other) {
     return new ResponseCounts(
         route,
--- a/src/main/java/org/wigeonstage/rollout/RolloutDecider.java
+++ b/src/main/java/org/wigeonstage/rollout/RolloutDecider.java
@@ -1,7 +1,7 @@
 package org.wigeonstage.rollout;
 
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,8 +25,8 @@
   /** Reports are sent every 100 ms; a gateway without a processor may be late for some time. */
   private static final Duration REPORT_VALIDITY = Duration.ofSeconds(1);
 
-  /** A gateway can't have been started again within this time after its last report. */
-  private static final Duration CONFIRMATION_VALIDITY = Duration.ofMillis(300);
+  /** A gateway can't have been stopped and started again since its last report in this time. */
+  private static final Duration CONFIRMATION_VALIDITY = Duration.ofSeconds(1);
 
   private static final Duration WRITE_RETRY_INTERVAL = Duration.ofMillis(300);
 
@@ -42,13 +42,33 @@
   /** Comparing more often finds a fault hardly sooner; a response takes as long. */
   private static final Duration COMPARISON_INTERVAL = Duration.ofMillis(200);
 
+  /**
+   * Servers that have just started may be slow for some seconds, so slow responses count only if
+   * they last. The time runs from before the fiftieth one, and is a part of the one after which a
+   * faulty version must get no more requests.
+   */
+  private static final double SLOW_TOLERANCE_PART = 0.6;
+
+  private static final int MANY_SLOW = 40;
+
+  /** Slow responses that stay away for this long were a phase. */
+  private static final Duration SLOW_MEMORY = Duration.ofSeconds(1);
+
+  /** Below this, the times of all responses are compared instead of those of recent ones. */
+  private static final int MIN_RESPONSES_FOR_RECENT = 150;
+
+  private static final int RECENT_DIVISOR = 16;
   private static final int RAMP_DIVISOR = 16;
   private static final int MIN_RESPONSES = 10;
 
   private final Duration startedAt;
+  private final Duration rollbackDelay;
   private final Map<String, GatewayEvidence> evidenceByGateway = new HashMap<>();
-  private VersionComparison comparison = new VersionComparison(List.of(), false);
+  private VersionComparison comparison = new VersionComparison(List.of());
+  private final RecentCounts recentCounts;
   private Duration comparedAt = Duration.ZERO;
+  private Duration manySlowAt = Duration.ZERO;
+  private Duration lastSlowAt = SLOW_MEMORY.negated();
   private RolloutOrder order;
   private RolloutStep step = RolloutStep.NONE;
   private Duration rampStartedAt = Duration.ZERO;
@@ -71,17 +91,19 @@
     }
   }
 
-  private record CountsKey(String route, String serverId) {}
-
   /**
    * Creates a decider.
    *
    * @param order the order
+   * @param rollbackDelay the time after the fiftieth faulty response of a version after which it
+   *     must get no more requests
    * @param startedAt when the order was known first
    */
-  public RolloutDecider(RolloutOrder order, Duration startedAt) {
+  public RolloutDecider(RolloutOrder order, Duration rollbackDelay, Duration startedAt) {
     this.order = order;
+    this.rollbackDelay = rollbackDelay;
     this.startedAt = startedAt;
+    this.recentCounts = new RecentCounts(order.duration().dividedBy(RECENT_DIVISOR), startedAt);
   }
 
   /**
@@ -121,7 +143,7 @@
     evidence.hasLeftOthers = report.hasLeftOthers();
     evidence.runningAtOthers = report.runningAtOthers();
     for (ResponseCounts counts : report.counts()) {
-      evidence.counts.put(new CountsKey(counts.route(), counts.serverId()), counts);
+      evidence.counts.put(CountsKey.of(counts), counts);
     }
   }
 
@@ -176,15 +198,46 @@
 
   /** Compares the versions; once the target version has all traffic, only their failures. */
   private void compare(boolean isFull, int targetServers, Duration now) {
-    if (fault.isEmpty() && now.minus(comparedAt).compareTo(COMPARISON_INTERVAL) >= 0) {
-      comparedAt = now;
-      List<ResponseCounts> counts = new ArrayList<>();
-      evidenceByGateway.values().forEach(evidence -> counts.addAll(evidence.counts.values()));
-      comparison = new VersionComparison(counts, !isFull);
-      fault = comparison.fault(targetServers);
+    if (!fault.isEmpty() || now.minus(comparedAt).compareTo(COMPARISON_INTERVAL) < 0) {
+      return;
+    }
+    comparedAt = now;
+    Map<CountsKey, ResponseCounts> sums = new HashMap<>();
+    for (GatewayEvidence evidence : evidenceByGateway.values()) {
+      evidence.counts.forEach(
+          (key, counts) ->
+              sums.merge(key, isFull ? counts.withoutTimes() : counts, ResponseCounts::plus));
+    }
+    comparison = new VersionComparison(sums.values());
+    fault = comparison.failure(targetServers);
+    if (fault.isEmpty() && !isFull) {
+      compareTimes(sums, targetServers, now);
     }
   }
 
+  private void compareTimes(Map<CountsKey, ResponseCounts> sums, int targetServers, Duration now) {
+    Collection<ResponseCounts> recent = recentCounts.update(sums, now);
+    boolean hasMany = comparison.responses() >= MIN_RESPONSES_FOR_RECENT;
+    String slowness =
+        (hasMany ? new VersionComparison(recent) : comparison).slowness(targetServers);
+    if (slowness.isEmpty()) {
+      return;
+    }
+    lastSlowAt = now;
+    if (manySlowAt.isZero() && comparison.countSlow() >= MANY_SLOW) {
+      manySlowAt = now;
+    }
+    Duration tolerance = Duration.ofMillis((long) (rollbackDelay.toMillis() * SLOW_TOLERANCE_PART));
+    boolean hasLasted = !manySlowAt.isZero() && now.minus(manySlowAt).compareTo(tolerance) >= 0;
+    if (hasLasted || elapsedPart(now) >= MAX_OBSERVATION_PART) {
+      fault = slowness;
+    }
+  }
+
+  private boolean isSlow(Duration now) {
+    return now.minus(lastSlowAt).compareTo(SLOW_MEMORY) < 0;
+  }
+
   private void updateStep(boolean isMajority, int targetServers, Duration now) {
     // Gateways return from the last step only after a write, so a new decider continues with it.
     boolean isFull =
@@ -212,6 +265,9 @@
   }
 
   private RolloutStep nextStep(Duration now) {
+    if (isSlow(now)) {
+      rampStartedAt = Duration.ZERO;
+    }
     if (!rampStartedAt.isZero()) {
       Duration rampTime = order.duration().dividedBy(RAMP_DIVISOR);
       return now.minus(rampStartedAt).compareTo(rampTime) >= 0
@@ -220,8 +276,9 @@
     }
     double part = elapsedPart(now);
     boolean isObserved =
-        (part >= OBSERVATION_PART && comparison.isSufficient())
-            || (part >= MAX_OBSERVATION_PART && comparison.responses() >= MIN_RESPONSES);
+        !isSlow(now)
+            && ((part >= OBSERVATION_PART && comparison.isSufficient())
+                || (part >= MAX_OBSERVATION_PART && comparison.responses() >= MIN_RESPONSES));
     // An order whose state can't be written can't be completed either.
     if (isObserved && order.state() == RolloutState.ACTIVE) {
       rampStartedAt = now;
--- a/src/main/java/org/wigeonstage/rollout/TimeHistogram.java
+++ b/src/main/java/org/wigeonstage/rollout/TimeHistogram.java
@@ -53,6 +53,19 @@
     return new TimeHistogram(sum);
   }
 
+  /** Returns the difference; 0 instead of a negative count. */
+  TimeHistogram minus(TimeHistogram earlier) {
+    Map<Integer, Integer> difference = new HashMap<>();
+    countsByBucket.forEach(
+        (bucket, count) -> {
+          int added = count - earlier.countIn(bucket);
+          if (added > 0) {
+            difference.put(bucket, added);
+          }
+        });
+    return new TimeHistogram(difference);
+  }
+
   int total() {
     return countsByBucket.values().stream().mapToInt(Integer::intValue).sum();
   }
--- a/src/main/java/org/wigeonstage/rollout/VersionComparison.java
+++ b/src/main/java/org/wigeonstage/rollout/VersionComparison.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.ToIntFunction;
 import org.jspecify.annotations.Nullable;
@@ -56,17 +57,8 @@
   private final Map<String, ResponseCounts> othersByRoute = new HashMap<>();
   private final Map<String, Map<String, ResponseCounts>> targetByRoute = new HashMap<>();
 
-  private final boolean comparesTimes;
-
-  /**
-   * Sums up the counts of all gateways.
-   *
-   * @param comparesTimes whether other versions have the same load, so that times are comparable
-   */
-  VersionComparison(Collection<ResponseCounts> allCounts, boolean comparesTimes) {
-    this.comparesTimes = comparesTimes;
-    for (ResponseCounts reported : allCounts) {
-      ResponseCounts counts = comparesTimes ? reported : reported.withoutTimes();
+  VersionComparison(Collection<ResponseCounts> allCounts) {
+    for (ResponseCounts counts : allCounts) {
       if (counts.isOfTarget()) {
         targetByRoute
             .computeIfAbsent(counts.route(), key -> new HashMap<>())
@@ -132,11 +124,11 @@
   }
 
   /**
-   * Returns what is worse at the target version, or empty if nothing is.
+   * Returns which responses of the target version fail more often, or empty if none do.
    *
    * @param serverCount the number of servers of the target version
    */
-  String fault(int serverCount) {
+  String failure(int serverCount) {
     List<Sample> allFailures = new ArrayList<>();
     for (Map.Entry<String, Map<String, ResponseCounts>> entry : targetByRoute.entrySet()) {
       Collection<ResponseCounts> target = entry.getValue().values();
@@ -146,14 +138,6 @@
       if (isWorse(failures, failuresOf(others), MIN_EXCESS, serverCount)) {
         return "failures of " + entry.getKey();
       }
-      if (comparesTimes && others != null) {
-        if (isSlower(target, others, Times.FIRST_PARTS, serverCount)) {
-          return "first parts of " + entry.getKey();
-        }
-        if (isSlower(target, others, Times.DURATIONS, serverCount)) {
-          return "durations of " + entry.getKey();
-        }
-      }
     }
     Sample others =
         othersByRoute.values().stream()
@@ -166,6 +150,46 @@
         : "";
   }
 
+  /**
+   * Returns which responses of the target version take longer, or empty if none do. To be called
+   * only while other versions have the same load.
+   *
+   * @param serverCount the number of servers of the target version
+   */
+  String slowness(int serverCount) {
+    for (Map.Entry<String, Map<String, ResponseCounts>> entry : targetByRoute.entrySet()) {
+      Collection<ResponseCounts> target = entry.getValue().values();
+      ResponseCounts others = othersByRoute.get(entry.getKey());
+      for (Times times : Times.values()) {
+        if (others != null && isSlower(target, others, times, serverCount)) {
+          return times.name().toLowerCase(Locale.ROOT) + " of " + entry.getKey();
+        }
+      }
+    }
+    return "";
+  }
+
+  /** Returns how many responses of the target version are late. */
+  int countSlow() {
+    int count = 0;
+    for (Map.Entry<String, Map<String, ResponseCounts>> entry : targetByRoute.entrySet()) {
+      ResponseCounts others = othersByRoute.get(entry.getKey());
+      if (others != null && others.durations().total() >= MIN_OTHERS_FOR_TIMES) {
+        for (ResponseCounts counts : entry.getValue().values()) {
+          count +=
+              Math.max(
+                  countSlow(counts, others, Times.FIRST_PARTS),
+                  countSlow(counts, others, Times.DURATIONS));
+        }
+      }
+    }
+    return count;
+  }
+
+  private static int countSlow(ResponseCounts counts, ResponseCounts others, Times times) {
+    return times.of(counts).countFrom(times.of(others).medianBucket() + SLOW_BUCKETS);
+  }
+
   private enum Times {
     FIRST_PARTS,
     DURATIONS;
--- a/src/test/java/org/wigeonstage/rollout/RolloutDeciderTest.java
+++ b/src/test/java/org/wigeonstage/rollout/RolloutDeciderTest.java
@@ -114,6 +114,21 @@
     }
   }
 
+  /** Guards against new servers whose slow start is taken for a fault of their version. */
+  @Test
+  void completesSoundVersionWhoseServersStartSlowly() {
+    SimulatedRollout rollout =
+        ordered(
+            1,
+            (server, route, running, now, random) -> {
+              Response usual = SOUND.respond(server, route, running, now, random);
+              boolean isCold = server.version().equals("v2") && now.toMillis() < 2000;
+              return isCold ? new Response(false, usual.duration().multipliedBy(4)) : usual;
+            });
+    rollout.runFor(ORDER_TIME);
+    assertCompletedInTime(rollout);
+  }
+
   /** Guards against a version that fails only once its servers have their usual load. */
   @Test
   void rollsBackVersionThatFailsUnderLoadOnly() {
