--- a/src/main/java/org/wigeonstage/gateway/PoolRollout.java
+++ b/src/main/java/org/wigeonstage/gateway/PoolRollout.java
@@ -29,6 +29,11 @@
 
   private static final Duration EXCHANGE_INTERVAL = Duration.ofMillis(100);
 
+  /**
+   * Interval between complete reports, because the peer may not have known yet that it is elected.
+   */
+  private static final Duration COMPLETE_REPORT_INTERVAL = Duration.ofSeconds(2);
+
   /** Interval between directives that repeat the step. */
   private static final Duration DIRECTIVE_INTERVAL = Duration.ofMillis(200);
 
@@ -48,6 +53,7 @@
   /** The link to the elected gateway that has received all evidence, or null. */
   private @Nullable Link reportedLink;
 
+  private Duration completeReportAt = Duration.ZERO;
   private RolloutStep loggedStep = RolloutStep.NONE;
   private @Nullable RolloutDirective lastDirective;
   private double initialCredit;
@@ -190,10 +196,12 @@
     decider = null;
     Link link = links.link(elected);
     if (link != null) {
+      boolean isComplete = link != reportedLink || now.compareTo(completeReportAt) >= 0;
       participant
-          .report(running(), link != reportedLink, now)
+          .report(running(), isComplete, now)
           .ifPresent(report -> link.send(new Message.RolloutStatus(report)));
       reportedLink = link;
+      completeReportAt = isComplete ? now.plus(COMPLETE_REPORT_INTERVAL) : completeReportAt;
     }
   }
 
--- a/src/test/java/org/wigeonstage/rollout/RolloutDeciderTest.java
+++ b/src/test/java/org/wigeonstage/rollout/RolloutDeciderTest.java
@@ -161,6 +161,29 @@
     assertCompletedInTime(rollout);
   }
 
+  /** Guards against a return to servers that a completion on its way would stop. */
+  @Test
+  void faultFoundWhileOthersEndIsWrittenBeforeGatewaysReturn() {
+    SimulatedRollout rollout =
+        ordered(
+            1,
+            (server, route, running, now, random) -> {
+              boolean isLong = server.version().equals("v1") && random.nextInt(50) == 0;
+              return isLong
+                  ? new Response(false, Duration.ofSeconds(8))
+                  : failing(0.5, Duration.ofSeconds(7), "")
+                      .respond(server, route, running, now, random);
+            });
+    rollout.runFor(Duration.ofMillis(6900));
+    assertThat(rollout.gateways.values())
+        .allSatisfy(gateway -> assertThat(gateway.filter.allows(rollout.servers.get(0))).isFalse());
+    rollout.runFor(ORDER_TIME);
+    assertThat(rollout.written).containsExactly(RolloutState.ACTIVE, RolloutState.ROLLED_BACK);
+    assertThat(rollout.lastSentToTarget).isLessThanOrEqualTo(rollout.endedAt.plusMillis(20));
+    assertThat(rollout.lastSentToTarget)
+        .isLessThanOrEqualTo(rollout.badAt.get(49).plus(Duration.ofSeconds(5)));
+  }
+
   /** Guards against an order that ends with its decider. */
   @ParameterizedTest
   @ValueSource(longs = {500, 3000, 6000, 6500, 7000})
