--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -4,15 +4,10 @@
 import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableMap;
-import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.function.IntSupplier;
-import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.common.RepeatedTask;
@@ -47,7 +42,7 @@
   private final AccountQuotas quotas;
   private final SplittableRandom random = new SplittableRandom();
   private final RequestLogSampler logSampler;
-  private final Map<String, PoolScheduler> pools = new HashMap<>();
+  private final PoolSchedulers pools;
   private final RetryBudgets retryBudgets;
   private final Map<PlacementRequest, ForwardedRequest> openRequests = new HashMap<>();
   private final RejectionSender rejectionSender;
@@ -57,10 +52,11 @@
   private final PromptHolds promptHolds;
   private final KnownServers knownServers;
   private final ServerCapacities capacities;
+  private final ProcessDelay processDelay;
+  private final Rollouts rollouts;
   private int gatewayCount = 1;
   private boolean hasNonLeavingPeer;
   private boolean stoppedAccepting;
-  private final ProcessDelay processDelay;
   private volatile @Nullable Duration leavingSince;
 
   GatewayCore(
@@ -87,6 +83,11 @@
     this.quotas = quotas;
     this.promptHolds = new PromptHolds(clock, metrics, this::checkPrompts);
     this.knownServers = new KnownServers(clock, metrics);
+    this.rollouts = new Rollouts(metrics);
+    this.pools =
+        new PoolSchedulers(
+            name ->
+                rollouts.attach(name, capacities.createScheduler(name, placementExecutor, random)));
   }
 
   /** Runs an action with the lock held. */
@@ -104,7 +105,6 @@
     return clock.elapsed();
   }
 
-  /** Returns the guard that runs the steps of requests. */
   RequestGuard guard() {
     return guard;
   }
@@ -133,6 +133,10 @@
     return knownServers;
   }
 
+  Rollouts rollouts() {
+    return rollouts;
+  }
+
   /** Ends or defers the open requests that must not be sent to a server any more. */
   private void checkPrompts() {
     // Streams that wait for the retry budget are checked when they are submitted again.
@@ -187,6 +191,7 @@
         .onDelivered(
             offset -> withLock(() -> guard.run(request, "delivery", request::dataDelivered)));
     retryBudgets.recordRequest(request.poolName(), inbound.arrivedAt());
+    rollouts.recordArrival(request.poolName());
     submit(request, now());
   }
 
@@ -202,9 +207,7 @@
   private void catchUp(Duration now) {
     if (processDelay.isLate(now)) {
       Duration from = processDelay.lastTickAt();
-      pools.forEach(
-          (name, pool) ->
-              RepeatedTask.runPart("delay of " + name, () -> pool.recordProcessDelay(from, now)));
+      pools.recordProcessDelay(from, now);
     }
   }
 
@@ -234,7 +237,6 @@
     openRequests.put(request.placement(), request);
   }
 
-  /** Withdraws a request from placement. */
   void withdraw(ForwardedRequest request) {
     pool(request.poolName()).withdraw(request.placement());
   }
@@ -354,8 +356,7 @@
 
   /** Returns whether requests wait for a slot in any pool of the route. */
   boolean hasWaitingRequests(Route route) {
-    return route.pools().stream()
-        .anyMatch(weightedPool -> pool(weightedPool.pool()).waitingCount() > 0);
+    return pools.hasWaitingRequests(route);
   }
 
   /** Returns the expected duration of a response, at the speed of the route's first pool. */
@@ -399,9 +400,7 @@
   /** Applies the client accounts and pools of a configuration. */
   void applyConfiguration(RoutingTable table) {
     quotas.applyAccounts(table.accounts(), now());
-    table
-        .pools()
-        .forEach(pool -> pool(pool.name()).applyDefinition(pool, table.routeRanks(pool.name())));
+    pools.applyDefinitions(table);
   }
 
   /** Applies a new list of backend servers. */
@@ -418,12 +417,7 @@
   }
 
   private void applyKnownServers() {
-    Map<String, List<BackendServer>> byPool =
-        knownServers.servers().stream().collect(Collectors.groupingBy(BackendServer::pool));
-    Duration now = now();
-    Set<String> poolNames = new HashSet<>(pools.keySet());
-    poolNames.addAll(byPool.keySet());
-    poolNames.forEach(name -> pool(name).applyServers(byPool.getOrDefault(name, List.of()), now));
+    pools.applyServers(knownServers.servers(), now());
   }
 
   /** Sets the number of gateways that share the quotas and retry budgets, this one included. */
@@ -446,16 +440,12 @@
   void applyPeerLoad(
       Map<String, Integer> running, List<WaitingCount> waiting, boolean hasNonLeavingPeer) {
     this.hasNonLeavingPeer = hasNonLeavingPeer;
-    Duration now = now();
-    Map<String, NavigableMap<Urgency, Integer>> byPool = GatewayLoads.waitingByPool(waiting);
-    pools.forEach(
-        (name, pool) ->
-            pool.applyPeerLoad(running, byPool.getOrDefault(name, new TreeMap<>()), now));
+    pools.applyPeerLoad(running, waiting, now());
   }
 
   /** Returns the complete load and quota usage of this gateway, to be sent to its peers. */
   Message.GatewayLoad load() {
-    return GatewayLoads.of(pools, quotas, isLeaving(), now());
+    return GatewayLoads.of(pools.byName(), quotas, isLeaving(), now());
   }
 
   /**
@@ -494,11 +484,10 @@
     RepeatedTask.runPart("check of prompt holds", promptHolds::tick);
     RepeatedTask.runPart("deferred requests", this::submitDeferred);
     RepeatedTask.runPart("resumption of streams", () -> pendingResumptions.tick(now));
-    pools.forEach((name, pool) -> RepeatedTask.runPart("check of " + name, () -> pool.tick(now)));
+    pools.tick(now);
   }
 
   private PoolScheduler pool(String name) {
-    return pools.computeIfAbsent(
-        name, key -> capacities.createScheduler(name, placementExecutor, random));
+    return pools.pool(name);
   }
 }
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -81,6 +81,7 @@
   private final PendingLinks pendingLinks;
   private final SplittableRandom random;
   private final PeerLoadSums loadSums = new PeerLoadSums();
+  private final RolloutLinks rolloutLinks;
 
   /**
    * Names of peers that expired. Registrations outlive their gateways, so an expired peer counts
@@ -102,6 +103,7 @@
     this.core = core;
     this.metrics = new PeerLinkMetrics(metrics);
     this.pendingLinks = new PendingLinks(this.metrics);
+    this.rolloutLinks = new RolloutLinks(name, peers);
     this.random = new SplittableRandom(Objects.hash(name, incarnation));
     core.promptHolds().setOwnTurn(this::isOwnTurn);
     this.connector =
@@ -113,8 +115,7 @@
   }
 
   private Message.Hello hello() {
-    return new Message.Hello(
-        Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.LINK_CHOICE);
+    return new Message.Hello(Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.ROLLOUTS);
   }
 
   void start() {
@@ -224,6 +225,7 @@
     }
     applyPeerLoads(now);
     pendingLinks.tick(now);
+    core.rollouts().tick(rolloutLinks, now);
   }
 
   private void updateMetrics(Duration now) {
@@ -350,6 +352,7 @@
     String message = String.valueOf(cause.getMessage());
     if (cause instanceof ConnectException && message.contains("refused")) {
       peer.usage.markStopped(core.now());
+      peer.isStopped = true;
     }
   }
 
@@ -433,6 +436,10 @@
       core.promptHolds().applyReport(crash.report(), link.peerHello().name());
     } else if (message instanceof Message.ServerLeaving leaving) {
       core.recordLeaving(leaving.runId(), leaving.age(), link.peerHello().name());
+    } else if (message instanceof Message.RolloutStatus status) {
+      core.rollouts().applyReport(link.peerHello().name(), status.report(), core.now());
+    } else if (message instanceof Message.RolloutCommand command) {
+      core.rollouts().applyDirective(command.directive(), core.now());
     }
   }
 
@@ -448,6 +455,7 @@
       return; // changes to a load that was sent on a replaced link
     }
     peer.lastReportAt = now;
+    peer.isStopped = false;
     Map<String, Integer> running = peer.load.runningByServer();
     peer.load = LoadChanges.apply(peer.load, load);
     if (!load.isComplete() && peer.includedRunning == running) {
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.wigeonstage.capacity.PoolCapacity;
 import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.rollout.VersionFilter;
 import org.wigeonstage.routes.PoolDefinition;
 
 /**
@@ -75,6 +76,15 @@
     this.retryAfter = new RetryAfter(random);
   }
 
+  /**
+   * Sets the filter that decides by versions which servers may get requests.
+   *
+   * @param filter the filter
+   */
+  public void setVersionFilter(VersionFilter filter) {
+    servers.setVersionFilter(filter);
+  }
+
   /**
    * Replaces the registered servers of the pool, and keeps the estimates for those that remain.
    *
@@ -436,7 +446,7 @@
     claims.recordStart(request.urgency());
     ServerEstimate estimate = state.estimate(request);
     request.markTried(state.server().id());
-    state.recordStart(request, now);
+    servers.recordStart(state, request, now);
     effects.start(request, state.server(), estimate);
   }
 
--- a/src/main/java/org/wigeonstage/placement/ServerStates.java
+++ b/src/main/java/org/wigeonstage/placement/ServerStates.java
@@ -14,6 +14,7 @@
 import java.util.stream.Collectors;
 import org.wigeonstage.capacity.PoolCapacity;
 import org.wigeonstage.fleet.BackendServer;
+import org.wigeonstage.rollout.VersionFilter;
 
 /** The servers of one pool with their estimated states, and which of them can take a request. */
 final class ServerStates {
@@ -25,6 +26,7 @@
   private final Map<String, ServerState> states = new HashMap<>();
   private final Optional<PoolCapacity> capacity;
   private Map<String, Integer> runningAtPeers = Map.of();
+  private VersionFilter versionFilter = new VersionFilter();
 
   ServerStates(SchedulingLimits limits, SlotReservations reservations) {
     this.limits = limits;
@@ -38,10 +40,16 @@
     return capacity;
   }
 
+  /** Sets the filter that decides by versions which servers may get requests. */
+  void setVersionFilter(VersionFilter filter) {
+    versionFilter = filter;
+  }
+
   /** Replaces the registered servers, and keeps the estimates for those that remain. */
   void applyServers(List<BackendServer> registered) {
     Map<String, BackendServer> byId = new HashMap<>();
     registered.forEach(server -> byId.put(server.id(), server));
+    versionFilter.applyServers(registered);
     states.values().removeIf(state -> !byId.containsKey(state.server().id()));
     byId.forEach(
         (id, server) -> {
@@ -86,7 +94,28 @@
   }
 
   boolean isAnyAccepting() {
-    return states.values().stream().anyMatch(ServerState::acceptsRequests);
+    return states.values().stream()
+        .anyMatch(state -> state.acceptsRequests() && versionFilter.mayServe(state.server()));
+  }
+
+  /** Records that a request is sent to a server. */
+  void recordStart(ServerState state, PlacementRequest request, Duration now) {
+    versionFilter.recordStart(state.server());
+    state.recordStart(request, now);
+  }
+
+  /** Returns the servers that have to be chosen from because of their versions. */
+  private List<ServerState> preferred(List<ServerState> candidates) {
+    if (versionFilter.isOpen()) {
+      return candidates;
+    }
+    List<ServerState> preferred = new ArrayList<>();
+    for (ServerState state : candidates) {
+      if (versionFilter.prefers(state.server())) {
+        preferred.add(state);
+      }
+    }
+    return preferred.isEmpty() ? candidates : preferred;
   }
 
   /** Returns the servers with a free slot for a route rank. */
@@ -97,7 +126,7 @@
         result.add(state);
       }
     }
-    return result;
+    return preferred(result);
   }
 
   /** Returns the number of slots that are free for a route rank. */
@@ -126,7 +155,7 @@
         result.add(state);
       }
     }
-    return result;
+    return preferred(result);
   }
 
   /** Returns the servers that may get requests if they have a free slot. */
@@ -134,7 +163,9 @@
     boolean areAllSuspect = areAllSuspect(now);
     List<ServerState> usable = new ArrayList<>();
     for (ServerState state : states.values()) {
-      if (!state.isAvoided(now) && (areAllSuspect || !state.isSuspect(now))) {
+      if (versionFilter.allows(state.server())
+          && !state.isAvoided(now)
+          && (areAllSuspect || !state.isSuspect(now))) {
         usable.add(state);
       }
     }
@@ -143,7 +174,9 @@
 
   private boolean areAllSuspect(Duration now) {
     for (ServerState state : states.values()) {
-      if (state.acceptsRequests() && !state.isSuspect(now)) {
+      if (versionFilter.allows(state.server())
+          && state.acceptsRequests()
+          && !state.isSuspect(now)) {
         return false;
       }
     }
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -64,6 +64,8 @@
           new Message.ServerLeaving(readText(in), Duration.ofMillis(in.unpackLong()));
       case LINK_CONFIRMED -> new Message.LinkConfirmed();
       case LINK_CLOSING -> new Message.LinkClosing(readText(in));
+      case ROLLOUT_STATUS -> new Message.RolloutStatus(RolloutCodec.readReport(in));
+      case ROLLOUT_COMMAND -> new Message.RolloutCommand(RolloutCodec.readDirective(in));
       default -> readRequestMessage(type, RequestId.of(readText(in)), in);
     };
   }
@@ -214,7 +216,7 @@
    * Reads a text. {@link MessageUnpacker#unpackString} would allocate a decoding buffer of 16 KB
    * for each message.
    */
-  private static String readText(MessageUnpacker in) throws IOException {
+  static String readText(MessageUnpacker in) throws IOException {
     return new String(in.readPayload(in.unpackRawStringHeader()), StandardCharsets.UTF_8);
   }
 
@@ -222,7 +224,7 @@
     return in.tryUnpackNil() ? null : readText(in);
   }
 
-  private static <T> T enumConstant(T[] constants, int ordinal) {
+  static <T> T enumConstant(T[] constants, int ordinal) {
     if (ordinal < 0 || ordinal >= constants.length) {
       throw new BadFrameException(
           "enum ordinal must be at least 0 and below " + constants.length + ", was " + ordinal,
--- a/src/test/java/org/wigeonstage/LayeringTest.java
+++ b/src/test/java/org/wigeonstage/LayeringTest.java
@@ -29,7 +29,8 @@
     "org.wigeonstage.placement..",
     "org.wigeonstage.quota..",
     "org.wigeonstage.crash..",
-    "org.wigeonstage.peering.."
+    "org.wigeonstage.peering..",
+    "org.wigeonstage.rollout.."
   };
 
   @ArchTest
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -25,9 +25,19 @@
 import org.wigeonstage.request.RequestId;
 import org.wigeonstage.request.RequestSpec;
 import org.wigeonstage.request.Tier;
+import org.wigeonstage.rollout.ResponseCounts;
+import org.wigeonstage.rollout.RolloutDirective;
+import org.wigeonstage.rollout.RolloutOrder;
+import org.wigeonstage.rollout.RolloutReport;
+import org.wigeonstage.rollout.RolloutState;
+import org.wigeonstage.rollout.RolloutStep;
+import org.wigeonstage.rollout.TimeHistogram;
 
 class MessageCodecTest {
 
+  private static final RolloutOrder ORDER =
+      new RolloutOrder("n", "p", "v2", Duration.ofSeconds(12), 1L << 40, RolloutState.ACTIVE);
+
   private static final RequestId ID = RequestId.of("r-1");
   private static final HttpCall CALL =
       new HttpCall("POST", "/confirm?x=1", null, "body".getBytes(StandardCharsets.UTF_8));
@@ -95,6 +105,21 @@
     }
   }
 
+  @Test
+  void decodesEveryEncodedMessageAboutRollouts() {
+    ResponseCounts counts =
+        new ResponseCounts(
+            "chat", "s1", 5, 2, TimeHistogram.EMPTY, new TimeHistogram(Map.of(40, 3)));
+    Duration age = Duration.ofMillis(7);
+    List<Message> messages =
+        List.of(
+            new Message.RolloutCommand(new RolloutDirective(ORDER, RolloutStep.RAMP, age)),
+            new Message.RolloutStatus(new RolloutReport(ORDER, age, true, 2, List.of(counts))));
+    for (Message message : messages) {
+      assertThat(MessageDecoder.decode(MessageEncoder.encode(message))).isEqualTo(message);
+    }
+  }
+
   @Test
   void decodesBytesOfChunk() {
     byte[] data = {1, 2, 3};
