Let accounts over their fair share yield to others of their rank

Accounts of a rank shared the slots by arrival, so that an account that sent seven times its usual load delayed all others. An account that uses more than 1.5 times its fair share of the tokens of its rank, over all gateways in the quota window and in proportion to the quotas, now goes behind the others in the queue of its urgency and leaves one more slot of each server free for them, which also holds for requests that wait at peers.

--- a/src/main/java/org/wigeonstage/gateway/DelayFilter.java
+++ b/src/main/java/org/wigeonstage/gateway/DelayFilter.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.wigeonstage.common.ErrorCode;
-import org.wigeonstage.placement.Urgency;
 import org.wigeonstage.routes.Route;
 
 /** Rejects requests that can't be served in time because this process is behind. */
@@ -28,10 +27,9 @@
   @Override
   public Optional<Rejection> apply(InboundRequest request) {
     Route route = request.route();
-    Urgency urgency =
-        new Urgency(request.account().map(account -> account.rank()).orElse(0), route.rank());
     Duration age = core.now().minus(request.arrivedAt());
-    if (!admission.isTooLate(urgency, route.firstPartObjective(), age) || !readLag.isBehind()) {
+    if (!admission.isTooLate(request.urgency(), route.firstPartObjective(), age)
+        || !readLag.isBehind()) {
       return Optional.empty();
     }
     core.count("callers.rejectedBehind");
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -61,6 +61,7 @@
   private boolean hasNonLeavingPeer;
   private boolean stoppedAccepting;
   private final ProcessDelay processDelay;
+  private final CachedFairShares fairShares;
   private volatile @Nullable Duration leavingSince;
 
   GatewayCore(
@@ -83,6 +84,7 @@
     this.logSampler = logSampler;
     this.processDelay = new ProcessDelay(clock.elapsed());
     this.quotas = quotas;
+    this.fairShares = new CachedFairShares(quotas);
     this.promptHolds = new PromptHolds(clock, metrics, this::checkPrompts);
     this.knownServers = new KnownServers(clock, metrics);
   }
@@ -152,17 +154,8 @@
     Duration arrivedAt = inbound.arrivedAt();
     Duration requestedLimit = inbound.fields().timeLimit().orElse(route.timeout());
     Duration timeLimit = Comparators.min(requestedLimit, route.timeout());
-    PlacementRequest placement =
-        new PlacementRequest(
-            inbound.fields().requestId(),
-            new Urgency(inbound.account().map(account -> account.rank()).orElse(0), route.rank()),
-            arrivedAt,
-            arrivedAt.plus(WaitLimits.maxTimeToFirstPart(route)),
-            arrivedAt.plus(WaitLimits.maxSlotWait(route, timeLimit)),
-            inbound.fields().promptTokens(),
-            pool(poolName).eventCount(inbound.fields().expectedOutputTokens()),
-            arrivedAt.plus(timeLimit));
-    WaitLimits.maxQueueTime(route).ifPresent(placement::limitQueueTime);
+    long events = pool(poolName).eventCount(inbound.fields().expectedOutputTokens());
+    PlacementRequest placement = WaitLimits.placementOf(inbound, timeLimit, events);
     Duration now = now();
     RequestLog log = new RequestLog(inbound.fields().requestId(), arrivedAt, clock);
     log.addAcceptance(inbound, placement, poolName, timeLimit);
@@ -442,9 +435,12 @@
     this.hasNonLeavingPeer = hasNonLeavingPeer;
     Duration now = now();
     Map<String, NavigableMap<Urgency, Integer>> byPool = GatewayLoads.waitingByPool(waiting);
+    Set<String> overShare = fairShares.accountsOver(now);
     pools.forEach(
-        (name, pool) ->
-            pool.applyPeerLoad(running, byPool.getOrDefault(name, new TreeMap<>()), now));
+        (name, pool) -> {
+          pool.applyAccountsOverShare(overShare);
+          pool.applyPeerLoad(running, byPool.getOrDefault(name, new TreeMap<>()), now);
+        });
   }
 
   /** Returns the complete load and quota usage of this gateway, to be sent to its peers. */
--- a/src/main/java/org/wigeonstage/gateway/InboundRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/InboundRequest.java
@@ -8,6 +8,7 @@
 import org.wigeonstage.forward.RequestFields;
 import org.wigeonstage.http.OutboundCall;
 import org.wigeonstage.http.ServerExchange;
+import org.wigeonstage.placement.Urgency;
 import org.wigeonstage.routes.ClientAccount;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.routes.RoutingTable;
@@ -98,6 +99,11 @@
     return account;
   }
 
+  /** Returns the urgency, from the ranks of the account and the route. */
+  Urgency urgency() {
+    return new Urgency(account.map(ClientAccount::rank).orElse(0), route().rank());
+  }
+
   /** Records the units acquired from the account's quota. */
   void setQuotaUnits(long acquiredUnits) {
     quotaUnits = acquiredUnits;
--- a/src/main/java/org/wigeonstage/gateway/WaitLimits.java
+++ b/src/main/java/org/wigeonstage/gateway/WaitLimits.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.Optional;
+import org.wigeonstage.placement.PlacementRequest;
 import org.wigeonstage.routes.Route;
 import org.wigeonstage.routes.RouteKind;
 
@@ -35,6 +36,32 @@
 
   private WaitLimits() {}
 
+  /**
+   * Returns the request for placement of a caller's request.
+   *
+   * @param inbound the caller's request
+   * @param timeLimit the time from its arrival until the response must be complete
+   * @param expectedEvents the expected number of events in the response
+   */
+  static PlacementRequest placementOf(
+      InboundRequest inbound, Duration timeLimit, long expectedEvents) {
+    Route route = inbound.route();
+    Duration arrivedAt = inbound.arrivedAt();
+    PlacementRequest placement =
+        new PlacementRequest(
+            inbound.fields().requestId(),
+            inbound.urgency(),
+            arrivedAt,
+            arrivedAt.plus(maxTimeToFirstPart(route)),
+            arrivedAt.plus(maxSlotWait(route, timeLimit)),
+            inbound.fields().promptTokens(),
+            expectedEvents,
+            arrivedAt.plus(timeLimit));
+    maxQueueTime(route).ifPresent(placement::limitQueueTime);
+    inbound.account().ifPresent(account -> placement.assignAccount(account.name()));
+    return placement;
+  }
+
   /** Returns the time after a request's arrival until which its first part is on time. */
   static Duration maxTimeToFirstPart(Route route) {
     return scale(route.firstPartObjective(), ON_TIME_SHARE);
--- a/src/main/java/org/wigeonstage/placement/PlacementRequest.java
+++ b/src/main/java/org/wigeonstage/placement/PlacementRequest.java
@@ -23,6 +23,7 @@
   private final Duration deadline;
   private Optional<Duration> maxQueueTime = Optional.empty();
   private Optional<Duration> queuedUntil = Optional.empty();
+  private String account = "";
   private boolean hasResponseStarted;
   private final Set<String> triedServers = new HashSet<>();
 
@@ -77,6 +78,7 @@
             promptTokens,
             expectedEvents,
             deadline);
+    next.account = account;
     next.triedServers.addAll(triedServers);
     next.hasResponseStarted = true;
     return next;
@@ -118,6 +120,19 @@
     return startBy;
   }
 
+  /**
+   * Sets the client account that sent the request.
+   *
+   * @param name the name of the account
+   */
+  public void assignAccount(String name) {
+    account = name;
+  }
+
+  String account() {
+    return account;
+  }
+
   /**
    * Limits the time for which the request waits for a slot before it is sent to a server for the
    * first time.
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.Comparators;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -116,6 +115,15 @@
             });
   }
 
+  /**
+   * Replaces the client accounts that use more than their fair share of the work.
+   *
+   * @param accounts the names of the accounts
+   */
+  public void applyAccountsOverShare(Set<String> accounts) {
+    waitingRequests.applyAccountsOverShare(accounts);
+  }
+
   /**
    * Returns how many requests of each urgency wait at this gateway.
    *
@@ -444,18 +452,13 @@
 
   private Optional<ServerState> chooseAmong(
       List<ServerState> candidates, PlacementRequest request, Duration now) {
-    List<ServerState> untried = new ArrayList<>();
-    for (ServerState candidate : candidates) {
-      if (!request.hasTried(candidate.server().id())) {
-        untried.add(candidate);
-      }
-    }
-    return selector.selectCheapest(untried.isEmpty() ? candidates : untried, request, now);
+    return selector.selectCheapest(candidates, request, now);
   }
 
   /**
    * Returns the servers with a free slot, unless more urgent requests at peers need all slots, or
-   * equally urgent ones compete for them and this gateway has taken its part.
+   * equally urgent ones compete for them and this gateway has taken its part. A request whose
+   * account is over its share leaves one more slot free for those of other accounts.
    */
   private List<ServerState> availableServers(PlacementRequest request, Duration now) {
     Urgency urgency = request.urgency();
@@ -464,7 +467,8 @@
         unclaimed <= waitingRequests.countAtPeers(urgency)
             && SlotClaims.areNeededFor(expectedDurationOf(request));
     return unclaimed > 0 && (!isContended || claims.mayStart(urgency))
-        ? servers.withFreeSlot(urgency.routeRank(), now)
+        ? servers.withFreeSlots(
+            urgency.routeRank(), waitingRequests.isOverShare(request) ? 1 : 0, now)
         : List.of();
   }
 
--- a/src/main/java/org/wigeonstage/placement/ServerSelector.java
+++ b/src/main/java/org/wigeonstage/placement/ServerSelector.java
@@ -18,9 +18,13 @@
     this.random = random;
   }
 
-  /** Picks one of the cheapest servers at random, so that peers with the same figures spread. */
+  /**
+   * Picks one of the cheapest servers at random, so that peers with the same figures spread, and
+   * prefers servers not tried before.
+   */
   Optional<ServerState> selectCheapest(
-      List<ServerState> candidates, PlacementRequest request, Duration now) {
+      List<ServerState> available, PlacementRequest request, Duration now) {
+    List<ServerState> candidates = untried(available, request);
     if (candidates.isEmpty()) {
       return Optional.empty();
     }
@@ -39,4 +43,14 @@
     }
     return Optional.of(equivalent.get(random.nextInt(equivalent.size())));
   }
+
+  private static List<ServerState> untried(List<ServerState> available, PlacementRequest request) {
+    List<ServerState> untried = new ArrayList<>();
+    for (ServerState candidate : available) {
+      if (!request.hasTried(candidate.server().id())) {
+        untried.add(candidate);
+      }
+    }
+    return untried.isEmpty() ? available : untried;
+  }
 }
--- a/src/main/java/org/wigeonstage/placement/ServerStates.java
+++ b/src/main/java/org/wigeonstage/placement/ServerStates.java
@@ -56,11 +56,11 @@
     return states.values().stream().anyMatch(ServerState::acceptsRequests);
   }
 
-  /** Returns the servers with a free slot for a route rank. */
-  List<ServerState> withFreeSlot(int routeRank, Duration now) {
+  /** Returns the servers with more than a number of free slots for a route rank. */
+  List<ServerState> withFreeSlots(int routeRank, int leftFree, Duration now) {
     List<ServerState> result = new ArrayList<>();
     for (ServerState state : usable(now)) {
-      if (state.freeSlots(routeRank) > 0) {
+      if (state.freeSlots(routeRank) > leftFree) {
         result.add(state);
       }
     }
--- a/src/main/java/org/wigeonstage/placement/WaitingRequests.java
+++ b/src/main/java/org/wigeonstage/placement/WaitingRequests.java
@@ -18,25 +18,43 @@
 
   private final TreeMap<Urgency, List<PlacementRequest>> queues = new TreeMap<>();
   private NavigableMap<Urgency, Integer> atPeers = new TreeMap<>();
+  private Set<String> accountsOverShare = Set.of();
 
   /** Returns the queue of an urgency, to which requests can be added. */
   List<PlacementRequest> queue(Urgency urgency) {
     return queues.computeIfAbsent(urgency, key -> new ArrayList<>());
   }
 
+  /** Replaces the accounts that use more than their fair share of the work. */
+  void applyAccountsOverShare(Set<String> accounts) {
+    accountsOverShare = Set.copyOf(accounts);
+  }
+
+  /** Returns whether the account of a request uses more than its fair share of the work. */
+  boolean isOverShare(PlacementRequest request) {
+    return accountsOverShare.contains(request.account());
+  }
+
   /**
-   * Adds a request before those of its urgency with a later deadline. A caller that returns after a
-   * refusal has less time left than new ones, and so goes ahead of them.
+   * Adds a request before those of its urgency whose accounts are over their share while its own is
+   * not, and those with a later deadline. A caller that returns after a refusal has less time left
+   * than new ones, and so goes ahead of them.
    */
   void add(PlacementRequest request) {
     List<PlacementRequest> queue = queue(request.urgency());
     int index = queue.size();
-    while (index > 0 && queue.get(index - 1).deadline().compareTo(request.deadline()) > 0) {
+    while (index > 0 && goesBefore(request, queue.get(index - 1))) {
       index--;
     }
     queue.add(index, request);
   }
 
+  private boolean goesBefore(PlacementRequest request, PlacementRequest other) {
+    return isOverShare(request) == isOverShare(other)
+        ? request.deadline().compareTo(other.deadline()) < 0
+        : isOverShare(other);
+  }
+
   /** Lets all requests wait longer, because for a time this process could not start them. */
   void extendQueueTimes(Duration time) {
     for (List<PlacementRequest> queue : queues.values()) {
--- a/src/main/java/org/wigeonstage/quota/AccountQuotas.java
+++ b/src/main/java/org/wigeonstage/quota/AccountQuotas.java
@@ -21,6 +21,7 @@
 public final class AccountQuotas {
 
   private final Map<String, AccountUsage> usages = new HashMap<>();
+  private final Map<String, Integer> ranks = new HashMap<>();
   private final PeerUsageEstimator estimator = new PeerUsageEstimator();
   private QuotaTolerance tolerance;
   private final boolean isFirstStart;
@@ -65,12 +66,25 @@
     for (ClientAccount account : accounts) {
       if (account.quota().isLimited()) {
         limited.add(account.name());
+        ranks.put(account.name(), account.rank());
         usages
             .computeIfAbsent(account.name(), name -> newUsage(account.quota()))
             .applyQuota(account.quota(), now);
       }
     }
     usages.keySet().retainAll(limited);
+    ranks.keySet().retainAll(limited);
+  }
+
+  /**
+   * Returns the accounts that use more than their fair share of the work of their rank, over all
+   * gateways in the last window.
+   *
+   * @param now the current time
+   * @return the names of the accounts
+   */
+  public Set<String> accountsOverFairShare(Duration now) {
+    return FairShares.accountsOver(usages, ranks, now);
   }
 
   private AccountUsage newUsage(AccountQuota quota) {
--- a/src/main/java/org/wigeonstage/quota/AccountUsage.java
+++ b/src/main/java/org/wigeonstage/quota/AccountUsage.java
@@ -89,6 +89,10 @@
     chargeTolerance(Math.max(0, toleratedBurstUsed - toleranceBucket.used(now)), now);
   }
 
+  AccountQuota quota() {
+    return quota;
+  }
+
   long recentUsage(Duration now) {
     return Math.round(window.sum(now));
   }
--- a/src/test/java/org/wigeonstage/quota/AccountQuotasTest.java
+++ b/src/test/java/org/wigeonstage/quota/AccountQuotasTest.java
@@ -386,4 +386,24 @@
       }
     }
   }
+
+  /** One account sends seven times as much as the others; a rank of its own is not compared. */
+  @Test
+  void accountsAreOverTheirShareIfTheyUseMoreOfTheirQuotaThanTheirRank() {
+    AccountQuotas quotas = new AccountQuotas(TOLERANCE, true, Duration.ZERO);
+    AccountQuota quota = new AccountQuota(10, 10, true, 1);
+    quotas.applyAccounts(
+        List.of(
+            new ClientAccount("a", Set.of(), 0, quota),
+            new ClientAccount("b", Set.of(), 0, quota),
+            new ClientAccount("large", Set.of(), 0, new AccountQuota(100, 100, true, 1)),
+            new ClientAccount("other rank", Set.of(), 1, quota)),
+        Duration.ZERO);
+    assertThat(quotas.accountsOverFairShare(seconds(1))).isEmpty();
+    quotas.tryAcquire("a", 1, true, seconds(1));
+    quotas.addPeerUsage("b", 7, seconds(1));
+    quotas.addPeerUsage("large", 10, seconds(1));
+    quotas.addPeerUsage("other rank", 9, seconds(1));
+    assertThat(quotas.accountsOverFairShare(seconds(2))).containsExactly("b");
+  }
 }
