--- a/src/test/java/org/wigeonstage/placement/FairShareTest.java
+++ b/src/test/java/org/wigeonstage/placement/FairShareTest.java
@@ -11,6 +11,9 @@
 import org.junit.jupiter.api.Test;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.placement.SimulatedPool.Burst;
+import org.wigeonstage.placement.SimulatedPool.Kind;
+import org.wigeonstage.placement.SimulatedPool.Tally;
 
 /** Guards against requests that wait behind those of an account that sends many times its share. */
 class FairShareTest {
@@ -81,4 +84,22 @@
     applyPeerLoad(SLOTS - 2);
     assertThat(decisions.servers.keySet()).first().isEqualTo("many");
   }
+
+  /** One account sends two fifths of a load that is too high by half. */
+  @Test
+  void accountsWithinTheirShareAreServedMoreOftenInABurstOfAnother() {
+    List<Kind> kinds =
+        List.of(
+            new Kind(0, 64, 6670, 38, 619, 2176, 2476, 10_324),
+            new Kind(1, 210, 688, 29, 408, 408, 2400, 10_199),
+            new Kind(2, 155, 1860, 2, 410, 410, 2000, 2560));
+    List<Burst> bursts = kinds.stream().map(k -> new Burst(k.rank(), 1.6, 2000, 8000)).toList();
+    SimulatedPool pool =
+        new SimulatedPool(24, 31, 9, List.of(1.3), 2000, 8000, 1).withLargeAccount(0.4);
+    Tally all = pool.play(kinds, bursts, 20_000).get(1);
+    Tally others = pool.talliesOfOthers().get(1);
+    double shareOfAll = (double) all.inTime() / all.asked();
+    double shareOfOthers = (double) others.inTime() / others.asked();
+    assertThat(shareOfOthers).as("%s; others %s", all, others).isGreaterThan(1.1 * shareOfAll);
+  }
 }
--- a/src/test/java/org/wigeonstage/placement/SimulatedPool.java
+++ b/src/test/java/org/wigeonstage/placement/SimulatedPool.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.wigeonstage.fleet.BackendServer;
@@ -41,6 +42,8 @@
   /** The part of the objective that gateways let streams of less urgent ranks wait. */
   private static final int QUEUE_TIME_DIVISOR = 8;
 
+  private static final String LARGE_ACCOUNT = "large";
+
   private static final PoolDefinition DEFINITION = new PoolDefinition("pool", "/", 100, 8, 0, 1);
 
   /**
@@ -128,6 +131,8 @@
   private final Map<String, Integer> running = new HashMap<>();
   private final Map<Urgency, Integer> waiting = new HashMap<>();
   private final Map<Integer, Tally> tallies = new TreeMap<>();
+  private final Map<Integer, Tally> talliesOfOthers = new TreeMap<>();
+  private double largeAccountShare;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(
           (a, b) ->
@@ -182,9 +187,22 @@
     return this;
   }
 
+  /** Lets a share of the requests of each rank come from one account that is over its share. */
+  SimulatedPool withLargeAccount(double share) {
+    largeAccountShare = share;
+    gateways.forEach(gateway -> gateway.scheduler.applyAccountsOverShare(Set.of(LARGE_ACCOUNT)));
+    return this;
+  }
+
+  /** Returns what became of the requests of accounts that are within their share. */
+  Map<Integer, Tally> talliesOfOthers() {
+    return talliesOfOthers;
+  }
+
   /** Returns what became of the requests of each rank until the given time. */
   Map<Integer, Tally> play(List<Kind> kinds, List<Burst> bursts, long endMillis) {
     kinds.forEach(kind -> tallies.put(kind.rank(), new Tally()));
+    kinds.forEach(kind -> talliesOfOthers.put(kind.rank(), new Tally()));
     Set<Integer> ranks = kinds.stream().map(Kind::rank).collect(Collectors.toSet());
     gateways.forEach(gateway -> gateway.scheduler.applyDefinition(DEFINITION, ranks));
     kinds.forEach(kind -> scheduleArrival(kind, bursts));
@@ -241,14 +259,23 @@
     private final long arrivedAt = now;
     private final long promptTokens;
     private final long expectedEvents;
+    private final boolean isLarge;
     private int returns;
 
     Caller(Kind kind) {
       this.kind = kind;
       this.promptTokens = draw(kind.promptTokens());
       this.expectedEvents = draw(kind.events());
+      this.isLarge = largeAccountShare > 0 && random.nextDouble() < largeAccountShare;
+      count(tally -> tally.asked++);
+    }
+
+    private void count(Consumer<Tally> counter) {
       if (isCounted()) {
-        tally().asked++;
+        counter.accept(tally());
+        if (!isLarge) {
+          counter.accept(talliesOfOthers.get(kind.rank()));
+        }
       }
     }
 
@@ -280,23 +307,24 @@
       if (kind.rank() > 0 && kind.expectsStreams()) {
         request.limitQueueTime(Duration.ofMillis(kind.objectiveMillis() / QUEUE_TIME_DIVISOR));
       }
+      if (isLarge) {
+        request.assignAccount(LARGE_ACCOUNT);
+      }
       gateway.submit(request, this);
     }
 
     void refused(Duration retryAfter) {
       if (returns++ < MAX_RETURNS) {
         schedule(now + Math.min(retryAfter.toMillis(), timeLeft() / RETURN_SHARE), this::ask);
-      } else if (isCounted()) {
-        tally().refused++;
+      } else {
+        count(tally -> tally.refused++);
       }
     }
 
     void served(long firstEventAt) {
       boolean isInTime = firstEventAt - arrivedAt <= kind.objectiveMillis();
-      if (isCounted()) {
-        tally().inTime += isInTime ? 1 : 0;
-        tally().late += isInTime ? 0 : 1;
-      }
+      count(tally -> tally.inTime += isInTime ? 1 : 0);
+      count(tally -> tally.late += isInTime ? 0 : 1);
     }
   }
 
