--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -57,6 +57,7 @@
   private int gatewayCount = 1;
   private boolean hasNonLeavingPeer;
   private boolean stoppedAccepting;
+  private final CachedFairShares fairShares;
   private volatile @Nullable Duration leavingSince;
 
   GatewayCore(
@@ -81,6 +82,7 @@
     this.processDelay = new ProcessDelay(clock.elapsed());
     this.capacities = capacities;
     this.quotas = quotas;
+    this.fairShares = new CachedFairShares(quotas);
     this.promptHolds = new PromptHolds(clock, metrics, this::checkPrompts);
     this.knownServers = new KnownServers(clock, metrics);
     this.rollouts = new Rollouts(metrics);
@@ -162,17 +164,8 @@
     Duration arrivedAt = inbound.arrivedAt();
     Duration requestedLimit = inbound.fields().timeLimit().orElse(route.timeout());
     Duration timeLimit = Comparators.min(requestedLimit, route.timeout());
-    PlacementRequest placement =
-        new PlacementRequest(
-            inbound.fields().requestId(),
-            new Urgency(inbound.account().map(account -> account.rank()).orElse(0), route.rank()),
-            arrivedAt,
-            arrivedAt.plus(WaitLimits.maxTimeToFirstPart(route)),
-            arrivedAt.plus(WaitLimits.maxSlotWait(route, timeLimit)),
-            inbound.fields().promptTokens(),
-            pool(poolName).eventCount(inbound.fields().expectedOutputTokens()),
-            arrivedAt.plus(timeLimit));
-    WaitLimits.maxQueueTime(route).ifPresent(placement::limitQueueTime);
+    long events = pool(poolName).eventCount(inbound.fields().expectedOutputTokens());
+    PlacementRequest placement = WaitLimits.placementOf(inbound, timeLimit, events);
     Duration now = now();
     RequestLog log = new RequestLog(inbound.fields().requestId(), arrivedAt, clock);
     log.addAcceptance(inbound, placement, poolName, timeLimit);
@@ -440,7 +433,8 @@
   void applyPeerLoad(
       Map<String, Integer> running, List<WaitingCount> waiting, boolean hasNonLeavingPeer) {
     this.hasNonLeavingPeer = hasNonLeavingPeer;
-    pools.applyPeerLoad(running, waiting, now());
+    Duration now = now();
+    pools.applyPeerLoad(running, waiting, fairShares.accountsOver(now), now);
   }
 
   /** Returns the complete load and quota usage of this gateway, to be sent to its peers. */
--- a/src/main/java/org/wigeonstage/gateway/PoolSchedulers.java
+++ b/src/main/java/org/wigeonstage/gateway/PoolSchedulers.java
@@ -66,13 +66,20 @@
    *
    * @param running the number of running requests by backend server
    * @param waiting the number of waiting requests by pool and urgency
+   * @param overShare the accounts that are over their fair share of their rank
    * @param now the current time
    */
-  void applyPeerLoad(Map<String, Integer> running, List<WaitingCount> waiting, Duration now) {
+  void applyPeerLoad(
+      Map<String, Integer> running,
+      List<WaitingCount> waiting,
+      Set<String> overShare,
+      Duration now) {
     Map<String, NavigableMap<Urgency, Integer>> byPool = GatewayLoads.waitingByPool(waiting);
     byName.forEach(
-        (name, pool) ->
-            pool.applyPeerLoad(running, byPool.getOrDefault(name, new TreeMap<>()), now));
+        (name, pool) -> {
+          pool.applyAccountsOverShare(overShare);
+          pool.applyPeerLoad(running, byPool.getOrDefault(name, new TreeMap<>()), now);
+        });
   }
 
   /** Tells the pools for how long this process was late. */
