Share what gateways learn about slow servers

A gateway sends about one request in two seconds to each engine of a large pool, too few to follow a slowdown alone. The new message ServerSpeeds reports a server at once when it slows down clearly, each second while it is slow, and once when it has recovered; hello messages state 4. Speeds are relative to the median server, so that a gateway without processor time does not report all.

--- a/src/main/java/org/wigeonstage/capacity/PoolCapacity.java
+++ b/src/main/java/org/wigeonstage/capacity/PoolCapacity.java
@@ -33,6 +33,7 @@
   private final Map<String, ServerCapacity> servers = new HashMap<>();
   private List<LimitChange> limitChanges = new ArrayList<>();
   private int slowServers;
+  private boolean isUpdated;
   private Duration updatedAt = Duration.ZERO;
 
   /**
@@ -89,6 +90,7 @@
       return;
     }
     updatedAt = now;
+    isUpdated = true;
     if (sinceUpdate.compareTo(MAX_UPDATE_INTERVAL) <= 0) {
       servers.values().forEach(server -> server.checkAwaited(now));
     }
@@ -113,14 +115,23 @@
   }
 
   /**
-   * Returns the reports that peers need now.
+   * Returns the reports that peers need now. Most calls return none without any work.
    *
+   * @param maxCount the largest number of reports; others follow after the next update
    * @param now the current time
-   * @return the reports, usually none
+   * @return the reports
    */
-  public List<SpeedReport> takeReports(Duration now) {
+  public List<SpeedReport> takeReports(int maxCount, Duration now) {
+    if (!isUpdated) {
+      return List.of();
+    }
+    isUpdated = false;
     List<SpeedReport> reports = new ArrayList<>();
-    servers.values().forEach(server -> server.takeReport(now).ifPresent(reports::add));
+    for (ServerCapacity server : servers.values()) {
+      if (reports.size() < maxCount) {
+        server.takeReport(now).ifPresent(reports::add);
+      }
+    }
     return reports;
   }
 
--- a/src/main/java/org/wigeonstage/capacity/ServerCapacity.java
+++ b/src/main/java/org/wigeonstage/capacity/ServerCapacity.java
@@ -22,7 +22,7 @@
   private static final double GAP_WEIGHT = 2;
 
   /** A part of a response says less; a slow one takes seconds until it is complete. */
-  private static final double PARTIAL_GAP_WEIGHT = 0.5;
+  private static final double PARTIAL_GAP_WEIGHT = 1;
 
   /** A first part counts as late while it is awaited from this multiple of the usual time on. */
   private static final double OVERDUE_RATIO = 2;
@@ -232,6 +232,7 @@
   void applyReport(String peer, SpeedReport report, Duration now) {
     double reported = Math.min(Math.max(report.slownessPercent() / 100.0, 0.5), MAX_SLOWNESS);
     double weight = Math.min(Math.max(report.weightPercent() / 100.0, 0), MAX_PEER_WEIGHT);
+    evidence.compareWith(Math.log(reported) + logMedian);
     peers.put(peer, new PeerEvidence(Math.log(reported), weight, now));
   }
 
--- a/src/main/java/org/wigeonstage/capacity/SpeedEvidence.java
+++ b/src/main/java/org/wigeonstage/capacity/SpeedEvidence.java
@@ -36,6 +36,9 @@
   /** What remains of the weight of earlier samples after a change. */
   private static final double RETAINED_AT_CHANGE = 0.2;
 
+  /** A peer reports a speed only when it has changed, so its samples are newer than most here. */
+  private static final double RETAINED_AT_CONTRARY_REPORT = 0.5;
+
   private double sum;
   private double weight;
   private double lastDeviation;
@@ -59,6 +62,14 @@
     sampledAt = now;
   }
 
+  /** Reduces the weight of earlier samples if a peer reports a different speed. */
+  void compareWith(double reportedMean) {
+    if (Math.abs(reportedMean - mean()) > CHANGE) {
+      sum *= RETAINED_AT_CONTRARY_REPORT;
+      weight *= RETAINED_AT_CONTRARY_REPORT;
+    }
+  }
+
   void decay(Duration now) {
     double seconds = now.minus(decayedAt).toNanos() / NANOS_PER_SECOND;
     decayedAt = now;
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -18,6 +18,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Supplier;
+import org.wigeonstage.capacity.SpeedReport;
 import org.wigeonstage.common.ControlExecutors;
 import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.common.WigeonstageException;
@@ -110,7 +111,7 @@
 
   private Message.Hello hello() {
     return new Message.Hello(
-        Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.LINK_CHOICE);
+        Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.SERVER_SPEEDS);
   }
 
   void start() {
@@ -213,6 +214,7 @@
     core.updateGatewayCount(1 + peers.size());
     sendCrashReports(now);
     sendLeavingServers();
+    sendServerSpeeds(now);
     if (now.minus(lastSentAt).compareTo(REPORT_INTERVAL) >= 0) {
       lastSentAt = now;
       reportLoad(now);
@@ -284,6 +286,21 @@
     }
   }
 
+  /** Sends which servers have slowed down, are still slow, or have recovered. */
+  private void sendServerSpeeds(Duration now) {
+    List<SpeedReport> reports = core.capacities().takeReports(now);
+    if (reports.isEmpty()) {
+      return;
+    }
+    EncodedMessage message = EncodedMessage.of(new Message.ServerSpeeds(reports));
+    for (PeerState peer : peers.values()) {
+      Link link = peer.preferredLink();
+      if (link != null && link.peerHello().configVersion() >= Message.SERVER_SPEEDS) {
+        link.send(message);
+      }
+    }
+  }
+
   /** Returns whether a turn, of which each belongs to one connected gateway, is this gateway's. */
   private boolean isOwnTurn(String turn) {
     List<String> connected = new ArrayList<>(List.of(name));
@@ -419,6 +436,8 @@
       core.promptHolds().applyReport(crash.report(), link.peerHello().name());
     } else if (message instanceof Message.ServerLeaving leaving) {
       core.recordLeaving(leaving.runId(), leaving.age(), link.peerHello().name());
+    } else if (message instanceof Message.ServerSpeeds speeds) {
+      core.capacities().applyReports(link.peerHello().name(), speeds.reports(), core.now());
     }
   }
 
--- a/src/main/java/org/wigeonstage/gateway/ServerCapacities.java
+++ b/src/main/java/org/wigeonstage/gateway/ServerCapacities.java
@@ -3,12 +3,15 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import org.wigeonstage.capacity.CapacitySummary;
 import org.wigeonstage.capacity.PoolCapacity;
+import org.wigeonstage.capacity.SpeedReport;
 import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.placement.PlacementEffects;
 import org.wigeonstage.placement.PoolScheduler;
@@ -25,6 +28,9 @@
   private static final double NANOS_PER_MILLI = 1e6;
   private static final Duration UPDATE_INTERVAL = Duration.ofMillis(500);
 
+  /** Bounds a message about a large pool. */
+  private static final int MAX_REPORTS = 100;
+
   private final SchedulingLimits limits;
   private final MetricRegistry metrics;
   private final Map<String, PoolCapacity> pools = new HashMap<>();
@@ -74,6 +80,22 @@
         (Gauge<Integer>) () -> figure.applyAsInt(summaries.getOrDefault(pool, none)));
   }
 
+  /** Returns what peers need to know now. */
+  List<SpeedReport> takeReports(Duration now) {
+    List<SpeedReport> reports = new ArrayList<>();
+    for (PoolCapacity capacity : pools.values()) {
+      reports.addAll(capacity.takeReports(MAX_REPORTS - reports.size(), now));
+    }
+    return reports;
+  }
+
+  /** Applies the reports of a peer; those beyond the number that a gateway sends are ignored. */
+  void applyReports(String peer, List<SpeedReport> reports, Duration now) {
+    reports.stream()
+        .limit(MAX_REPORTS)
+        .forEach(report -> pools.values().forEach(pool -> pool.applyReport(peer, report, now)));
+  }
+
   /** Logs changes of limits, and updates the metrics. */
   void tick(Duration now) {
     if (now.minus(updatedAt).compareTo(UPDATE_INTERVAL) < 0) {
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.wigeonstage.capacity.SpeedReport;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.crash.CrashReport;
 import org.wigeonstage.request.Outcome;
@@ -35,6 +36,12 @@
    */
   long LINK_CHOICE = 3;
 
+  /**
+   * The value of {@link Hello#configVersion} of gateways that accept {@link ServerSpeeds} messages,
+   * too.
+   */
+  long SERVER_SPEEDS = 4;
+
   /** A message about one request. */
   sealed interface RequestMessage extends Message {
     /**
@@ -53,7 +60,7 @@
    * @param name the name of the sender
    * @param incarnation a number that grows with each start of the sender
    * @param configVersion the version of the configuration in force at the sender; a gateway, whose
-   *     peers do not need it, states {@link #LINK_CHOICE}
+   *     peers do not need it, states {@link #SERVER_SPEEDS}
    */
   record Hello(int protocolVersion, String role, String name, long incarnation, long configVersion)
       implements Message {}
@@ -241,6 +248,21 @@
    */
   record LinkClosing(String reason) implements Message {}
 
+  /**
+   * Reports how slow some servers are, compared to the others of their pools. Sent when a server
+   * slows down or recovers, and each second while it is slow. Sent only to gateways whose hello
+   * message states at least {@link #SERVER_SPEEDS}.
+   *
+   * @param reports the reports
+   */
+  record ServerSpeeds(List<SpeedReport> reports) implements Message {
+
+    /** Creates a message with a copy of the reports. */
+    public ServerSpeeds {
+      reports = List.copyOf(reports);
+    }
+  }
+
   /**
    * The load and the quota usage of a gateway, which it sends to its peers periodically: first
    * completely, then as the changes since the previous message on the same link (see {@link
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -12,6 +12,7 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.wigeonstage.capacity.SpeedReport;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.crash.CrashReport;
 import org.wigeonstage.handover.LoadReport;
@@ -63,10 +64,20 @@
           new Message.ServerLeaving(in.unpackString(), Duration.ofMillis(in.unpackLong()));
       case LINK_CONFIRMED -> new Message.LinkConfirmed();
       case LINK_CLOSING -> new Message.LinkClosing(in.unpackString());
+      case SERVER_SPEEDS -> readServerSpeeds(in);
       default -> readRequestMessage(type, RequestId.of(in.unpackString()), in);
     };
   }
 
+  private static Message readServerSpeeds(MessageUnpacker in) throws IOException {
+    int count = in.unpackArrayHeader();
+    List<SpeedReport> reports = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      reports.add(new SpeedReport(in.unpackString(), in.unpackInt(), in.unpackInt()));
+    }
+    return new Message.ServerSpeeds(reports);
+  }
+
   private static Message readGatewayLoad(MessageUnpacker in) throws IOException {
     boolean isComplete = in.unpackBoolean();
     boolean isLeaving = in.unpackBoolean();
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.wigeonstage.capacity.SpeedReport;
 import org.wigeonstage.crash.CrashReport;
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.handover.Message;
@@ -68,6 +69,19 @@
       packType(packer, MessageType.LINK_CONFIRMED);
     } else if (message instanceof Message.LinkClosing closing) {
       packType(packer, MessageType.LINK_CLOSING).packString(closing.reason());
+    } else if (message instanceof Message.ServerSpeeds speeds) {
+      writeServerSpeeds(packType(packer, MessageType.SERVER_SPEEDS), speeds);
+    }
+  }
+
+  private static void writeServerSpeeds(MessageBufferPacker packer, Message.ServerSpeeds speeds)
+      throws IOException {
+    packer.packArrayHeader(speeds.reports().size());
+    for (SpeedReport report : speeds.reports()) {
+      packer
+          .packString(report.runId())
+          .packInt(report.slownessPercent())
+          .packInt(report.weightPercent());
     }
   }
 
--- a/src/test/java/org/wigeonstage/placement/SimulatedPool.java
+++ b/src/test/java/org/wigeonstage/placement/SimulatedPool.java
@@ -35,6 +35,7 @@
   private static final int RETURN_SHARE = 3;
 
   private static final int MAX_RETURNS = 1;
+  private static final int MAX_REPORTS = 100;
 
   /**
    * A kind of request.
@@ -342,7 +343,7 @@
     void reportSpeeds() {
       scheduler
           .capacity()
-          .map(capacity -> capacity.takeReports(Duration.ofMillis(now)))
+          .map(capacity -> capacity.takeReports(MAX_REPORTS, Duration.ofMillis(now)))
           .filter(reports -> !reports.isEmpty())
           .ifPresent(
               reports -> {
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.wigeonstage.capacity.SpeedReport;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.crash.CrashReport;
 import org.wigeonstage.handover.LoadReport;
@@ -73,6 +74,7 @@
             new Message.ServerLeaving("i-1@17", Duration.ofMillis(1500)),
             new Message.LinkConfirmed(),
             new Message.LinkClosing("superseded"),
+            new Message.ServerSpeeds(List.of(new SpeedReport("i-1@17", 310, 250))),
             new Message.Resume(ID, 3, Instant.ofEpochMilli(5), 17),
             new Message.Cancel(ID),
             new Message.Ping(1, 2),
