Keep the lowest rank served with learned speeds

A request may use a reserved slot if it is expected to leave it soon. What counts now is what the request itself needs.

--- a/src/main/java/org/wigeonstage/capacity/ServerCapacity.java
+++ b/src/main/java/org/wigeonstage/capacity/ServerCapacity.java
@@ -58,6 +58,7 @@
   private double logMedian;
   private double logRelative;
   private double slowness = 1;
+  private int limit;
   private int mostOccupied;
   private int lastOccupied;
   private boolean isReportedLow;
@@ -66,6 +67,7 @@
     this.runId = runId;
     this.profile = profile;
     this.slots = Math.max(1, slots);
+    this.limit = this.slots;
   }
 
   /**
@@ -208,7 +210,7 @@
   Optional<LimitChange> updateLimit(double relativeSlowness, Duration now) {
     limiter.update(slots, relativeSlowness, mostOccupied, now);
     mostOccupied = lastOccupied;
-    int limit = limit();
+    limit = limiter.limit(slots);
     boolean isChange = isReportedLow ? limit == slots : limit <= slots / 2;
     if (!isChange || slots == 1) {
       return Optional.empty();
@@ -246,7 +248,7 @@
    * @return the limit, between 1 and the slots of the server
    */
   public int limit() {
-    return limiter.limit(slots);
+    return limit;
   }
 
   /**
--- a/src/main/java/org/wigeonstage/placement/AssumedServerSpeed.java
+++ b/src/main/java/org/wigeonstage/placement/AssumedServerSpeed.java
@@ -81,6 +81,13 @@
     return measuredEventGapMillis == 0 ? INITIAL_EVENT_GAP_MILLIS : measuredEventGapMillis;
   }
 
+  @Override
+  public double slotMillis(
+      PlacementRequest request, long pendingPromptTokens, int occupied, int slots) {
+    return firstPartMillis(pendingPromptTokens, occupied, slots)
+        + request.expectedEvents() * eventGapMillis(occupied);
+  }
+
   @Override
   public double prefillMillisPerToken() {
     return PREFILL_MILLIS_PER_TOKEN;
--- a/src/main/java/org/wigeonstage/placement/LearnedServerSpeed.java
+++ b/src/main/java/org/wigeonstage/placement/LearnedServerSpeed.java
@@ -61,6 +61,18 @@
     return capacity.eventGapMillis(occupied);
   }
 
+  /**
+   * Leaves out the delays that other requests cause. With them, hardly any request would count as
+   * short at a busy server, and the lowest rank would be shut out (3 % instead of 44 % served in
+   * virtual time).
+   */
+  @Override
+  public double slotMillis(
+      PlacementRequest request, long pendingPromptTokens, int occupied, int slots) {
+    return capacity.firstPartMillis(request.promptTokens(), 0)
+        + request.expectedEvents() * capacity.eventGapMillis(0);
+  }
+
   @Override
   public double prefillMillisPerToken() {
     return capacity.prefillMillisPerToken();
--- a/src/main/java/org/wigeonstage/placement/ServerSpeed.java
+++ b/src/main/java/org/wigeonstage/placement/ServerSpeed.java
@@ -40,5 +40,11 @@
 
   double eventGapMillis(int occupied);
 
+  /**
+   * Returns for how long a request is expected to keep a slot, as compared with the longest time
+   * for which a short one may keep a slot that is reserved for others.
+   */
+  double slotMillis(PlacementRequest request, long pendingPromptTokens, int occupied, int slots);
+
   double prefillMillisPerToken();
 }
--- a/src/main/java/org/wigeonstage/placement/ServerState.java
+++ b/src/main/java/org/wigeonstage/placement/ServerState.java
@@ -294,6 +294,13 @@
     return expectedTimeToFirstPart(request).plus(expectedTimeForEvents(request));
   }
 
+  /** Returns for how long the request would keep a reserved slot. */
+  Duration expectedSlotTime(PlacementRequest request) {
+    long promptTokens = pendingPromptTokens + request.promptTokens();
+    double millis = speed.slotMillis(request, promptTokens, occupied(), server.slots());
+    return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
+  }
+
   /**
    * Returns the expected cost of running the request on this server: the time to the first part,
    * the weighted failure rate and the expected overrun of the deadline.
--- a/src/main/java/org/wigeonstage/placement/ServerStates.java
+++ b/src/main/java/org/wigeonstage/placement/ServerStates.java
@@ -120,7 +120,7 @@
     List<ServerState> result = new ArrayList<>();
     for (ServerState state : usable(now)) {
       if (state.hasReservedSlot(waitingRanks)
-          && state.expectedDuration(request).compareTo(maxDuration) <= 0) {
+          && state.expectedSlotTime(request).compareTo(maxDuration) <= 0) {
         result.add(state);
       }
     }
--- a/src/test/java/org/wigeonstage/placement/StarvedRequestsTest.java
+++ b/src/test/java/org/wigeonstage/placement/StarvedRequestsTest.java
@@ -2,10 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.wigeonstage.placement.SimulatedPool.Burst;
 import org.wigeonstage.placement.SimulatedPool.Kind;
 import org.wigeonstage.placement.SimulatedPool.Tally;
@@ -87,17 +90,29 @@
       this.bursts = List.of(bursts);
     }
 
-    Map<Integer, Tally> play(long seed) {
+    Map<Integer, Tally> play(long seed, boolean learnsServerLimits) {
       return new SimulatedPool(
-              gateways, engines, 8, slowness, WARM_UP_MILLIS, COUNTED_UNTIL_MILLIS, seed)
+              gateways,
+              engines,
+              8,
+              slowness,
+              WARM_UP_MILLIS,
+              COUNTED_UNTIL_MILLIS,
+              seed,
+              SchedulingLimits.DEFAULTS.withLearnedServerLimits(learnsServerLimits))
           .play(kinds, bursts, END_MILLIS);
     }
   }
 
+  private static Stream<Arguments> loadsWithAssumedAndLearnedSpeeds() {
+    return Arrays.stream(Load.values())
+        .flatMap(load -> Stream.of(Arguments.of(load, false), Arguments.of(load, true)));
+  }
+
   @ParameterizedTest
-  @EnumSource
-  void eachRankIsServedAtLeastAQuarterAsOftenAsAll(Load load) {
-    Map<Integer, Tally> tallies = load.play(1);
+  @MethodSource("loadsWithAssumedAndLearnedSpeeds")
+  void eachRankIsServedAtLeastAQuarterAsOftenAsAll(Load load, boolean learnsServerLimits) {
+    Map<Integer, Tally> tallies = load.play(1, learnsServerLimits);
     int asked = tallies.values().stream().mapToInt(Tally::asked).sum();
     int served = tallies.values().stream().mapToInt(Tally::served).sum();
     double servedOfAll = (double) served / asked;
@@ -110,9 +125,9 @@
   }
 
   @ParameterizedTest
-  @EnumSource
-  void noRankIsServedMoreOftenThanMoreUrgentOnes(Load load) {
-    Map<Integer, Tally> tallies = load.play(2);
+  @MethodSource("loadsWithAssumedAndLearnedSpeeds")
+  void noRankIsServedMoreOftenThanMoreUrgentOnes(Load load, boolean learnsServerLimits) {
+    Map<Integer, Tally> tallies = load.play(2, learnsServerLimits);
     double lowestShare = 1;
     for (Tally tally : tallies.values()) {
       assertThat(tally.servedShare())
