--- a/src/main/java/org/wigeonstage/capacity/ServerCapacity.java
+++ b/src/main/java/org/wigeonstage/capacity/ServerCapacity.java
@@ -22,7 +22,7 @@
   private static final double GAP_WEIGHT = 2;
 
   /** A part of a response says less; a slow one takes seconds until it is complete. */
-  private static final double PARTIAL_GAP_WEIGHT = 0.5;
+  private static final double PARTIAL_GAP_WEIGHT = 1;
 
   /** A first part counts as late while it is awaited from this multiple of the usual time on. */
   private static final double OVERDUE_RATIO = 2;
@@ -58,6 +58,7 @@
   private double logMedian;
   private double logRelative;
   private double slowness = 1;
+  private int limit;
   private int mostOccupied;
   private int lastOccupied;
   private boolean isReportedLow;
@@ -66,6 +67,7 @@
     this.runId = runId;
     this.profile = profile;
     this.slots = Math.max(1, slots);
+    this.limit = this.slots;
   }
 
   /**
@@ -208,7 +210,7 @@
   Optional<LimitChange> updateLimit(double relativeSlowness, Duration now) {
     limiter.update(slots, relativeSlowness, mostOccupied, now);
     mostOccupied = lastOccupied;
-    int limit = limit();
+    limit = limiter.limit(slots);
     boolean isChange = isReportedLow ? limit == slots : limit <= slots / 2;
     if (!isChange || slots == 1) {
       return Optional.empty();
@@ -232,6 +234,7 @@
   void applyReport(String peer, SpeedReport report, Duration now) {
     double reported = Math.min(Math.max(report.slownessPercent() / 100.0, 0.5), MAX_SLOWNESS);
     double weight = Math.min(Math.max(report.weightPercent() / 100.0, 0), MAX_PEER_WEIGHT);
+    evidence.compareWith(Math.log(reported) + logMedian);
     peers.put(peer, new PeerEvidence(Math.log(reported), weight, now));
   }
 
@@ -245,7 +248,7 @@
    * @return the limit, between 1 and the slots of the server
    */
   public int limit() {
-    return limiter.limit(slots);
+    return limit;
   }
 
   /**
--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -20,7 +20,6 @@
 import org.wigeonstage.placement.AttemptResult;
 import org.wigeonstage.placement.PlacementRequest;
 import org.wigeonstage.placement.PoolScheduler;
-import org.wigeonstage.placement.Urgency;
 import org.wigeonstage.quota.AccountQuotas;
 import org.wigeonstage.quota.QuotaTolerance;
 import org.wigeonstage.quota.RetryLimits;
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -13,6 +13,7 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
+import org.wigeonstage.capacity.SpeedReport;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.crash.CrashReport;
 import org.wigeonstage.handover.LoadReport;
@@ -66,10 +67,20 @@
       case LINK_CLOSING -> new Message.LinkClosing(readText(in));
       case ROLLOUT_STATUS -> new Message.RolloutStatus(RolloutCodec.readReport(in));
       case ROLLOUT_COMMAND -> new Message.RolloutCommand(RolloutCodec.readDirective(in));
+      case SERVER_SPEEDS -> readServerSpeeds(in);
       default -> readRequestMessage(type, RequestId.of(readText(in)), in);
     };
   }
 
+  private static Message readServerSpeeds(MessageUnpacker in) throws IOException {
+    int count = in.unpackArrayHeader();
+    List<SpeedReport> reports = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      reports.add(new SpeedReport(readText(in), in.unpackInt(), in.unpackInt()));
+    }
+    return new Message.ServerSpeeds(reports);
+  }
+
   private static Message readGatewayLoad(MessageUnpacker in) throws IOException {
     boolean isComplete = in.unpackBoolean();
     boolean isLeaving = in.unpackBoolean();
--- a/src/test/java/org/wigeonstage/placement/SimulatedPool.java
+++ b/src/test/java/org/wigeonstage/placement/SimulatedPool.java
@@ -39,6 +39,7 @@
   private static final int RETURN_SHARE = 3;
 
   private static final int MAX_RETURNS = 1;
+  private static final int MAX_REPORTS = 100;
 
   /** The part of the objective that gateways let streams of less urgent ranks wait. */
   private static final int QUEUE_TIME_DIVISOR = 8;
@@ -420,7 +421,7 @@
     void reportSpeeds() {
       scheduler
           .capacity()
-          .map(capacity -> capacity.takeReports(Duration.ofMillis(now)))
+          .map(capacity -> capacity.takeReports(MAX_REPORTS, Duration.ofMillis(now)))
           .filter(reports -> !reports.isEmpty())
           .ifPresent(
               reports -> {
