--- a/src/main/java/org/wigeonstage/fleet/FleetStore.java
+++ b/src/main/java/org/wigeonstage/fleet/FleetStore.java
@@ -14,6 +14,14 @@
  */
 public interface FleetStore {
 
+  /**
+   * Returns the highest era of the store that was seen. Responses of a lower era count as failed
+   * calls, and pending calls end when it rises.
+   *
+   * @return the era, which peers may raise, too
+   */
+  StoreEra era();
+
   /**
    * Reads the configuration. The result is at least as recent as the call.
    *
--- a/src/main/java/org/wigeonstage/fleet/LeavingServers.java
+++ b/src/main/java/org/wigeonstage/fleet/LeavingServers.java
@@ -81,7 +81,7 @@
         list.servers().stream()
             .map(server -> isLeaving(server.runId(), now) ? server.leaving() : server)
             .toList();
-    return new ServerList(list.revision(), servers, list.unreadable());
+    return list.withServers(servers);
   }
 
   private boolean isLeaving(String runId, Duration now) {
--- a/src/main/java/org/wigeonstage/gateway/ConfigurationState.java
+++ b/src/main/java/org/wigeonstage/gateway/ConfigurationState.java
@@ -12,7 +12,12 @@
  * Holds the last known configuration and its age.
  *
  * <p>The age counts from the call to the store, because the configuration may have changed at any
- * time after that. An older revision never replaces a newer one.
+ * time after that. An older version of the store never replaces a newer one.
+ *
+ * <p>After a restore, the store may hold an earlier configuration than the one in force. Revisions
+ * of the two eras can't be compared, so the versions that operators assigned decide: a lower one is
+ * ignored and does not confirm the age, an equal one confirms the one in force, and a higher one
+ * replaces it.
  */
 final class ConfigurationState {
 
@@ -45,11 +50,34 @@
    */
   synchronized boolean confirm(StoredConfiguration configuration, ClockReading requestedAt) {
     Confirmation current = lastConfirmation;
-    if (current != null && configuration.revision() < current.configuration().revision()) {
+    if (current == null) {
+      lastConfirmation = new Confirmation(configuration, requestedAt);
+      return true;
+    }
+    StoredConfiguration inForce = current.configuration();
+    boolean isRestored = configuration.version().isOfLaterEraThan(inForce.version());
+    int order =
+        isRestored
+            ? Long.compare(configuration.table().version(), inForce.table().version())
+            : configuration.version().compareTo(inForce.version());
+    if (order < 0) {
       return false;
     }
-    lastConfirmation = new Confirmation(configuration, requestedAt);
-    return current == null || configuration.revision() > current.configuration().revision();
+    // The table in force stays: an equal version does not show that the content is the same.
+    lastConfirmation =
+        new Confirmation(
+            order > 0
+                ? configuration
+                : new StoredConfiguration(configuration.version(), inForce.table()),
+            requestedAt);
+    return order > 0;
+  }
+
+  /** Returns whether a configuration is from a restored store and older than the one in force. */
+  boolean isOutdated(StoredConfiguration configuration) {
+    return current()
+        .filter(inForce -> configuration.version().isOfLaterEraThan(inForce.version()))
+        .isPresent();
   }
 
   Optional<StoredConfiguration> current() {
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -84,8 +84,10 @@
     this.readLag = new ReadLagMonitor(clock);
     this.schedulingDelay = new SchedulingDelayMonitor(clock, TICK_INTERVAL);
     this.configuration = new ConfigurationState(clocks, maxConfigurationAge(settings));
+    StoreRestores restores = new StoreRestores(settings.name(), store.era(), clock, metrics);
     this.storeWatcher =
-        closer.register(new StoreWatcher(store, watchTimes(settings), clocks, configuration, core));
+        closer.register(
+            new StoreWatcher(store, watchTimes(settings), clocks, configuration, core, restores));
     this.requestHandler =
         new CallerRequestHandler(core, configuration, readLag, settings.gracePeriod());
     this.callerServer =
@@ -100,7 +102,7 @@
     this.peerSynchronizer =
         closer.register(
             new PeerSynchronizer(
-                settings.name(), Endpoint.parse(settings.peers()), store, core, metrics));
+                settings.name(), Endpoint.parse(settings.peers()), store, core, restores, metrics));
     ProbeHandler probeHandler = new ProbeHandler(new ProbePages(metrics, this::isReady));
     ServerOptions probeOptions =
         new ServerOptions(MAX_HEAD_BYTES, MAX_PROBE_BODY_BYTES, IDLE_TIMEOUT, HANDLER_THREADS);
--- a/src/main/java/org/wigeonstage/gateway/KnownServers.java
+++ b/src/main/java/org/wigeonstage/gateway/KnownServers.java
@@ -48,7 +48,7 @@
       DecisionLog.write(
           "servers-changed",
           "revision",
-          list.revision(),
+          list.version().revision(),
           "added",
           Sets.difference(listedIds, serverIds),
           "removed",
--- a/src/main/java/org/wigeonstage/gateway/PeerState.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerState.java
@@ -32,6 +32,11 @@
   /** The link on which all announcements of leaving servers were reported. */
   @Nullable Link leavingServersLink;
 
+  /** The link on which the era of the store was reported, and the era. */
+  @Nullable Link storeEraLink;
+
+  long reportedStoreEra;
+
   /** When the complete load is sent again. */
   Duration completeReportAt = Duration.ZERO;
 
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -69,6 +69,7 @@
   private final String name;
   private final FleetStore store;
   private final GatewayCore core;
+  private final StoreRestores restores;
   private final long incarnation = System.currentTimeMillis();
   private final Closer closer = Closer.create();
   private final LinkConnector connector;
@@ -92,13 +93,21 @@
   private Duration lastSentAt = Duration.ZERO;
   private Duration crashReportsRepeatAt = Duration.ZERO;
   private volatile boolean registered;
+  private volatile long registeredEra;
+  private volatile long listedEra;
   private volatile long lastListedAtMillis;
 
   PeerSynchronizer(
-      String name, Endpoint listen, FleetStore store, GatewayCore core, MetricRegistry metrics) {
+      String name,
+      Endpoint listen,
+      FleetStore store,
+      GatewayCore core,
+      StoreRestores restores,
+      MetricRegistry metrics) {
     this.name = name;
     this.store = store;
     this.core = core;
+    this.restores = restores;
     this.metrics = new PeerLinkMetrics(metrics);
     this.pendingLinks = new PendingLinks(this.metrics);
     this.random = new SplittableRandom(Objects.hash(name, incarnation));
@@ -109,8 +118,7 @@
   }
 
   private Message.Hello hello() {
-    return new Message.Hello(
-        Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.LINK_CHOICE);
+    return new Message.Hello(Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.STORE_ERAS);
   }
 
   void start() {
@@ -129,9 +137,13 @@
 
   private void register() {
     try {
-      if (!registered) {
+      // The era that was known before the call: the registration may be lost if it rises meanwhile.
+      long era = store.era().highest();
+      if (!registered || registeredEra < era) {
         store.register(new GatewayRegistration(name, endpoint));
         registered = true;
+        registeredEra = era;
+        restores.done(StoreRestores.Part.REGISTRATION, era);
         DecisionLog.write("registered", "address", endpoint.toString());
       }
     } catch (WigeonstageException e) {
@@ -142,12 +154,18 @@
   private void listPeers() {
     try {
       long now = core.now().toMillis();
-      if (now - lastListedAtMillis >= LIST_INTERVAL_MILLIS || lastListedAtMillis == 0) {
+      long era = store.era().highest();
+      boolean isRestored = listedEra < era;
+      if (now - lastListedAtMillis >= LIST_INTERVAL_MILLIS
+          || lastListedAtMillis == 0
+          || isRestored) {
         // Quotas depend on the first list, which must contain all gateways.
         boolean isFirst = lastListedAtMillis == 0;
         List<GatewayRegistration> listed =
-            isFirst ? store.readGateways() : store.readRecentGateways();
+            isFirst || isRestored ? store.readGateways() : store.readRecentGateways();
         lastListedAtMillis = now;
+        listedEra = era;
+        restores.done(StoreRestores.Part.GATEWAYS, era, "gateways", listed.size());
         core.withLock(
             () -> {
               // Gateways in the first list have registered before, so they started earlier.
@@ -213,6 +231,7 @@
     core.updateGatewayCount(1 + peers.size());
     sendCrashReports(now);
     sendLeavingServers();
+    sendStoreEra();
     if (now.minus(lastSentAt).compareTo(REPORT_INTERVAL) >= 0) {
       lastSentAt = now;
       reportLoad(now);
@@ -284,6 +303,22 @@
     }
   }
 
+  /** Sends the highest era of the store that was seen, once on each link. */
+  private void sendStoreEra() {
+    long era = store.era().highest();
+    for (PeerState peer : peers.values()) {
+      Link link = peer.preferredLink();
+      if (link != null
+          && era > 0
+          && link.peerHello().configVersion() >= Message.STORE_ERAS
+          && (peer.storeEraLink != link || peer.reportedStoreEra < era)) {
+        peer.storeEraLink = link;
+        peer.reportedStoreEra = era;
+        link.send(new Message.StoreEra(era));
+      }
+    }
+  }
+
   /** Returns whether a turn, of which each belongs to one connected gateway, is this gateway's. */
   private boolean isOwnTurn(String turn) {
     List<String> connected = new ArrayList<>(List.of(name));
@@ -419,6 +454,8 @@
       core.promptHolds().applyReport(crash.report(), link.peerHello().name());
     } else if (message instanceof Message.ServerLeaving leaving) {
       core.recordLeaving(leaving.runId(), leaving.age(), link.peerHello().name());
+    } else if (message instanceof Message.StoreEra storeEra) {
+      store.era().observe(storeEra.era());
     }
   }
 
--- a/src/main/java/org/wigeonstage/gateway/StoreWatcher.java
+++ b/src/main/java/org/wigeonstage/gateway/StoreWatcher.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
+import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.ClockReader;
 import org.wigeonstage.common.ClockReading;
 import org.wigeonstage.common.ControlExecutors;
@@ -13,6 +14,7 @@
 import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.fleet.ServerList;
 import org.wigeonstage.fleet.ServerRetention;
+import org.wigeonstage.fleet.StoreVersion;
 import org.wigeonstage.fleet.StoredConfiguration;
 import org.wigeonstage.telemetry.DecisionLog;
 
@@ -33,6 +35,8 @@
   private final ClockReader clocks;
   private final ConfigurationState configuration;
   private final GatewayCore core;
+  private final StoreRestores restores;
+  private @Nullable StoreVersion lastOutdated;
   private final ServerRetention serverRetention = new ServerRetention();
   private final ReadLoop configurationLoop = new ReadLoop("routing", this::readConfiguration);
   private final ReadLoop serverLoop = new ReadLoop("servers", this::readServers);
@@ -42,12 +46,14 @@
       WatchTimes watchTimes,
       ClockReader clocks,
       ConfigurationState configuration,
-      GatewayCore core) {
+      GatewayCore core,
+      StoreRestores restores) {
     this.store = store;
     this.watchTimes = watchTimes;
     this.clocks = clocks;
     this.configuration = configuration;
     this.core = core;
+    this.restores = restores;
   }
 
   void updateWatchTimes(WatchTimes newWatchTimes) {
@@ -86,7 +92,7 @@
       DecisionLog.write(
           "configuration-changed",
           "revision",
-          stored.revision(),
+          stored.version().revision(),
           "version",
           stored.table().version(),
           "routes",
@@ -94,19 +100,59 @@
           "ageMillis",
           clocks.read().elapsedSince(requestedAt).toMillis());
       core.withLock(() -> core.applyConfiguration(stored.table()));
+    } else if (configuration.isOutdated(stored) && !stored.version().equals(lastOutdated)) {
+      lastOutdated = stored.version();
+      DecisionLog.write(
+          "configuration-outdated",
+          "era",
+          stored.version().era(),
+          "revision",
+          stored.version().revision(),
+          "version",
+          stored.table().version());
     }
+    restores.done(
+        StoreRestores.Part.CONFIGURATION,
+        stored.version().era(),
+        "revision",
+        stored.version().revision(),
+        "version",
+        stored.table().version());
   }
 
   private boolean readServers(boolean mayWait) {
-    ServerList listed = mayWait ? store.awaitServers(watchTimes.servers()) : store.readServers();
+    Duration maxWait = serverRetention.maxWatchTime(watchTimes.servers(), core.now());
+    ServerList listed = mayWait ? store.awaitServers(maxWait) : store.readServers();
     List<String> retainedBefore = serverRetention.retained();
+    List<String> unconfirmedBefore = serverRetention.unconfirmed();
     ServerList servers = serverRetention.apply(listed, core.now());
     if (!serverRetention.retained().equals(retainedBefore)) {
       DecisionLog.write(
-          "servers-kept", "revision", listed.revision(), "notListed", serverRetention.retained());
+          "servers-kept",
+          "revision",
+          listed.version().revision(),
+          "notListed",
+          serverRetention.retained());
+    }
+    if (!serverRetention.unconfirmed().equals(unconfirmedBefore)) {
+      DecisionLog.write(
+          "servers-unconfirmed",
+          "era",
+          listed.version().era(),
+          "revision",
+          listed.version().revision(),
+          "servers",
+          serverRetention.unconfirmed());
     }
     core.withLock(() -> core.applyServers(servers));
-    return serverRetention.retained().isEmpty();
+    restores.done(
+        StoreRestores.Part.SERVERS,
+        listed.version().era(),
+        "revision",
+        listed.version().revision(),
+        "servers",
+        listed.servers().size());
+    return !serverRetention.needsLists();
   }
 
   @Override
@@ -124,6 +170,7 @@
     private boolean isReachable = true;
     private boolean mayWait;
     private Duration fullReadAt = Duration.ZERO;
+    private long lastEra;
 
     ReadLoop(String subject, StoreRead read) {
       this.subject = subject;
@@ -143,7 +190,10 @@
       mayWait = false;
       try {
         mayWait = read.execute(isWatch);
-        fullReadAt = isWatch ? fullReadAt : now;
+        // The first call in an era reads the complete list, even in place of a watch.
+        long era = store.era().highest();
+        fullReadAt = isWatch && era == lastEra ? fullReadAt : now;
+        lastEra = era;
         updateReachable(true, "");
         return mayWait ? CALL_INTERVAL : RETRY_INTERVAL;
       } catch (WigeonstageException e) {
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -43,6 +43,12 @@
    */
   long ROLLOUTS = 4;
 
+  /**
+   * The value of {@link Hello#configVersion} of gateways that accept {@link StoreEra} messages,
+   * too.
+   */
+  long STORE_ERAS = 5;
+
   /** A message about one request. */
   sealed interface RequestMessage extends Message {
     /**
@@ -61,7 +67,7 @@
    * @param name the name of the sender
    * @param incarnation a number that grows with each start of the sender
    * @param configVersion the version of the configuration in force at the sender; a gateway, whose
-   *     peers do not need it, states {@link #ROLLOUTS}
+   *     peers do not need it, states {@link #STORE_ERAS}
    */
   record Hello(int protocolVersion, String role, String name, long incarnation, long configVersion)
       implements Message {}
@@ -265,6 +271,14 @@
    */
   record RolloutCommand(RolloutDirective directive) implements Message {}
 
+  /**
+   * Reports the highest era of the store that the sender has seen. Sent only to gateways whose
+   * hello message states at least {@link #STORE_ERAS}, and only if the store states its era.
+   *
+   * @param era the number of times that the store has been restored
+   */
+  record StoreEra(long era) implements Message {}
+
   /**
    * The load and the quota usage of a gateway, which it sends to its peers periodically: first
    * completely, then as the changes since the previous message on the same link (see {@link
--- a/src/main/java/org/wigeonstage/http/BlockingCall.java
+++ b/src/main/java/org/wigeonstage/http/BlockingCall.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -18,9 +19,12 @@
 
   private final CompletableFuture<HttpResponse> response = new CompletableFuture<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-  private int status;
+  private final Endpoint target;
+  private @Nullable ResponseHead head;
 
-  private BlockingCall() {}
+  private BlockingCall(Endpoint target) {
+    this.target = target;
+  }
 
   /**
    * Sends a call and waits for the complete response.
@@ -39,10 +43,61 @@
       HttpCall call,
       Map<String, String> fields,
       Duration timeout) {
-    BlockingCall listener = new BlockingCall();
-    ClientExchange exchange = client.send(target, call, fields, listener);
+    return start(client, target, call, fields).await(timeout);
+  }
+
+  /** A call that was sent. */
+  public static final class Pending {
+
+    private final BlockingCall call;
+    private final ClientExchange exchange;
+
+    private Pending(BlockingCall call, ClientExchange exchange) {
+      this.call = call;
+      this.exchange = exchange;
+    }
+
+    /**
+     * Waits for the complete response.
+     *
+     * @param timeout how long to wait
+     * @return the response
+     * @throws CallFailedException if no complete response arrived within the timeout, or the call
+     *     was canceled
+     */
+    public HttpResponse await(Duration timeout) {
+      return call.await(exchange, timeout);
+    }
+
+    /**
+     * Makes the call fail unless its response has arrived. The thread that awaits it aborts the
+     * exchange.
+     *
+     * @param reason the message of the exception
+     */
+    public void cancel(String reason) {
+      call.response.completeExceptionally(new CallFailedException(reason, true, null));
+    }
+  }
+
+  /**
+   * Sends a call.
+   *
+   * @param client the client that sends the call
+   * @param target the address of the server
+   * @param call the call to send
+   * @param fields further header fields
+   * @return the call, whose response must be awaited
+   */
+  public static Pending start(
+      HttpClient client, Endpoint target, HttpCall call, Map<String, String> fields) {
+    BlockingCall listener = new BlockingCall(target);
+    return new Pending(listener, client.send(target, call, fields, listener));
+  }
+
+  private HttpResponse await(ClientExchange exchange, Duration timeout) {
     try {
-      return listener.response.get(timeout.toMillis(), TimeUnit.MILLISECONDS);
+      return response.get(timeout.toMillis(), TimeUnit.MILLISECONDS);
     } catch (TimeoutException e) {
       exchange.abort();
       throw new CallFailedException(
@@ -60,8 +115,13 @@
   }
 
   @Override
-  public void onStart(int newStatus, @Nullable String contentType) {
-    status = newStatus;
+  public void onHead(ResponseHead newHead) {
+    head = newHead;
+  }
+
+  @Override
+  public void onStart(int status, @Nullable String contentType) {
+    throw new IllegalStateException("onHead is overridden");
   }
 
   @Override
@@ -80,7 +140,8 @@
 
   @Override
   public void onComplete() {
-    response.complete(new HttpResponse(status, body.toByteArray()));
+    ResponseHead received = Objects.requireNonNull(head, "the response has no head");
+    response.complete(new HttpResponse(received.status(), received.fields(), body.toByteArray()));
   }
 
   @Override
--- a/src/main/java/org/wigeonstage/http/HttpResponse.java
+++ b/src/main/java/org/wigeonstage/http/HttpResponse.java
@@ -1,15 +1,18 @@
 package org.wigeonstage.http;
 
 import java.nio.charset.StandardCharsets;
+import org.wigeonstage.request.HeaderFields;
 
 /** A complete response to a call. */
 public final class HttpResponse {
 
   private final int status;
+  private final HeaderFields fields;
   private final byte[] body;
 
-  HttpResponse(int status, byte[] body) {
+  HttpResponse(int status, HeaderFields fields, byte[] body) {
     this.status = status;
+    this.fields = fields;
     this.body = body;
   }
 
@@ -22,6 +25,15 @@
     return status;
   }
 
+  /**
+   * Returns the header fields.
+   *
+   * @return the fields in the order in which they were received
+   */
+  public HeaderFields fields() {
+    return fields;
+  }
+
   /**
    * Returns the body.
    *
--- a/src/main/java/org/wigeonstage/platform/PlatformAdapter.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformAdapter.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.platform;
 
 import org.wigeonstage.fleet.FleetStore;
+import org.wigeonstage.fleet.StoreEra;
 import org.wigeonstage.forward.HeaderCodec;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpClient;
@@ -23,7 +24,7 @@
    * @param store the address and port of the store
    */
   public PlatformAdapter(HttpClient client, Endpoint store) {
-    PlatformStoreClient storeClient = new PlatformStoreClient(client, store);
+    PlatformStoreClient storeClient = new PlatformStoreClient(client, store, new StoreEra());
     this.fleetStore = new PlatformFleetStore(storeClient);
     this.rolloutStore = new PlatformRolloutStore(storeClient);
   }
--- a/src/main/java/org/wigeonstage/platform/PlatformFleetStore.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformFleetStore.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.ErrorCode;
@@ -11,6 +13,8 @@
 import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.fleet.GatewayRegistration;
 import org.wigeonstage.fleet.ServerList;
+import org.wigeonstage.fleet.StoreEra;
+import org.wigeonstage.fleet.StoreVersion;
 import org.wigeonstage.fleet.StoredConfiguration;
 import org.wigeonstage.store.StoreException;
 
@@ -38,6 +42,11 @@
     this.servers = new WatchedObjects(client, SERVER_KIND);
   }
 
+  @Override
+  public StoreEra era() {
+    return client.era();
+  }
+
   @Override
   public Optional<StoredConfiguration> readConfiguration() {
     configurations.read();
@@ -51,14 +60,15 @@
   }
 
   /**
-   * Decodes the object, or returns the last result if its revision has not changed since.
+   * Decodes the object, or returns the last result if its version has not changed since.
    *
    * @throws StoreException if the configuration can't be read; the one in force is then not
    *     confirmed
    */
   private StoredConfiguration decodeConfiguration(StoreObject object) {
     StoredConfiguration last = lastConfiguration;
-    if (last == null || last.revision() != object.revision()) {
+    StoreVersion version = configurations.versionOf(object);
+    if (last == null || !last.version().equals(version)) {
       if (!object.spec().isObject()) {
         throw new StoreException(
             ErrorCode.INVALID_CONFIGURATION,
@@ -68,7 +78,7 @@
                 + object.fault(),
             null);
       }
-      last = new StoredConfiguration(object.revision(), RoutingDecoder.decode(object.spec()));
+      last = new StoredConfiguration(version, RoutingDecoder.decode(object.spec()));
       lastConfiguration = last;
     }
     return last;
@@ -89,7 +99,9 @@
   private ServerList serverList() {
     List<StoreObject> objects = servers.objects();
     List<BackendServer> decoded = serverDecoder.decode(objects, ServerDecoder::decode);
-    return new ServerList(servers.revision(), decoded, objects.size() - decoded.size());
+    Map<String, Long> revisions = new HashMap<>();
+    objects.forEach(object -> revisions.put(object.name(), object.revision()));
+    return new ServerList(servers.version(), decoded, objects.size() - decoded.size(), revisions);
   }
 
   @Override
--- a/src/main/java/org/wigeonstage/platform/PlatformRolloutStore.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformRolloutStore.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.WigeonstageException;
+import org.wigeonstage.fleet.StoreVersion;
 import org.wigeonstage.rollout.RolloutOrder;
 import org.wigeonstage.rollout.RolloutState;
 import org.wigeonstage.rollout.RolloutStore;
@@ -58,13 +59,15 @@
       }
     }
     decoder
-        .decode(listed, (name, spec) -> decode(objects.object(name).orElseThrow()))
+        .decode(
+            listed,
+            (name, spec) -> decode(objects.object(name).orElseThrow(), objects.version().era()))
         .forEach(order -> current.put(order.name(), order));
     ordersByName = current;
     return new ArrayList<>(current.values());
   }
 
-  private static RolloutOrder decode(StoreObject object) {
+  private static RolloutOrder decode(StoreObject object, long era) {
     RegistrationFields fields = new RegistrationFields(object.spec());
     String target = fields.text("target");
     if (target.isEmpty()) {
@@ -76,7 +79,7 @@
         fields.text("service"),
         target,
         Duration.ofMillis((long) (seconds * MILLIS_PER_SECOND)),
-        object.revision(),
+        new StoreVersion(era, object.revision()),
         stateOf(object.status(), target));
   }
 
@@ -91,9 +94,12 @@
   @Override
   public RolloutOrder writeState(RolloutOrder order, RolloutState state) {
     ObjectNode body = JsonNodeFactory.instance.objectNode();
-    body.putObject("metadata").put("name", order.name()).put("revision", order.revision());
+    body.putObject("metadata")
+        .put("name", order.name())
+        .put("revision", order.version().revision());
     body.putObject("status").put("state", nameOf(state)).put("target", order.target());
-    return decode(client.putStatus(KIND, order.name(), body));
+    long era = order.version().era();
+    return decode(client.putStatus(KIND, order.name(), body, era), era);
   }
 
   private static String nameOf(RolloutState state) {
--- a/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
@@ -9,9 +9,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.Json;
 import org.wigeonstage.common.WigeonstageException;
+import org.wigeonstage.fleet.StoreEra;
+import org.wigeonstage.fleet.StoreVersion;
 import org.wigeonstage.http.BlockingCall;
 import org.wigeonstage.http.CallFailedException;
 import org.wigeonstage.http.Endpoint;
@@ -39,6 +42,15 @@
   private static final int MAX_OBJECTS = 20_000;
 
   private static final String OBJECTS_PATH = "/wigeonstage/objects/";
+
+  /** States how often the store has been restored from a copy, in all its responses. */
+  private static final String ERA_FIELD = "Store-Era";
+
+  private static final Pattern ERA = Pattern.compile("[0-9]{1,18}");
+
+  /** Attempts to read all pages of a list in one era; restores are seconds apart. */
+  private static final int MAX_LIST_ATTEMPTS = 3;
+
   private static final String JSON_TYPE = "application/json";
   private static final byte[] NO_BODY = {};
   private static final int OK = 200;
@@ -50,18 +62,25 @@
 
   private final HttpClient client;
   private final Endpoint store;
+  private final StoreEra era;
 
-  PlatformStoreClient(HttpClient client, Endpoint store) {
+  PlatformStoreClient(HttpClient client, Endpoint store, StoreEra era) {
     this.client = client;
     this.store = store;
+    this.era = era;
+  }
+
+  /** The highest era of the store that was seen. */
+  StoreEra era() {
+    return era;
   }
 
-  /** All objects of one kind at a revision of the store. */
-  record Listing(long revision, List<StoreObject> objects) {}
+  /** All objects of one kind at a version of the store. */
+  record Listing(StoreVersion version, List<StoreObject> objects) {}
 
   /**
-   * Reads all pages of a kind. Returns the revision of the first page, so that a watch from this
-   * revision reports all changes that later pages may lack.
+   * Reads all pages of a kind. Returns the version of the first page, so that a watch from this
+   * version reports all changes that later pages may lack.
    */
   Listing list(String kind) {
     return list(kind, "");
@@ -73,13 +92,30 @@
   }
 
   private Listing list(String kind, String parameters) {
+    for (int attempt = 0; attempt < MAX_LIST_ATTEMPTS; attempt++) {
+      Optional<Listing> listing = listInOneEra(kind, parameters);
+      if (listing.isPresent()) {
+        return listing.get();
+      }
+    }
+    throw new StoreException(
+        ErrorCode.STORE_UNAVAILABLE,
+        "the store was restored during " + MAX_LIST_ATTEMPTS + " lists of " + kind,
+        null);
+  }
+
+  /** Reads all pages, or returns empty if they are of different eras. */
+  private Optional<Listing> listInOneEra(String kind, String parameters) {
     StorePage page = readPage(kind, parameters);
-    long revision = page.revision();
+    StoreVersion version = page.version();
     List<StoreObject> objects = new ArrayList<>(page.objects());
     while (page.hasMore()) {
       String lastName = page.lastName();
       String after = "after=" + URLEncoder.encode(lastName, StandardCharsets.UTF_8);
       page = readPage(kind, parameters.isEmpty() ? after : parameters + "&" + after);
+      if (page.version().era() != version.era()) {
+        return Optional.empty();
+      }
       objects.addAll(page.objects());
       boolean advances = !page.hasMore() || !page.lastName().equals(lastName);
       if (!advances || objects.size() > MAX_OBJECTS) {
@@ -89,14 +125,14 @@
             null);
       }
     }
-    return new Listing(revision, objects);
+    return Optional.of(new Listing(version, objects));
   }
 
   private StorePage readPage(String kind, String parameters) {
     String query = parameters.isEmpty() ? "" : "?" + parameters;
     HttpResponse response = call("GET", kind + query, NO_BODY);
     checkStatus(response, OK);
-    return decode(() -> StorePage.decode(response.body()));
+    return decode(() -> StorePage.decode(response.body(), eraOf(response)));
   }
 
   /**
@@ -109,13 +145,24 @@
   record Changes(long revision, List<StoreEvent> events, boolean isEmpty) {}
 
   /**
-   * Waits for changes after a revision. Returns no events if none occur within the time, and empty
-   * if the store no longer has its history back to that revision.
+   * Waits for changes after a version. Returns no events if none occur within the time, and empty
+   * if the store no longer has its history back to that version, or a higher era becomes known.
    */
-  Optional<Changes> watch(String kind, long revision, Duration maxWait) {
-    String path = kind + "?watch_rev=" + revision + "&wait_ms=" + maxWait.toMillis();
-    HttpResponse response = call("GET", path, NO_BODY, maxWait.plus(WATCH_MARGIN));
-    if (response.status() == GONE) {
+  Optional<Changes> watch(String kind, StoreVersion since, Duration maxWait) {
+    if (era.highest() > since.era()) {
+      return Optional.empty();
+    }
+    String path = kind + "?watch_rev=" + since.revision() + "&wait_ms=" + maxWait.toMillis();
+    HttpResponse response;
+    try {
+      response = call("GET", path, NO_BODY, maxWait.plus(WATCH_MARGIN), since.era());
+    } catch (StoreException e) {
+      if (era.highest() > since.era()) {
+        return Optional.empty();
+      }
+      throw e;
+    }
+    if (response.status() == GONE || eraOf(response) > since.era()) {
       return Optional.empty();
     }
     checkStatus(response, OK);
@@ -136,11 +183,28 @@
   /**
    * Writes the status of an object if it has the revision that the body names. Returns the object
    * after the write, or as it is if it has another revision.
+   *
+   * @param readEra the era in which the revision was read. The store may have assigned it to
+   *     another content since it was restored.
+   * @throws StoreException with the code {@code WRITE_UNDECIDED} if the response is of a higher
+   *     era: the write may have been lost with the restore, or have changed another content
    */
-  StoreObject putStatus(String kind, String name, JsonNode object) {
+  StoreObject putStatus(String kind, String name, JsonNode object, long readEra) {
+    if (era.highest() > readEra) {
+      throw new StoreException(
+          ErrorCode.STORE_UNAVAILABLE,
+          "not written: " + kind + " " + name + " was read before the store was restored",
+          null);
+    }
     byte[] body = Json.write(object).getBytes(StandardCharsets.UTF_8);
     String encodedName = URLEncoder.encode(name, StandardCharsets.UTF_8);
     HttpResponse response = call("PUT", kind + "/" + encodedName + "/status", body);
+    if (eraOf(response) > readEra) {
+      throw new StoreException(
+          ErrorCode.WRITE_UNDECIDED,
+          "the store was restored while " + kind + " " + name + " was written",
+          null);
+    }
     if (response.status() != CONFLICT) {
       checkStatus(response, OK);
     }
@@ -148,14 +212,30 @@
   }
 
   private HttpResponse call(String method, String path, byte[] body) {
-    return call(method, path, body, CALL_TIMEOUT);
+    return call(method, path, body, CALL_TIMEOUT, Long.MAX_VALUE);
   }
 
-  private HttpResponse call(String method, String path, byte[] body, Duration timeout) {
+  /** Makes a call, which ends early when an era above a limit becomes known. */
+  private HttpResponse call(
+      String method, String path, byte[] body, Duration timeout, long maxEra) {
     HttpCall call =
         new HttpCall(method, OBJECTS_PATH + path, body.length > 0 ? JSON_TYPE : null, body);
+    BlockingCall.Pending pending = BlockingCall.start(client, store, call, Map.of());
+    Runnable endIfRestored =
+        () -> {
+          if (era.highest() > maxEra) {
+            pending.cancel("the store was restored");
+          }
+        };
+    era.addListener(endIfRestored);
     try {
-      return BlockingCall.execute(client, store, call, Map.of(), timeout);
+      endIfRestored.run();
+      HttpResponse response = pending.await(timeout);
+      if (!era.observe(eraOf(response))) {
+        throw new CallFailedException(
+            "the response is of era " + eraOf(response) + ", before " + era.highest(), true, null);
+      }
+      return response;
     } catch (CallFailedException e) {
       ErrorCode code =
           body.length > 0 && e.mayHaveBeenSent()
@@ -163,9 +243,22 @@
               : ErrorCode.STORE_UNAVAILABLE;
       throw new StoreException(
           code, method + " " + path + " at the platform's store failed: " + e.getMessage(), e);
+    } finally {
+      era.removeListener(endIfRestored);
     }
   }
 
+  /** Returns the era that a response states; a value that is not a whole number does not count. */
+  private static long eraOf(HttpResponse response) {
+    return response
+        .fields()
+        .first(ERA_FIELD)
+        .map(String::strip)
+        .filter(value -> ERA.matcher(value).matches())
+        .map(Long::parseLong)
+        .orElse(0L);
+  }
+
   private static void checkStatus(HttpResponse response, int expectedStatus) {
     boolean isExpected = response.status() == expectedStatus || response.status() == OK;
     if (!isExpected) {
--- a/src/main/java/org/wigeonstage/platform/StorePage.java
+++ b/src/main/java/org/wigeonstage/platform/StorePage.java
@@ -5,23 +5,24 @@
 import java.util.Map;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.WigeonstageException;
+import org.wigeonstage.fleet.StoreVersion;
 import org.wigeonstage.store.StoreException;
 
 /**
  * A page of the list of one kind's objects.
  *
- * @param revision the store's revision
+ * @param version the store's version
  * @param objects the objects whose names could be read
  * @param hasMore whether more pages follow
  */
-record StorePage(long revision, List<StoreObject> objects, boolean hasMore) {
+record StorePage(StoreVersion version, List<StoreObject> objects, boolean hasMore) {
 
   /**
    * Decodes a page. Entries without a readable name are left out and logged.
    *
    * @throws WigeonstageException if the page itself can't be read
    */
-  static StorePage decode(byte[] body) {
+  static StorePage decode(byte[] body, long era) {
     Map<String, RawJson> fields = RawJson.of(body).fields();
     RawJson entries = fields.get("entries");
     if (entries == null || !fields.containsKey("at")) {
@@ -33,7 +34,9 @@
     }
     RawJson hasMore = fields.get("has_more");
     return new StorePage(
-        fields.get("at").parse().asLong(), objects, hasMore != null && hasMore.parse().asBoolean());
+        new StoreVersion(era, fields.get("at").parse().asLong()),
+        objects,
+        hasMore != null && hasMore.parse().asBoolean());
   }
 
   /**
--- a/src/main/java/org/wigeonstage/platform/WatchedObjects.java
+++ b/src/main/java/org/wigeonstage/platform/WatchedObjects.java
@@ -4,8 +4,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.wigeonstage.fleet.StoreVersion;
 
 /**
  * A copy of the store's objects of one kind, read as a list and then kept up to date by a watch.
@@ -17,7 +20,7 @@
   private final PlatformStoreClient client;
   private final String kind;
   private final Map<String, StoreObject> objectsByName = new TreeMap<>();
-  private long revision = -1;
+  private @Nullable StoreVersion version;
 
   WatchedObjects(PlatformStoreClient client, String kind) {
     this.client = client;
@@ -29,29 +32,31 @@
     PlatformStoreClient.Listing listing = client.list(kind);
     objectsByName.clear();
     listing.objects().forEach(object -> objectsByName.put(object.name(), object));
-    revision = listing.revision();
+    version = listing.version();
   }
 
   /**
    * Waits for changes since the last call and applies them. Reads the complete list instead on the
-   * first call, and if the store no longer has the changes.
+   * first call, and if the store no longer has the changes or was restored.
    *
    * <p>A response without events does not advance the revision: a store that is about to drop its
    * history may withhold events, and the next call requests them again.
    */
   void await(Duration maxWait) {
-    if (revision < 0) {
+    StoreVersion current = version;
+    if (current == null) {
       read();
       return;
     }
-    Optional<PlatformStoreClient.Changes> changes = client.watch(kind, revision, maxWait);
+    Optional<PlatformStoreClient.Changes> changes = client.watch(kind, current, maxWait);
     if (changes.isEmpty()) {
       read();
       return;
     }
     if (!changes.get().isEmpty()) {
       changes.get().events().forEach(this::apply);
-      revision = Math.max(revision, changes.get().revision());
+      long revision = Math.max(current.revision(), changes.get().revision());
+      version = new StoreVersion(current.era(), revision);
     }
   }
 
@@ -63,8 +68,14 @@
     }
   }
 
-  long revision() {
-    return revision;
+  /** Returns the version of the copy; the list must have been read. */
+  StoreVersion version() {
+    return Objects.requireNonNull(version, "the list was not read");
+  }
+
+  /** Returns the version at which an object of the copy last changed. */
+  StoreVersion versionOf(StoreObject object) {
+    return new StoreVersion(version().era(), object.revision());
   }
 
   Optional<StoreObject> object(String name) {
--- a/src/main/java/org/wigeonstage/platform/standin/StoreStandin.java
+++ b/src/main/java/org/wigeonstage/platform/standin/StoreStandin.java
@@ -6,10 +6,12 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.util.RawValue;
 import java.io.Closeable;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -25,13 +27,15 @@
  * lists, watches, conditional writes and a status that the system writes.
  *
  * <p>It keeps objects in memory and has neither finalizers nor rate limits. It can simulate faults:
- * refuse all calls, perform writes without responding, drop its history and abort watches.
+ * refuse all calls, perform writes without responding, drop its history, abort watches, and be
+ * restored from a copy. From its first restore, it states its era in all responses.
  */
 public final class StoreStandin implements Closeable {
 
   private static final String OBJECTS_PATH = "/wigeonstage/objects/";
   private static final String JSON = "application/json";
   private static final String STATUS = "status";
+  private static final String ERA_FIELD = "Store-Era";
   private static final int MAX_BODY_BYTES = 1024 * 1024;
   private static final int OK = 200;
   private static final int CREATED = 201;
@@ -42,6 +46,7 @@
 
   private final Map<String, TreeMap<String, ObjectNode>> kinds = new TreeMap<>();
   private final AtomicLong calls = new AtomicLong();
+  private final Map<String, Integer> listsByKind = new ConcurrentHashMap<>();
   private final HttpServer server;
   private final ScheduledExecutorService timer =
       ControlExecutors.newSingleThreadExecutor("store-timer");
@@ -50,6 +55,8 @@
   private final List<Watch> pendingWatches = new ArrayList<>();
   private long revision = 1;
   private long historyStart;
+  private long era;
+  private volatile @Nullable String statedEra;
   private boolean withholdsEvents;
   private int pageSize = 50;
   private volatile boolean isUnavailable;
@@ -58,6 +65,19 @@
   /** A change that watches report. */
   private record Change(long revision, String kind, ObjectNode object, boolean isDeleted) {}
 
+  /** The objects and the revision at one time. */
+  public static final class Copy {
+    private final Map<String, TreeMap<String, ObjectNode>> kinds = new TreeMap<>();
+    private final List<Change> history;
+    private final long revision;
+
+    private Copy(StoreStandin store) {
+      store.kinds.forEach((kind, objects) -> kinds.put(kind, copyOf(objects)));
+      history = List.copyOf(store.history);
+      revision = store.revision;
+    }
+  }
+
   /** A watch that waits for changes after a revision. */
   private record Watch(ServerExchange exchange, String kind, long sinceRevision) {}
 
@@ -145,6 +165,61 @@
     return write(kind, name, JsonNodeFactory.instance.rawValueNode(new RawValue(spec)));
   }
 
+  /**
+   * Returns a copy from which the store can be restored.
+   *
+   * @return the copy
+   */
+  public synchronized Copy copy() {
+    return new Copy(this);
+  }
+
+  /**
+   * Restores a copy: writes since then are lost, and their revisions are assigned again. Pending
+   * watches end as if they had been sent to the restored store.
+   *
+   * @param copy the copy
+   */
+  public synchronized void restore(Copy copy) {
+    kinds.clear();
+    copy.kinds.forEach((kind, objects) -> kinds.put(kind, copyOf(objects)));
+    history.clear();
+    history.addAll(copy.history);
+    revision = copy.revision;
+    historyStart = Math.min(historyStart, revision);
+    era++;
+    statedEra = Long.toString(era);
+    List<Watch> lost =
+        pendingWatches.stream().filter(watch -> watch.sinceRevision() > revision).toList();
+    pendingWatches.removeAll(lost);
+    lost.forEach(watch -> respond(watch.exchange(), GONE, JsonNodeFactory.instance.objectNode()));
+  }
+
+  private static TreeMap<String, ObjectNode> copyOf(Map<String, ObjectNode> objects) {
+    TreeMap<String, ObjectNode> copy = new TreeMap<>();
+    objects.forEach((name, object) -> copy.put(name, object.deepCopy()));
+    return copy;
+  }
+
+  /**
+   * Sets the era that is stated in responses, until the next restore.
+   *
+   * @param value the value of the header field, which may be malformed, or null for none
+   */
+  public void setStatedEra(@Nullable String value) {
+    statedEra = value;
+  }
+
+  /**
+   * Returns how many lists of a kind were requested.
+   *
+   * @param kind the kind
+   * @return the number of requests for a first page
+   */
+  public int listCount(String kind) {
+    return listsByKind.getOrDefault(kind, 0);
+  }
+
   private ObjectNode store(String kind, String name, JsonNode spec) {
     revision++;
     ObjectNode object = JsonNodeFactory.instance.objectNode();
@@ -208,7 +283,11 @@
       return;
     }
     if (parts.length == 1) {
-      respond(exchange, OK, page(parts[0], exchange.parameter("after")));
+      String after = exchange.parameter("after");
+      if (after == null) {
+        listsByKind.merge(parts[0], 1, Integer::sum);
+      }
+      respond(exchange, OK, page(parts[0], after));
       return;
     }
     ObjectNode object = objects(parts[0]).get(parts[1]);
@@ -220,7 +299,7 @@
   }
 
   private void watch(ServerExchange exchange, String kind, long sinceRevision) {
-    if (sinceRevision < historyStart) {
+    if (sinceRevision < historyStart || sinceRevision > revision) {
       respond(exchange, GONE, JsonNodeFactory.instance.objectNode());
       return;
     }
@@ -370,7 +449,12 @@
     if (losesResponses && !exchange.method().equals("GET")) {
       exchange.abort();
     } else {
-      exchange.respond(status, JSON, body.toString());
+      String value = statedEra;
+      exchange.respond(
+          status,
+          JSON,
+          value == null ? Map.of() : Map.of(ERA_FIELD, value),
+          body.toString().getBytes(StandardCharsets.UTF_8));
     }
   }
 
--- a/src/main/java/org/wigeonstage/rollout/RolloutDecider.java
+++ b/src/main/java/org/wigeonstage/rollout/RolloutDecider.java
@@ -99,7 +99,7 @@
    * @param newOrder the order with the same target
    */
   public void applyOrder(RolloutOrder newOrder) {
-    if (newOrder.revision() > order.revision()) {
+    if (newOrder.version().isAfter(order.version())) {
       order = newOrder;
     }
   }
--- a/src/main/java/org/wigeonstage/rollout/RolloutOrder.java
+++ b/src/main/java/org/wigeonstage/rollout/RolloutOrder.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.rollout;
 
 import java.time.Duration;
+import org.wigeonstage.fleet.StoreVersion;
 
 /**
  * An order to shift the traffic of a pool to the servers of a version.
@@ -9,11 +10,36 @@
  * @param pool the pool
  * @param target the version
  * @param duration the time within which the order must be completed or rolled back
- * @param revision the revision of the object in the store
+ * @param version the version at which the object was last written in the store
  * @param state the state that a gateway has written for this target
  */
 public record RolloutOrder(
-    String name, String pool, String target, Duration duration, long revision, RolloutState state) {
+    String name,
+    String pool,
+    String target,
+    Duration duration,
+    StoreVersion version,
+    RolloutState state) {
+
+  /**
+   * Creates an order that was read from a store without eras.
+   *
+   * @param name the name of the object in the store
+   * @param pool the pool
+   * @param target the version
+   * @param duration the time within which the order must be completed or rolled back
+   * @param revision the revision of the object in the store
+   * @param state the state that a gateway has written for this target
+   */
+  public RolloutOrder(
+      String name,
+      String pool,
+      String target,
+      Duration duration,
+      long revision,
+      RolloutState state) {
+    this(name, pool, target, duration, new StoreVersion(0, revision), state);
+  }
 
   /**
    * Returns whether the order has neither been completed nor rolled back.
--- a/src/main/java/org/wigeonstage/rollout/RolloutParticipant.java
+++ b/src/main/java/org/wigeonstage/rollout/RolloutParticipant.java
@@ -78,7 +78,7 @@
    */
   public boolean applyOrder(RolloutOrder newOrder, Duration now) {
     RolloutOrder previous = order;
-    if (previous != null && newOrder.revision() <= previous.revision()) {
+    if (previous != null && !newOrder.version().isAfter(previous.version())) {
       return false;
     }
     order = newOrder;
@@ -120,7 +120,7 @@
   public boolean applyDirective(RolloutDirective directive, Duration now) {
     boolean isNew = applyOrder(directive.order(), now);
     RolloutOrder current = order;
-    if (current == null || directive.order().revision() < current.revision()) {
+    if (current == null || current.version().isAfter(directive.order().version())) {
       return isNew;
     }
     adoptAge(directive.age(), now);
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -65,6 +65,7 @@
       case LINK_CLOSING -> new Message.LinkClosing(in.unpackString());
       case ROLLOUT_STATUS -> new Message.RolloutStatus(RolloutCodec.readReport(in));
       case ROLLOUT_COMMAND -> new Message.RolloutCommand(RolloutCodec.readDirective(in));
+      case STORE_ERA -> new Message.StoreEra(in.unpackLong());
       default -> readRequestMessage(type, RequestId.of(in.unpackString()), in);
     };
   }
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -72,6 +72,8 @@
       RolloutCodec.write(packType(packer, MessageType.ROLLOUT_STATUS), status.report());
     } else if (message instanceof Message.RolloutCommand command) {
       RolloutCodec.write(packType(packer, MessageType.ROLLOUT_COMMAND), command.directive());
+    } else if (message instanceof Message.StoreEra storeEra) {
+      packType(packer, MessageType.STORE_ERA).packLong(storeEra.era());
     }
   }
 
--- a/src/main/java/org/wigeonstage/wire/RolloutCodec.java
+++ b/src/main/java/org/wigeonstage/wire/RolloutCodec.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.wigeonstage.fleet.StoreVersion;
 import org.wigeonstage.rollout.ResponseCounts;
 import org.wigeonstage.rollout.RolloutDirective;
 import org.wigeonstage.rollout.RolloutOrder;
@@ -50,7 +51,8 @@
         .packString(order.pool())
         .packString(order.target())
         .packLong(order.duration().toMillis())
-        .packLong(order.revision())
+        .packLong(order.version().era())
+        .packLong(order.version().revision())
         .packInt(order.state().ordinal());
   }
 
@@ -101,7 +103,7 @@
         pool,
         target,
         Duration.ofMillis(durationMillis),
-        in.unpackLong(),
+        new StoreVersion(in.unpackLong(), in.unpackLong()),
         MessageDecoder.enumConstant(RolloutState.values(), in.unpackInt()));
   }
 
--- a/src/test/java/org/wigeonstage/PlatformNamesTest.java
+++ b/src/test/java/org/wigeonstage/PlatformNamesTest.java
@@ -34,6 +34,7 @@
           "Token-Count",
           "Length-Hint",
           "Credential",
+          "Store-Era",
           "Kv-",
           "/wigeonstage/",
           "path_prefix",
--- a/src/test/java/org/wigeonstage/gateway/ConfigurationStateTest.java
+++ b/src/test/java/org/wigeonstage/gateway/ConfigurationStateTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonstage.common.ClockReading;
+import org.wigeonstage.fleet.StoreVersion;
 import org.wigeonstage.fleet.StoredConfiguration;
 import org.wigeonstage.routes.ConnectionLimits;
 import org.wigeonstage.routes.RoutingTable;
@@ -27,9 +28,14 @@
       new ConfigurationState(() -> new ClockReading(monotonic, wallClock), Duration.ofSeconds(4));
 
   private static StoredConfiguration revision(long revision) {
+    return stored(0, revision, revision);
+  }
+
+  private static StoredConfiguration stored(long era, long revision, long tableVersion) {
     ConnectionLimits limits = new ConnectionLimits(1, 1, Duration.ZERO, Duration.ZERO);
     return new StoredConfiguration(
-        revision, new RoutingTable(revision, List.of(), List.of(), List.of(), limits));
+        new StoreVersion(era, revision),
+        new RoutingTable(tableVersion, List.of(), List.of(), List.of(), limits));
   }
 
   private ClockReading now() {
@@ -62,12 +68,46 @@
     configuration.confirm(revision(5), now());
     advance(Duration.ofSeconds(5), Duration.ofSeconds(5));
     assertThat(configuration.confirm(revision(4), now())).isFalse();
-    assertThat(configuration.current().orElseThrow().revision()).isEqualTo(5);
+    assertThat(configuration.current().orElseThrow().version().revision()).isEqualTo(5);
     assertThat(configuration.isFresh()).isFalse();
     assertThat(configuration.confirm(revision(5), now())).isFalse();
     assertThat(configuration.isFresh()).isTrue();
   }
 
+  /** Guards against a removed key that works again because the store was restored. */
+  @Test
+  void olderConfigurationOfRestoredStoreNeitherReplacesNorConfirms() {
+    configuration.confirm(stored(0, 90, 7), now());
+    advance(Duration.ofSeconds(5), Duration.ofSeconds(5));
+    assertThat(configuration.confirm(stored(1, 80, 5), now())).isFalse();
+    assertThat(configuration.confirm(stored(1, 95, 6), now())).isFalse();
+    assertThat(configuration.isFresh()).isFalse();
+    assertThat(configuration.current().orElseThrow().table().version()).isEqualTo(7);
+    assertThat(configuration.confirm(stored(1, 96, 8), now())).isTrue();
+    assertThat(configuration.isFresh()).isTrue();
+  }
+
+  /** Guards against requests that are refused although the operator has written again. */
+  @Test
+  void equalConfigurationOfRestoredStoreConfirmsTheOneInForce() {
+    StoredConfiguration inForce = stored(0, 90, 7);
+    configuration.confirm(inForce, now());
+    advance(Duration.ofSeconds(5), Duration.ofSeconds(5));
+    assertThat(configuration.confirm(stored(1, 80, 7), now())).isFalse();
+    assertThat(configuration.isFresh()).isTrue();
+    assertThat(configuration.current().orElseThrow().table()).isSameAs(inForce.table());
+    assertThat(configuration.confirm(stored(1, 79, 6), now())).isFalse();
+    assertThat(configuration.confirm(stored(1, 81, 8), now())).isTrue();
+  }
+
+  /** Guards against a late response of the store before it was restored. */
+  @Test
+  void configurationOfLowerEraIsIgnored() {
+    configuration.confirm(stored(1, 10, 7), now());
+    assertThat(configuration.confirm(stored(0, 99, 9), now())).isFalse();
+    assertThat(configuration.current().orElseThrow().table().version()).isEqualTo(7);
+  }
+
   /** The monotonic clock does not advance while the host is suspended. */
   @Test
   void isNotFreshAfterTheHostWasSuspended() {
--- a/src/test/java/org/wigeonstage/gateway/ControlLoopsIT.java
+++ b/src/test/java/org/wigeonstage/gateway/ControlLoopsIT.java
@@ -16,6 +16,7 @@
 import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.fleet.GatewayRegistration;
 import org.wigeonstage.fleet.ServerList;
+import org.wigeonstage.fleet.StoreEra;
 import org.wigeonstage.fleet.StoredConfiguration;
 import org.wigeonstage.platform.standin.Rehearsal;
 import org.wigeonstage.platform.standin.RunnerStandin;
@@ -53,6 +54,11 @@
       }
     }
 
+    @Override
+    public StoreEra era() {
+      return delegate.era();
+    }
+
     @Override
     public Optional<StoredConfiguration> readConfiguration() {
       failAtFirst(0);
--- a/src/test/java/org/wigeonstage/platform/PlatformRolloutStoreTest.java
+++ b/src/test/java/org/wigeonstage/platform/PlatformRolloutStoreTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.WigeonstageException;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpClient;
@@ -19,6 +20,7 @@
 import org.wigeonstage.rollout.RolloutOrder;
 import org.wigeonstage.rollout.RolloutState;
 import org.wigeonstage.rollout.RolloutStore;
+import org.wigeonstage.store.StoreException;
 
 class PlatformRolloutStoreTest {
 
@@ -56,11 +58,11 @@
                 "engines",
                 "v2",
                 Duration.ofSeconds(12),
-                order.revision(),
+                order.version(),
                 RolloutState.REQUESTED));
     RolloutOrder written = store.writeState(order, RolloutState.ROLLED_BACK);
     assertThat(written.state()).isEqualTo(RolloutState.ROLLED_BACK);
-    assertThat(written.revision()).isGreaterThan(order.revision());
+    assertThat(written.version().isAfter(order.version())).isTrue();
     assertThat(readOnly()).isEqualTo(written);
   }
 
@@ -89,6 +91,23 @@
     assertThat(standin.statusWrites()).containsExactly("active");
   }
 
+  /** Guards against a write to a revision that the restored store has assigned to another order. */
+  @Test
+  void writeBasedOnAnEarlierEraIsNotRepeatedBlindly() {
+    StoreStandin.Copy copy = standin.copy();
+    standin.writeRaw("rollouts", "engines", ORDER);
+    RolloutOrder order = readOnly();
+    standin.restore(copy);
+    standin.writeRaw("rollouts", "engines", ORDER.replace("v2", "v3"));
+    assertThatThrownBy(() -> store.writeState(order, RolloutState.COMPLETED))
+        .isInstanceOfSatisfying(
+            StoreException.class, e -> assertThat(e.code()).isEqualTo(ErrorCode.WRITE_UNDECIDED));
+    assertThatThrownBy(() -> store.writeState(order, RolloutState.COMPLETED))
+        .hasMessageContaining("read before the store was restored");
+    assertThat(readOnly().target()).isEqualTo("v3");
+    assertThat(standin.statusWrites()).hasSize(1);
+  }
+
   /** Guards against the state of an earlier order that ends the next one. */
   @Test
   void stateOfEarlierTargetDoesNotCount() {
--- a/src/test/java/org/wigeonstage/platform/WatchedObjectsTest.java
+++ b/src/test/java/org/wigeonstage/platform/WatchedObjectsTest.java
@@ -12,7 +12,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonstage.common.Polling;
+import org.wigeonstage.fleet.StoreEra;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpClient;
 import org.wigeonstage.platform.standin.StoreStandin;
@@ -26,9 +29,11 @@
   private final Closer closer = Closer.create();
   private final StoreStandin store =
       closer.register(StoreStandin.start(new Endpoint("127.0.0.1", 0)));
+  private final StoreEra era = new StoreEra();
   private final WatchedObjects watched =
       new WatchedObjects(
-          new PlatformStoreClient(closer.register(HttpClient.start("test", 1)), store.endpoint()),
+          new PlatformStoreClient(
+              closer.register(HttpClient.start("test", 1)), store.endpoint(), era),
           "things");
 
   @AfterEach
@@ -108,6 +113,59 @@
     assertThat(names()).containsExactly("a", "b");
   }
 
+  /** Guards against a watch that keeps what the restored store has lost, and against two lists. */
+  @Test
+  void readsTheListOnceAfterTheStoreWasRestored() throws Exception {
+    write("a");
+    StoreStandin.Copy copy = store.copy();
+    write("b");
+    watched.await(LONG_WAIT);
+    CompletableFuture<Void> pendingWait = startWaiting();
+    store.restore(copy);
+    pendingWait.get(LONG_WAIT.toSeconds(), TimeUnit.SECONDS);
+    assertThat(names()).containsExactly("a");
+    assertThat(watched.version().era()).isEqualTo(1);
+    write("c");
+    watched.await(LONG_WAIT);
+    assertThat(names()).containsExactly("a", "c");
+    assertThat(store.listCount("things")).isEqualTo(2);
+  }
+
+  /** Guards against a watch that goes on in a lower era until the store happens to end it. */
+  @Test
+  void watchEndsWhenAPeerReportsAHigherEra() throws Exception {
+    store.restore(store.copy());
+    write("a");
+    watched.await(LONG_WAIT);
+    CompletableFuture<Void> pendingWait = startWaiting();
+    store.restore(store.copy());
+    era.observe(2);
+    pendingWait.get(LONG_WAIT.toSeconds(), TimeUnit.SECONDS);
+    assertThat(watched.version().era()).isEqualTo(2);
+  }
+
+  /** Guards against state that a replica has served from before the restore. */
+  @Test
+  void responseOfALowerEraIsAFailedCall() {
+    write("a");
+    era.observe(3);
+    store.setStatedEra("2");
+    assertThatThrownBy(() -> watched.await(LONG_WAIT)).isInstanceOf(StoreException.class);
+    store.setStatedEra("3");
+    watched.await(LONG_WAIT);
+    assertThat(names()).containsExactly("a");
+  }
+
+  /** Guards against a header field that is taken for an era and then makes all others lower. */
+  @ParameterizedTest
+  @ValueSource(strings = {"x", "-1", "1.5", "0x2", "99999999999999999999", ""})
+  void eraThatIsNotAWholeNumberCountsAsAbsent(String value) {
+    store.setStatedEra(value);
+    write("a");
+    watched.await(LONG_WAIT);
+    assertThat(watched.version().era()).isZero();
+  }
+
   /** A store that is about to drop its history responds to watches without the latest changes. */
   @Test
   void requestsWithheldChangesAgain() {
--- a/src/test/java/org/wigeonstage/rollout/SimulatedRollout.java
+++ b/src/test/java/org/wigeonstage/rollout/SimulatedRollout.java
@@ -91,7 +91,7 @@
   }
 
   void order(String target, Duration duration) {
-    long revision = stored == null ? 10 : stored.revision() + 1;
+    long revision = stored == null ? 10 : stored.version().revision() + 1;
     stored = new RolloutOrder(POOL, POOL, target, duration, revision, RolloutState.REQUESTED);
     orderedAt = now;
     publish();
@@ -238,14 +238,14 @@
       decider.writeFailed(now);
       return;
     }
-    if (decider.order().revision() == current.revision()) {
+    if (decider.order().version().equals(current.version())) {
       stored =
           new RolloutOrder(
               current.name(),
               current.pool(),
               current.target(),
               current.duration(),
-              current.revision() + 1,
+              current.version().revision() + 1,
               state);
       written.add(state);
       if (state == RolloutState.COMPLETED || state == RolloutState.ROLLED_BACK) {
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.crash.CrashReport;
+import org.wigeonstage.fleet.StoreVersion;
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.handover.WaitingCount;
@@ -36,7 +37,13 @@
 class MessageCodecTest {
 
   private static final RolloutOrder ORDER =
-      new RolloutOrder("n", "p", "v2", Duration.ofSeconds(12), 1L << 40, RolloutState.ACTIVE);
+      new RolloutOrder(
+          "n",
+          "p",
+          "v2",
+          Duration.ofSeconds(12),
+          new StoreVersion(3, 1L << 40),
+          RolloutState.ACTIVE);
 
   private static final RequestId ID = RequestId.of("r-1");
   private static final HttpCall CALL =
@@ -83,6 +90,7 @@
             new Message.ServerLeaving("i-1@17", Duration.ofMillis(1500)),
             new Message.LinkConfirmed(),
             new Message.LinkClosing("superseded"),
+            new Message.StoreEra(1L << 33),
             new Message.Resume(ID, 3, Instant.ofEpochMilli(5), 17),
             new Message.Cancel(ID),
             new Message.Ping(1, 2),
