--- a/src/test/java/org/wigeonstage/platform/WatchedObjectsTest.java
+++ b/src/test/java/org/wigeonstage/platform/WatchedObjectsTest.java
@@ -6,18 +6,23 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.io.Closer;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonstage.common.Polling;
 import org.wigeonstage.fleet.StoreEra;
+import org.wigeonstage.fleet.StoreVersion;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.http.HttpServer;
 import org.wigeonstage.platform.standin.StoreStandin;
 import org.wigeonstage.store.StoreException;
 
@@ -156,6 +161,35 @@
     assertThat(names()).containsExactly("a");
   }
 
+  /** Guards against a list that holds a part of the state before the restore. */
+  @Test
+  void pagesOfTwoErasAreReadAgain() {
+    List<String> responses = List.of("1 a true", "2 stale false", "2 b true", "2 c false");
+    AtomicInteger calls = new AtomicInteger();
+    HttpServer paged =
+        closer.register(
+            HttpServer.start(
+                "paged",
+                new Endpoint("127.0.0.1", 0),
+                1024,
+                exchange -> {
+                  String[] parts = responses.get(calls.getAndIncrement()).split(" ");
+                  String page =
+                      "{\"entries\":[{\"metadata\":{\"name\":\"%s\"},\"spec\":{}}],"
+                          + "\"has_more\":%s,\"at\":7}";
+                  exchange.respond(
+                      200,
+                      "application/json",
+                      Map.of("Store-Era", parts[0]),
+                      page.formatted(parts[1], parts[2]).getBytes(StandardCharsets.UTF_8));
+                }));
+    HttpClient client = closer.register(HttpClient.start("test", 1));
+    PlatformStoreClient.Listing listing =
+        new PlatformStoreClient(client, paged.endpoint(), new StoreEra()).list("things");
+    assertThat(listing.version()).isEqualTo(new StoreVersion(2, 7));
+    assertThat(listing.objects()).extracting(StoreObject::name).containsExactly("b", "c");
+  }
+
   /** Guards against a header field that is taken for an era and then makes all others lower. */
   @ParameterizedTest
   @ValueSource(strings = {"x", "-1", "1.5", "0x2", "99999999999999999999", ""})
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -90,7 +90,6 @@
             new Message.ServerLeaving("i-1@17", Duration.ofMillis(1500)),
             new Message.LinkConfirmed(),
             new Message.LinkClosing("superseded"),
-            new Message.StoreEra(1L << 33),
             new Message.Resume(ID, 3, Instant.ofEpochMilli(5), 17),
             new Message.Cancel(ID),
             new Message.Ping(1, 2),
@@ -129,6 +128,13 @@
     }
   }
 
+  /** Guards against an era that is cut to fewer bits. */
+  @Test
+  void decodesEraOfStore() {
+    Message message = new Message.StoreEra(1L << 33);
+    assertThat(MessageDecoder.decode(MessageEncoder.encode(message))).isEqualTo(message);
+  }
+
   @Test
   void decodesBytesOfChunk() {
     byte[] data = {1, 2, 3};
