Write states of roll-outs again that a restored store has lost

A restored store may show an order as requested although its version was rolled back, or lack the order. Known states now stay in force and are written again under the new version, by the gateway that wrote them or, after 1.5 s, by any other.

--- a/src/main/java/org/wigeonstage/platform/PlatformAdapter.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformAdapter.java
@@ -1,10 +1,12 @@
 package org.wigeonstage.platform;
 
+import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.fleet.StoreEra;
 import org.wigeonstage.forward.HeaderCodec;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpClient;
+import org.wigeonstage.rollout.RestoredRolloutStore;
 import org.wigeonstage.rollout.RolloutStore;
 
 /**
@@ -24,9 +26,12 @@
    * @param store the address and port of the store
    */
   public PlatformAdapter(HttpClient client, Endpoint store) {
-    PlatformStoreClient storeClient = new PlatformStoreClient(client, store, new StoreEra());
+    StoreEra era = new StoreEra();
+    PlatformStoreClient storeClient = new PlatformStoreClient(client, store, era);
     this.fleetStore = new PlatformFleetStore(storeClient);
-    this.rolloutStore = new PlatformRolloutStore(storeClient);
+    this.rolloutStore =
+        new RestoredRolloutStore(
+            new PlatformRolloutStore(storeClient), era, MonotonicClock.system());
   }
 
   /**
--- a/src/main/java/org/wigeonstage/rollout/RolloutOrder.java
+++ b/src/main/java/org/wigeonstage/rollout/RolloutOrder.java
@@ -50,6 +50,16 @@
     return state == RolloutState.REQUESTED || state == RolloutState.ACTIVE;
   }
 
+  /**
+   * Returns the same order in another state.
+   *
+   * @param otherState the state
+   * @return an order with this state
+   */
+  public RolloutOrder withState(RolloutState otherState) {
+    return new RolloutOrder(name, pool, target, duration, version, otherState);
+  }
+
   /**
    * Returns whether another revision of the object requests the same.
    *
