--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -18,11 +18,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Supplier;
-import org.wigeonstage.capacity.SpeedReport;
 import org.wigeonstage.common.ControlExecutors;
 import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.common.WigeonstageException;
-import org.wigeonstage.crash.CrashReport;
 import org.wigeonstage.fleet.FleetStore;
 import org.wigeonstage.fleet.GatewayRegistration;
 import org.wigeonstage.handover.LoadChanges;
@@ -63,14 +61,14 @@
   private static final Duration PEER_EXPIRY = Duration.ofSeconds(30);
 
   /** Interval between complete reports of crashes, for peers that missed reports. */
-  private static final Duration CRASH_REPORT_INTERVAL = Duration.ofSeconds(10);
-
   private static final Duration REGISTER_INTERVAL = Duration.ofSeconds(1);
+
   private static final long LIST_INTERVAL_MILLIS = 5000;
 
   private final String name;
   private final FleetStore store;
   private final GatewayCore core;
+  private final StoreRestores restores;
   private final long incarnation = System.currentTimeMillis();
   private final Closer closer = Closer.create();
   private final LinkConnector connector;
@@ -83,6 +81,7 @@
   private final SplittableRandom random;
   private final PeerLoadSums loadSums = new PeerLoadSums();
   private final RolloutLinks rolloutLinks;
+  private final PeerNotifications notifications;
 
   /**
    * Names of peers that expired. Registrations outlive their gateways, so an expired peer counts
@@ -93,18 +92,26 @@
   private Message.GatewayLoad lastLoad =
       new Message.GatewayLoad(true, false, Map.of(), List.of(), Map.of(), Map.of(), Map.of());
   private Duration lastSentAt = Duration.ZERO;
-  private Duration crashReportsRepeatAt = Duration.ZERO;
   private volatile boolean registered;
+  private volatile long registeredEra;
+  private volatile long listedEra;
   private volatile long lastListedAtMillis;
 
   PeerSynchronizer(
-      String name, Endpoint listen, FleetStore store, GatewayCore core, MetricRegistry metrics) {
+      String name,
+      Endpoint listen,
+      FleetStore store,
+      GatewayCore core,
+      StoreRestores restores,
+      MetricRegistry metrics) {
     this.name = name;
     this.store = store;
     this.core = core;
+    this.restores = restores;
     this.metrics = new PeerLinkMetrics(metrics);
     this.pendingLinks = new PendingLinks(this.metrics);
     this.rolloutLinks = new RolloutLinks(name, peers);
+    this.notifications = new PeerNotifications(core, store.era());
     this.random = new SplittableRandom(Objects.hash(name, incarnation));
     core.promptHolds().setOwnTurn(this::isOwnTurn);
     this.connector =
@@ -136,9 +143,13 @@
 
   private void register() {
     try {
-      if (!registered) {
+      // The era that was known before the call: the registration may be lost if it rises meanwhile.
+      long era = store.era().highest();
+      if (!registered || registeredEra < era) {
         store.register(new GatewayRegistration(name, endpoint));
         registered = true;
+        registeredEra = era;
+        restores.done(StoreRestores.Part.REGISTRATION, era);
         DecisionLog.write("registered", "address", endpoint.toString());
       }
     } catch (WigeonstageException e) {
@@ -149,12 +160,18 @@
   private void listPeers() {
     try {
       long now = core.now().toMillis();
-      if (now - lastListedAtMillis >= LIST_INTERVAL_MILLIS || lastListedAtMillis == 0) {
+      long era = store.era().highest();
+      boolean isRestored = listedEra < era;
+      if (now - lastListedAtMillis >= LIST_INTERVAL_MILLIS
+          || lastListedAtMillis == 0
+          || isRestored) {
         // Quotas depend on the first list, which must contain all gateways.
         boolean isFirst = lastListedAtMillis == 0;
         List<GatewayRegistration> listed =
-            isFirst ? store.readGateways() : store.readRecentGateways();
+            isFirst || isRestored ? store.readGateways() : store.readRecentGateways();
         lastListedAtMillis = now;
+        listedEra = era;
+        restores.done(StoreRestores.Part.GATEWAYS, era, "gateways", listed.size());
         core.withLock(
             () -> {
               // Gateways in the first list have registered before, so they started earlier.
@@ -218,9 +235,7 @@
     Duration now = core.now();
     peers.entrySet().removeIf(entry -> isExpired(entry.getValue(), now) && expire(entry, now));
     core.updateGatewayCount(1 + peers.size());
-    sendCrashReports(now);
-    sendLeavingServers();
-    sendServerSpeeds(now);
+    notifications.send(peers.values(), now);
     if (now.minus(lastSentAt).compareTo(REPORT_INTERVAL) >= 0) {
       lastSentAt = now;
       reportLoad(now);
@@ -256,65 +271,6 @@
                     "exchange with " + peerName, () -> synchronize(peer, complete, changes, now)));
   }
 
-  /** Sends own observations of crashes at once, and at times all that are known. */
-  private void sendCrashReports(Duration now) {
-    List<EncodedMessage> changes = encoded(core.promptHolds().takeOwnChanges());
-    Supplier<List<EncodedMessage>> fullReports =
-        Suppliers.memoize(() -> encoded(core.promptHolds().fullReports()));
-    boolean mustRepeat = now.compareTo(crashReportsRepeatAt) >= 0;
-    if (mustRepeat) {
-      crashReportsRepeatAt = now.plus(CRASH_REPORT_INTERVAL);
-    }
-    for (PeerState peer : peers.values()) {
-      Link link = peer.preferredLink();
-      if (!mustRepeat && changes.isEmpty() && peer.crashReportLink == link) {
-        continue;
-      }
-      if (link != null && link.peerHello().configVersion() >= Message.CRASH_REPORTS) {
-        if (mustRepeat || peer.crashReportLink != link) {
-          peer.crashReportLink = link;
-          fullReports.get().forEach(link::send);
-        }
-        changes.forEach(link::send);
-      }
-    }
-  }
-
-  private static List<EncodedMessage> encoded(List<CrashReport> reports) {
-    return reports.stream().map(report -> EncodedMessage.of(new Message.Crash(report))).toList();
-  }
-
-  /** Sends own observations of leaving servers at once, and on a new link all that are known. */
-  private void sendLeavingServers() {
-    List<Message.ServerLeaving> unreported = core.knownServers().takeUnreported();
-    for (PeerState peer : peers.values()) {
-      Link link = peer.preferredLink();
-      if (unreported.isEmpty() && peer.leavingServersLink == link) {
-        continue;
-      }
-      if (link != null && link.peerHello().configVersion() >= Message.LEAVING_SERVERS) {
-        boolean isNewLink = peer.leavingServersLink != link;
-        peer.leavingServersLink = link;
-        (isNewLink ? core.knownServers().announcements() : unreported).forEach(link::send);
-      }
-    }
-  }
-
-  /** Sends which servers have slowed down, are still slow, or have recovered. */
-  private void sendServerSpeeds(Duration now) {
-    List<SpeedReport> reports = core.capacities().takeReports(now);
-    if (reports.isEmpty()) {
-      return;
-    }
-    EncodedMessage message = EncodedMessage.of(new Message.ServerSpeeds(reports));
-    for (PeerState peer : peers.values()) {
-      Link link = peer.preferredLink();
-      if (link != null && link.peerHello().configVersion() >= Message.SERVER_SPEEDS) {
-        link.send(message);
-      }
-    }
-  }
-
   /** Returns whether a turn, of which each belongs to one connected gateway, is this gateway's. */
   private boolean isOwnTurn(String turn) {
     List<String> connected = new ArrayList<>(List.of(name));
@@ -460,6 +416,8 @@
       core.rollouts().applyDirective(command.directive(), core.now());
     } else if (message instanceof Message.ServerSpeeds speeds) {
       core.capacities().applyReports(link.peerHello().name(), speeds.reports(), core.now());
+    } else if (message instanceof Message.StoreEra storeEra) {
+      store.era().observe(storeEra.era());
     }
   }
 
--- a/src/main/java/org/wigeonstage/gateway/PoolRollout.java
+++ b/src/main/java/org/wigeonstage/gateway/PoolRollout.java
@@ -107,7 +107,7 @@
         "target",
         order.target(),
         "revision",
-        order.revision(),
+        order.version().revision(),
         "state",
         order.state().name(),
         "durationMillis",
--- a/src/main/java/org/wigeonstage/gateway/RolloutWatcher.java
+++ b/src/main/java/org/wigeonstage/gateway/RolloutWatcher.java
@@ -81,7 +81,7 @@
           "state",
           state.name(),
           "revision",
-          current.revision(),
+          current.version().revision(),
           "effective",
           current.state() == state && current.hasSameTarget(order));
       core.withLock(() -> core.rollouts().writeEnded(current, core.now()));
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -44,6 +44,12 @@
    */
   long ROLLOUTS = 4;
 
+  /**
+   * The value of {@link Hello#configVersion} of gateways that accept {@link StoreEra} messages,
+   * too.
+   */
+  long STORE_ERAS = 5;
+
   /**
    * The value of {@link Hello#configVersion} of gateways that accept {@link ServerSpeeds} messages,
    * too.
@@ -272,6 +278,14 @@
    */
   record RolloutCommand(RolloutDirective directive) implements Message {}
 
+  /**
+   * Reports the highest era of the store that the sender has seen. Sent only to gateways whose
+   * hello message states at least {@link #STORE_ERAS}, and only if the store states its era.
+   *
+   * @param era the number of times that the store has been restored
+   */
+  record StoreEra(long era) implements Message {}
+
   /**
    * Reports how slow some servers are, compared to the others of their pools. Sent when a server
    * slows down or recovers, and each second while it is slow. Sent only to gateways whose hello
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -29,8 +29,6 @@
  */
 public final class PoolScheduler {
 
-  private static final double NANOS_PER_MILLI = 1e6;
-
   private static final Duration DECAY_INTERVAL = Duration.ofMillis(500);
 
   /**
@@ -197,9 +195,7 @@
    * @param meanGap the mean time between two events
    */
   public void recordEventGap(String serverId, Duration meanGap) {
-    servers
-        .find(serverId)
-        .ifPresent(state -> state.recordEventGap(meanGap.toNanos() / NANOS_PER_MILLI));
+    servers.find(serverId).ifPresent(state -> state.recordEventGap(meanGap));
   }
 
   /**
@@ -308,7 +304,9 @@
     refuseExpired(now);
     if (now.minus(queuesReviewedAt).compareTo(QUEUE_REVIEW_INTERVAL) >= 0) {
       queuesReviewedAt = now;
-      refuseHopeless(now);
+      queuePolicy
+          .removeHopeless(now)
+          .forEach((request, wait) -> refuse(request, RefusalReason.QUEUE_TOO_LONG, wait, now));
     }
     startWaiting(now);
   }
@@ -381,12 +379,6 @@
                     now));
   }
 
-  private void refuseHopeless(Duration now) {
-    queuePolicy
-        .removeHopeless(now)
-        .forEach((request, wait) -> refuse(request, RefusalReason.QUEUE_TOO_LONG, wait, now));
-  }
-
   private void refuse(PlacementRequest request, RefusalReason reason, Duration wait, Duration now) {
     backfill.recordRefusal(request);
     effects.refuse(request, reason, retryAfter.of(request, wait, now));
@@ -439,7 +431,8 @@
   private void startInReservedSlots(List<PlacementRequest> queue, Duration now) {
     while (!queue.isEmpty()) {
       PlacementRequest first = queue.get(0);
-      Optional<ServerState> server = chooseAmong(reservedServers(first, now), first, now);
+      Optional<ServerState> server =
+          selector.selectCheapest(reservedServers(first, now), first, now);
       if (server.isEmpty()) {
         return;
       }
@@ -460,12 +453,7 @@
 
   /** Returns the cheapest server with a free slot, and prefers servers not tried before. */
   private Optional<ServerState> choose(PlacementRequest request, Duration now) {
-    return chooseAmong(availableServers(request, now), request, now);
-  }
-
-  private Optional<ServerState> chooseAmong(
-      List<ServerState> candidates, PlacementRequest request, Duration now) {
-    return selector.selectCheapest(candidates, request, now);
+    return selector.selectCheapest(availableServers(request, now), request, now);
   }
 
   /**
--- a/src/main/java/org/wigeonstage/placement/ServerState.java
+++ b/src/main/java/org/wigeonstage/placement/ServerState.java
@@ -105,8 +105,8 @@
     consecutiveConnectFailures = 0;
   }
 
-  void recordEventGap(double millis) {
-    speed.recordEventGap(millis);
+  void recordEventGap(Duration meanGap) {
+    speed.recordEventGap(meanGap.toNanos() / NANOS_PER_MILLI);
   }
 
   double eventGapMillis() {
--- a/src/main/java/org/wigeonstage/placement/SlotReservations.java
+++ b/src/main/java/org/wigeonstage/placement/SlotReservations.java
@@ -29,7 +29,7 @@
    * slots. A quarter of a second left a tenth of the urgent requests late in SimulatedPool; with
    * three quarters, the middle rank lost more than the most urgent one won at a moderate load.
    */
-  private static final Duration MAX_HORIZON = Duration.ofMillis(500);
+  private static final Duration MAX_HORIZON = Duration.ofMillis(100);
 
   /** The part of a server's slots that is left free at most, besides one slot for each rank. */
   private static final int MAX_EXTRA_DIVISOR = 3;
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -67,6 +67,7 @@
       case LINK_CLOSING -> new Message.LinkClosing(readText(in));
       case ROLLOUT_STATUS -> new Message.RolloutStatus(RolloutCodec.readReport(in));
       case ROLLOUT_COMMAND -> new Message.RolloutCommand(RolloutCodec.readDirective(in));
+      case STORE_ERA -> new Message.StoreEra(in.unpackLong());
       case SERVER_SPEEDS -> readServerSpeeds(in);
       default -> readRequestMessage(type, RequestId.of(readText(in)), in);
     };
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -16,6 +16,7 @@
 import org.wigeonstage.capacity.SpeedReport;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.crash.CrashReport;
+import org.wigeonstage.fleet.StoreVersion;
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.handover.WaitingCount;
@@ -37,7 +38,13 @@
 class MessageCodecTest {
 
   private static final RolloutOrder ORDER =
-      new RolloutOrder("n", "p", "v2", Duration.ofSeconds(12), 1L << 40, RolloutState.ACTIVE);
+      new RolloutOrder(
+          "n",
+          "p",
+          "v2",
+          Duration.ofSeconds(12),
+          new StoreVersion(3, 1L << 40),
+          RolloutState.ACTIVE);
 
   private static final RequestId ID = RequestId.of("r-1");
   private static final HttpCall CALL =
@@ -122,6 +129,13 @@
     }
   }
 
+  /** Guards against an era that is cut to fewer bits. */
+  @Test
+  void decodesEraOfStore() {
+    Message message = new Message.StoreEra(1L << 33);
+    assertThat(MessageDecoder.decode(MessageEncoder.encode(message))).isEqualTo(message);
+  }
+
   @Test
   void decodesBytesOfChunk() {
     byte[] data = {1, 2, 3};
