Write log lines in batches, and count free slots without lists

Each log line woke the writer and took one system call; a rejected request has up to four lines. Lines that wait are now written together, at most every 20 ms. Servers with free slots are chosen and counted without a list of the usable servers in between; their order stays.

--- a/src/main/java/org/wigeonstage/placement/ServerStates.java
+++ b/src/main/java/org/wigeonstage/placement/ServerStates.java
@@ -55,9 +55,10 @@
 
   /** Returns the servers with a free slot for a route rank. */
   List<ServerState> withFreeSlot(int routeRank, Duration now) {
+    boolean areAllSuspect = areAllSuspect(now);
     List<ServerState> result = new ArrayList<>();
-    for (ServerState state : usable(now)) {
-      if (state.freeSlots(routeRank) > 0) {
+    for (ServerState state : states.values()) {
+      if (state.freeSlots(routeRank) > 0 && isUsable(state, areAllSuspect, now)) {
         result.add(state);
       }
     }
@@ -66,9 +67,10 @@
 
   /** Returns the number of slots that are free for a route rank. */
   int countFreeSlots(int routeRank, Duration now) {
+    boolean areAllSuspect = areAllSuspect(now);
     int free = 0;
-    for (ServerState state : usable(now)) {
-      free += state.freeSlots(routeRank);
+    for (ServerState state : states.values()) {
+      free += isUsable(state, areAllSuspect, now) ? state.freeSlots(routeRank) : 0;
     }
     return free;
   }
@@ -83,9 +85,11 @@
    */
   List<ServerState> withReservedSlot(
       PlacementRequest request, Set<Integer> waitingRanks, Duration maxDuration, Duration now) {
+    boolean areAllSuspect = areAllSuspect(now);
     List<ServerState> result = new ArrayList<>();
-    for (ServerState state : usable(now)) {
+    for (ServerState state : states.values()) {
       if (state.hasReservedSlot(waitingRanks)
+          && isUsable(state, areAllSuspect, now)
           && state.expectedDuration(request).compareTo(maxDuration) <= 0) {
         result.add(state);
       }
@@ -93,16 +97,9 @@
     return result;
   }
 
-  /** Returns the servers that may get requests if they have a free slot. */
-  private List<ServerState> usable(Duration now) {
-    boolean areAllSuspect = areAllSuspect(now);
-    List<ServerState> usable = new ArrayList<>();
-    for (ServerState state : states.values()) {
-      if (!state.isAvoided(now) && (areAllSuspect || !state.isSuspect(now))) {
-        usable.add(state);
-      }
-    }
-    return usable;
+  /** Returns whether a server may get requests if it has a free slot. */
+  private static boolean isUsable(ServerState state, boolean areAllSuspect, Duration now) {
+    return !state.isAvoided(now) && (areAllSuspect || !state.isSuspect(now));
   }
 
   private boolean areAllSuspect(Duration now) {
--- a/src/main/java/org/wigeonstage/telemetry/BoundedLogHandler.java
+++ b/src/main/java/org/wigeonstage/telemetry/BoundedLogHandler.java
@@ -18,6 +18,15 @@
   /** The maximum number of lines waiting to be written; they take about 1 MB. */
   private static final int CAPACITY_LINES = 4096;
 
+  /**
+   * The pause between two writes, so that the lines of a burst take few wake-ups and system calls.
+   * A flush waits for up to one pause.
+   */
+  private static final Duration WRITE_PAUSE = Duration.ofMillis(20);
+
+  /** The length beyond which nothing is added to a write. */
+  private static final int MAX_BATCH_CHARACTERS = 32 * 1024;
+
   /** The maximum duration of a flush; lines not written by then may be lost. */
   private static final Duration FLUSH_TIMEOUT = Duration.ofMillis(200);
 
@@ -63,18 +72,31 @@
   private void writeLines() {
     try {
       while (true) {
-        String line = lines.take();
-        out.print(line);
+        writeBatch(lines.take());
         if (lines.isEmpty()) {
-          out.flush();
+          Thread.sleep(WRITE_PAUSE.toMillis());
         }
-        writtenLines.incrementAndGet();
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
+  /** Writes a line and those that wait behind it. */
+  private void writeBatch(String first) {
+    StringBuilder batch = new StringBuilder(first);
+    int lineCount = 1;
+    String next = lines.poll();
+    while (next != null) {
+      batch.append(next);
+      lineCount++;
+      next = batch.length() < MAX_BATCH_CHARACTERS ? lines.poll() : null;
+    }
+    out.print(batch);
+    out.flush();
+    writtenLines.addAndGet(lineCount);
+  }
+
   /**
    * Waits for all lines to be written, so that an ending process keeps its last ones. Returns after
    * 200 ms at the latest, unless the handler was created with another limit.
