Report no cut of a response that its caller has received whole

Since responses are written on the thread that produces them, a caller can read the last part and close its connection before that thread has completed the request. A response that was handed to the operating system completely now counts as answered, and the connection ends for the reason that was announced.

--- a/src/main/java/org/wigeonstage/http/CallerConnection.java
+++ b/src/main/java/org/wigeonstage/http/CallerConnection.java
@@ -171,7 +171,7 @@
   /** Handles the next request, or closes, after the current response was delivered completely. */
   void completeCurrent(boolean keepsConnection, boolean callerAskedToClose) {
     if (!keepsConnection) {
-      recordEndReason(callerAskedToClose ? Reason.CALLER_ASKED : Reason.ANNOUNCED);
+      recordAnnouncedEnd(callerAskedToClose);
     }
     ServerExchange completed = currentExchange;
     if (completed != null) {
@@ -230,6 +230,10 @@
     connection.terminateSilently();
   }
 
+  private void recordAnnouncedEnd(boolean callerAskedToClose) {
+    recordEndReason(callerAskedToClose ? Reason.CALLER_ASKED : Reason.ANNOUNCED);
+  }
+
   private void recordEndReason(Reason reason) {
     endReason.compareAndSet(null, reason);
   }
@@ -266,11 +270,18 @@
    * Returns the reason for the end and the unfinished work, as they are if the connection ends now.
    */
   ConnectionEnd currentEnd() {
+    // The caller may have received the response, and closed the connection, before the thread that
+    // wrote the response has completed the request.
+    ServerExchange current = pipeline.current();
+    ServerExchange answered = current != null && current.isDelivered() ? current : null;
+    ServerExchange exchange = answered == null ? current : null;
+    if (answered != null && !answered.keepsConnection()) {
+      recordAnnouncedEnd(answered.hasCallerAskedToClose());
+    }
     Reason reason = endReason.get();
-    ServerExchange exchange = currentExchange;
     return new ConnectionEnd(
         reason == null ? Reason.CALLER_LEFT : reason,
-        pipeline.unansweredCount(),
+        pipeline.unansweredCount(answered),
         exchange == null ? 0 : exchange.undeliveredBytes(),
         exchange == null ? null : exchange.label(),
         currentEndCause());
--- a/src/main/java/org/wigeonstage/http/RequestPipeline.java
+++ b/src/main/java/org/wigeonstage/http/RequestPipeline.java
@@ -142,7 +142,21 @@
 
   /** Returns the number of accepted requests whose responses are not complete. */
   synchronized int unansweredCount() {
-    return queue.size() + (current == null ? 0 : 1);
+    return unansweredCount(null);
+  }
+
+  /**
+   * Returns the number of accepted requests whose responses are not complete.
+   *
+   * @param answered a request whose response was delivered, but that may still be the current one
+   */
+  synchronized int unansweredCount(@Nullable R answered) {
+    return queue.size() + (current == null || current == answered ? 0 : 1);
+  }
+
+  /** Returns the request being handled, or null if there is none. */
+  synchronized @Nullable R current() {
+    return current;
   }
 
   /**
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -55,6 +55,8 @@
   private long writtenBytes;
   private long deliveredBytes;
 
+  private boolean isAborted;
+
   /** Whether a thread is in a write method, and therefore handles completions there. */
   private boolean isWriting;
 
@@ -241,11 +243,16 @@
     }
   }
 
-  private boolean keepsConnection() {
+  /** Returns whether the connection serves further requests after the response. */
+  boolean keepsConnection() {
     String field = response.getHeader("Connection");
     return request.keepsConnection() && !"close".equalsIgnoreCase(field);
   }
 
+  boolean hasCallerAskedToClose() {
+    return !request.keepsConnection();
+  }
+
   /**
    * Sends a complete response with the given header fields; the server adds {@code Date} and the
    * fields that describe the body's length and the connection.
@@ -329,7 +336,7 @@
   /** Lets the connection handle the next request; only the first call has an effect. */
   private void complete() {
     if (isCompleted.compareAndSet(false, true)) {
-      callerConnection.completeCurrent(keepsConnection(), !request.keepsConnection());
+      callerConnection.completeCurrent(keepsConnection(), hasCallerAskedToClose());
     }
   }
 
@@ -341,6 +348,7 @@
   /** Aborts the response and closes the connection, so that the caller sees it truncated. */
   public void abort() {
     synchronized (this) {
+      isAborted = true;
       hasEnded.set(true);
       isCompleted.set(true);
     }
@@ -357,6 +365,11 @@
     return hasEnded.get();
   }
 
+  /** Returns whether the whole response was handed to the operating system. */
+  synchronized boolean isDelivered() {
+    return hasEnded.get() && pendingWrites == 0 && !isAborted;
+  }
+
   /** Discards a request that the connection does not accept. */
   void discard() {
     hasEnded.set(true);
--- a/src/test/java/org/wigeonstage/benchmark/GatewayCostBenchmark.java
+++ b/src/test/java/org/wigeonstage/benchmark/GatewayCostBenchmark.java
@@ -135,6 +135,7 @@
             .put("failureDomain", "zone-a")
             .put("isFirstStart", true)
             .put("log", "json")
+            .put("logOneIn", Integer.getInteger("logOneIn", 200))
             .put("callers", callers.toString())
             .put("readiness", "127.0.0.1:" + freePort())
             .put("peers", "127.0.0.1:" + freePort())
--- a/src/test/java/org/wigeonstage/http/CallerConnectionEndTest.java
+++ b/src/test/java/org/wigeonstage/http/CallerConnectionEndTest.java
@@ -20,6 +20,7 @@
 class CallerConnectionEndTest {
 
   private static final int TIMEOUT_SECONDS = 20;
+  private static final int CALLER_COUNT = 500;
 
   private final Closer closer = Closer.create();
   private final BlockingQueue<ConnectionEnd> ends = new LinkedBlockingQueue<>();
@@ -47,6 +48,39 @@
     return socket;
   }
 
+  /**
+   * Guards against whole responses that are reported as cut: the caller reads the response and
+   * closes the connection before the thread that has written it goes on.
+   */
+  @Test
+  void callerThatClosesAfterTheWholeResponseCutsNothing() throws Exception {
+    HttpServer server =
+        closer.register(
+            HttpServer.start(
+                "test",
+                new Endpoint("127.0.0.1", 0),
+                new ServerOptions(8192, 8192, Duration.ofSeconds(30), 1),
+                MonotonicClock.system(),
+                ends::add,
+                exchange -> exchange.respond(200, null, Map.of(), new byte[] {'x'})));
+    for (int i = 0; i < CALLER_COUNT; i++) {
+      try (Socket socket = new Socket("127.0.0.1", server.endpoint().port())) {
+        socket.setSoTimeout(TIMEOUT_SECONDS * 1000);
+        socket
+            .getOutputStream()
+            .write(
+                "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII));
+        while (socket.getInputStream().read() != 'x') {
+          // The last byte of the response is the only 'x' in it.
+        }
+      }
+      ConnectionEnd end = awaitEnd();
+      assertThat(end.isIncomplete()).isFalse();
+      assertThat(end.reason()).isEqualTo(Reason.CALLER_ASKED);
+    }
+  }
+
   private ConnectionEnd awaitEnd() throws InterruptedException {
     ConnectionEnd end = ends.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     assertThat(end).isNotNull();
