--- a/src/main/java/org/wigeonstage/placement/ServerStates.java
+++ b/src/main/java/org/wigeonstage/placement/ServerStates.java
@@ -120,9 +120,10 @@
 
   /** Returns the servers with more than a number of free slots for a route rank. */
   List<ServerState> withFreeSlots(int routeRank, int leftFree, Duration now) {
+    boolean areAllSuspect = areAllSuspect(now);
     List<ServerState> result = new ArrayList<>();
-    for (ServerState state : usable(now)) {
-      if (state.freeSlots(routeRank) > leftFree) {
+    for (ServerState state : states.values()) {
+      if (state.freeSlots(routeRank) > leftFree && isUsable(state, areAllSuspect, now)) {
         result.add(state);
       }
     }
@@ -131,9 +132,10 @@
 
   /** Returns the number of slots that are free for a route rank. */
   int countFreeSlots(int routeRank, Duration now) {
+    boolean areAllSuspect = areAllSuspect(now);
     int free = 0;
-    for (ServerState state : usable(now)) {
-      free += state.freeSlots(routeRank);
+    for (ServerState state : states.values()) {
+      free += isUsable(state, areAllSuspect, now) ? state.freeSlots(routeRank) : 0;
     }
     return free;
   }
@@ -148,9 +150,11 @@
    */
   List<ServerState> withReservedSlot(
       PlacementRequest request, Set<Integer> waitingRanks, Duration maxDuration, Duration now) {
+    boolean areAllSuspect = areAllSuspect(now);
     List<ServerState> result = new ArrayList<>();
-    for (ServerState state : usable(now)) {
+    for (ServerState state : states.values()) {
       if (state.hasReservedSlot(waitingRanks)
+          && isUsable(state, areAllSuspect, now)
           && state.expectedSlotTime(request).compareTo(maxDuration) <= 0) {
         result.add(state);
       }
@@ -158,18 +162,11 @@
     return preferred(result);
   }
 
-  /** Returns the servers that may get requests if they have a free slot. */
-  private List<ServerState> usable(Duration now) {
-    boolean areAllSuspect = areAllSuspect(now);
-    List<ServerState> usable = new ArrayList<>();
-    for (ServerState state : states.values()) {
-      if (versionFilter.allows(state.server())
-          && !state.isAvoided(now)
-          && (areAllSuspect || !state.isSuspect(now))) {
-        usable.add(state);
-      }
-    }
-    return usable;
+  /** Returns whether a server may get requests if it has a free slot. */
+  private boolean isUsable(ServerState state, boolean areAllSuspect, Duration now) {
+    return versionFilter.allows(state.server())
+        && !state.isAvoided(now)
+        && (areAllSuspect || !state.isSuspect(now));
   }
 
   private boolean areAllSuspect(Duration now) {
