--- a/src/main/java/org/wigeonstage/placement/LearnedServerSpeed.java
+++ b/src/main/java/org/wigeonstage/placement/LearnedServerSpeed.java
@@ -62,14 +62,15 @@
   }
 
   /**
-   * Leaves out the delays that other requests cause. With them, hardly any request would count as
-   * short at a busy server, and the lowest rank would be shut out (3 % instead of 44 % served in
-   * virtual time).
+   * Includes half of the delays that other requests cause. With all of them, hardly any request is
+   * short at a busy server: in virtual time, 3 % of the lowest rank were served instead of 44 %.
+   * With none, the short requests delay the more urgent ones, and less was served in time than with
+   * assumed speeds.
    */
   @Override
   public double slotMillis(
       PlacementRequest request, long pendingPromptTokens, int occupied, int slots) {
-    return capacity.firstPartMillis(request.promptTokens(), 0)
+    return capacity.firstPartMillis(request.promptTokens(), occupied / 2)
         + request.expectedEvents() * capacity.eventGapMillis(0);
   }
 
