Test that gateways tell each other of a slow server

The peer of EarlierGatewayIT confirms its link where it states LINK_CHOICE, because the gateway reports nothing on an unconfirmed link.

--- a/src/main/java/org/wigeonstage/gateway/ServerCapacities.java
+++ b/src/main/java/org/wigeonstage/gateway/ServerCapacities.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.ToIntFunction;
 import java.util.random.RandomGenerator;
 import org.wigeonstage.capacity.CapacitySummary;
@@ -66,6 +67,13 @@
     }
   }
 
+  /** Returns the learned limit of a server; for tests. */
+  int limit(String pool, BackendServer server) {
+    return Objects.requireNonNull(pools.get(pool))
+        .server(server.runId(), server.version(), server.slots())
+        .limit();
+  }
+
   private void registerMetrics(String pool) {
     registerGauge("capacity.limit.min", pool, CapacitySummary::smallestLimit);
     registerGauge("capacity.limit.median", pool, CapacitySummary::medianLimit);
--- a/src/test/java/org/wigeonstage/gateway/EarlierGatewayIT.java
+++ b/src/test/java/org/wigeonstage/gateway/EarlierGatewayIT.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.io.Closer;
 import java.io.IOException;
 import java.time.Duration;
@@ -12,9 +13,11 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wigeonstage.common.Polling;
+import org.wigeonstage.fleet.BackendServer;
 import org.wigeonstage.gateway.ScriptedServer.Ending;
 import org.wigeonstage.handover.Message;
 import org.wigeonstage.http.Endpoint;
+import org.wigeonstage.platform.standin.Rehearsal;
 import org.wigeonstage.platform.standin.RunnerStandin.Behaviour;
 import org.wigeonstage.wire.Link;
 import org.wigeonstage.wire.LinkConnector;
@@ -32,8 +35,18 @@
   private static final class RecordingListener implements LinkListener {
     private final List<Message> received = new CopyOnWriteArrayList<>();
 
+    private final long stated;
+
+    RecordingListener(long stated) {
+      this.stated = stated;
+    }
+
     @Override
-    public void opened(Link link) {}
+    public void opened(Link link) {
+      if (stated >= Message.LINK_CHOICE) {
+        link.send(new Message.LinkConfirmed());
+      }
+    }
 
     @Override
     public void received(Link link, Message message) {
@@ -55,7 +68,7 @@
 
   /** Connects to the gateway as a peer whose hello message states a number. */
   private RecordingListener connectPeer(long stated) throws InterruptedException {
-    RecordingListener peer = new RecordingListener();
+    RecordingListener peer = new RecordingListener(stated);
     LinkConnector connector =
         closer.register(
             LinkConnector.start(
@@ -106,6 +119,38 @@
         .isEqualTo(stated == Message.LEAVING_SERVERS);
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {0, Message.LINK_CHOICE, Message.SERVER_SPEEDS})
+  void slowServersAreReportedOnlyToGatewaysThatReadThem(long stated) throws Exception {
+    GatewayFixture fixture =
+        closer.register(
+            new GatewayFixture(
+                3,
+                Rehearsal.configuration(),
+                JsonNodeFactory.instance.objectNode().put("learnedServerLimits", true)));
+    fixture.awaitStatus("stream", 200);
+    RecordingListener peer = connectPeer(stated);
+    GatewayCore core = fixture.gateway.core();
+    BackendServer slow =
+        new BackendServer(
+            "runner-1", "engines", Endpoint.parse("127.0.0.1:1"), "zone-a", 4, false, 0);
+    Duration slowGap = Duration.ofSeconds(1);
+    assertThat(
+            Polling.await(
+                () -> {
+                  core.withLock(
+                      () ->
+                          core.capacities()
+                              .recordPartialGap(slow.pool(), slow, slowGap, core.now()));
+                  return !decisions.linesOf("server-limit").isEmpty();
+                },
+                TIMEOUT))
+        .isTrue();
+    awaitDecisionAndReports("server-limit", peer);
+    assertThat(peer.hasReceived(Message.ServerSpeeds.class))
+        .isEqualTo(stated == Message.SERVER_SPEEDS);
+  }
+
   /** Returns the address that the gateway has registered. */
   private Endpoint peersEndpoint() {
     String line = decisions.linesOf("registered").get(0);
