--- a/src/main/java/org/wigeonstage/capacity/ServerCapacity.java
+++ b/src/main/java/org/wigeonstage/capacity/ServerCapacity.java
@@ -261,7 +261,7 @@
   public double firstPartMillis(long promptTokens, int occupied) {
     double load = Math.min(1, load(occupied));
     double queueMillis = profile.slotMillis() / slots * Math.max(0, occupied + 1 - slots);
-    return slowness * (profile.firstPartMillis(promptTokens, load) + queueMillis);
+    return slowness * (profile.firstPartMillis((double) promptTokens, load) + queueMillis);
   }
 
   /**
