Leave out the worse half of servers when versions are compared

The worse half of the servers is left out now instead of a third. Late responses are compared over the whole time, and the recent ones only tell whether they go on.

--- a/src/main/java/org/wigeonstage/rollout/RolloutDecider.java
+++ b/src/main/java/org/wigeonstage/rollout/RolloutDecider.java
@@ -57,7 +57,7 @@
   /** Below this, the times of all responses are compared instead of those of recent ones. */
   private static final int MIN_RESPONSES_FOR_RECENT = 150;
 
-  private static final int RECENT_DIVISOR = 16;
+  private static final int RECENT_DIVISOR = 12;
   private static final int RAMP_DIVISOR = 16;
   private static final int MIN_RESPONSES = 10;
 
@@ -217,9 +217,12 @@
 
   private void compareTimes(Map<CountsKey, ResponseCounts> sums, int targetServers, Duration now) {
     Collection<ResponseCounts> recent = recentCounts.update(sums, now);
-    boolean hasMany = comparison.responses() >= MIN_RESPONSES_FOR_RECENT;
-    String slowness =
-        (hasMany ? new VersionComparison(recent) : comparison).slowness(targetServers);
+    // The responses of all servers since the order tell a slow version from a slow server, and the
+    // recent ones whether it is still slow.
+    String slowness = comparison.slowness(targetServers);
+    if (!slowness.isEmpty() && comparison.responses() >= MIN_RESPONSES_FOR_RECENT) {
+      slowness = new VersionComparison(recent).slowness(1);
+    }
     if (slowness.isEmpty()) {
       return;
     }
--- a/src/main/java/org/wigeonstage/rollout/VersionComparison.java
+++ b/src/main/java/org/wigeonstage/rollout/VersionComparison.java
@@ -15,7 +15,7 @@
  *
  * <p>For each route, three kinds of bad responses are compared: failures, late first parts and late
  * ends. Late is what takes at least twice the other versions' median. A share of bad responses is
- * higher only if its Wilson interval lies above that of the other versions. The worst third of the
+ * higher only if its Wilson interval lies above that of the other versions. The worse half of the
  * target's servers is then left out, and the others must still be worse, because a fault of some
  * servers, such as a crash, says nothing about the version.
  */
@@ -28,13 +28,16 @@
   private static final double CONFIDENCE_FOR_TIMES = 2.5;
 
   /** The same without the worst servers, where fewer responses are left. */
-  private static final double CONFIDENCE_WITHOUT_WORST = 2;
+  private static final double CONFIDENCE_WITHOUT_WORST = 1.5;
 
   private static final int MIN_BAD = 4;
   private static final int MIN_BAD_WITHOUT_WORST = 2;
 
-  /** The worst third of the servers is left out: crashes take up to a quarter at once. */
-  private static final int LEFT_OUT_DIVISOR = 3;
+  /**
+   * The worse half of the servers is left out. Where a quarter of all servers crashes at once, two
+   * of three exposed ones are among them in a sixth of the cases.
+   */
+  private static final int LEFT_OUT_DIVISOR = 2;
 
   /** Differences below this are not worth a rollback. */
   private static final double MIN_EXCESS = 0.02;
