--- a/src/test/java/org/wigeonstage/system/SoakPlan.java
+++ b/src/test/java/org/wigeonstage/system/SoakPlan.java
@@ -32,6 +32,9 @@
 
   private static final int EVENT_WINDOW_END_MILLIS = 9_000;
   private static final int FIRST_EVENT_MILLIS = 500;
+  private static final int FIRST_RESTORE_END_MILLIS = 2_500;
+  private static final int RESTORE_INTERVAL_MILLIS = 5_000;
+  private static final int MAX_COPY_AGE_MILLIS = 2_000;
   private static final int SLOW_HOST_GRACE_SECONDS = 8;
 
   /** The kinds of events. */
@@ -52,6 +55,8 @@
     STORE_OUTAGE,
     /** Closes all watch connections of the store and discards its revision history. */
     RESET_STORE_HISTORY,
+    /** Restores the store from a copy that was taken when the event starts. */
+    RESTORE_STORE,
     /** Resets all connections between callers and a gateway. */
     RESET_CALLER_CONNECTIONS,
     /** Resets all connections to a backend server. */
@@ -95,6 +100,36 @@
     return generate(seed, false, true);
   }
 
+  /**
+   * Creates a random plan of planned maintenance, in which the store is restored every 5 s. Only
+   * the first server is drained, because requests are refused while no server is ready.
+   */
+  static SoakPlan withRestores(long seed) {
+    SoakPlan plan = plannedMaintenance(seed);
+    SplittableRandom random = new SplittableRandom(seed + 1);
+    List<Event> events = new ArrayList<>();
+    for (Event event : plan.events()) {
+      boolean isDrain = event.action() == Action.DRAIN_SERVER;
+      events.add(
+          isDrain ? new Event(event.atMillis(), event.action(), 0, event.durationMillis()) : event);
+    }
+    int first = random.nextInt(FIRST_EVENT_MILLIS, FIRST_RESTORE_END_MILLIS);
+    for (int at = first; at < EVENT_WINDOW_END_MILLIS; at += RESTORE_INTERVAL_MILLIS) {
+      events.add(new Event(at, Action.RESTORE_STORE, 0, random.nextInt(100, MAX_COPY_AGE_MILLIS)));
+    }
+    events.sort(Comparator.comparingLong(Event::atMillis));
+    return new SoakPlan(
+        seed,
+        plan.gateways(),
+        plan.servers(),
+        plan.callers(),
+        plan.longStreams(),
+        plan.graceSeconds(),
+        false,
+        false,
+        List.copyOf(events));
+  }
+
   private static SoakPlan generate(long seed, boolean hasFaults, boolean isOnSlowHosts) {
     SplittableRandom random = new SplittableRandom(seed);
     int gateways = random.nextInt(2, 4);
@@ -157,6 +192,9 @@
     if (hasFaults) {
       return "faults";
     }
+    if (events.stream().anyMatch(event -> event.action() == Action.RESTORE_STORE)) {
+      return "restores";
+    }
     return isOnSlowHosts ? "slow" : "planned";
   }
 
--- a/src/test/java/org/wigeonstage/system/SoakRun.java
+++ b/src/test/java/org/wigeonstage/system/SoakRun.java
@@ -9,7 +9,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -43,6 +45,11 @@
 
   private static final int LONG_STREAM_GAP_MILLIS = 20;
   private static final long SERVER_DELAY_MILLIS = 100;
+
+  /** How long the operator, and then the servers, need to write again after a restore. */
+  private static final long OPERATOR_DELAY_MILLIS = 300;
+
+  private static final long SERVER_DELAY_AFTER_OPERATOR_MILLIS = 900;
   private static final long RESTART_DELAY_MILLIS = 100;
 
   private final Closer closer = Closer.create();
@@ -57,6 +64,7 @@
   private final Queue<Violation> violations = new ConcurrentLinkedQueue<>();
   private final ExecutorService executor = Executors.newCachedThreadPool();
   private final List<Future<?>> runningTasks = new ArrayList<>();
+  private final Map<String, ObjectNode> registrations = new ConcurrentHashMap<>();
   private int configurationVersion = 1;
 
   /** The part of an event that runs in the background. */
@@ -94,7 +102,7 @@
       if (plan.hasFaults()) {
         server.advertise(proxy.endpoint());
       }
-      store.write("servers", server.id(), server.registration("ready"));
+      register(server, "ready");
     }
     for (int i = 1; i <= plan.gateways(); i++) {
       RestartableGateway gateway =
@@ -109,16 +117,27 @@
     }
   }
 
+  private void register(SoakServer server, String state) {
+    ObjectNode registration = server.registration(state);
+    registrations.put(server.id(), registration);
+    store.write("servers", server.id(), registration);
+  }
+
   private synchronized void writeConfiguration() {
-    ObjectNode configuration = Rehearsal.configuration().put("version", configurationVersion);
+    writeConfiguration(configurationVersion);
+    configurationVersion++;
+  }
+
+  private synchronized void rewriteConfiguration() {
+    writeConfiguration(configurationVersion - 1);
+  }
+
+  private void writeConfiguration(int version) {
+    ObjectNode configuration = Rehearsal.configuration().put("version", version);
     configuration
         .withArray("routes")
-        .forEach(
-            route ->
-                ((ObjectNode) route)
-                    .put("timeout_ms", ROUTE_TIMEOUT_MILLIS + configurationVersion));
+        .forEach(route -> ((ObjectNode) route).put("timeout_ms", ROUTE_TIMEOUT_MILLIS + version));
     store.write("config", "main", configuration);
-    configurationVersion++;
   }
 
   /** Runs the plan and returns the violated guarantees. */
@@ -226,6 +245,7 @@
         store.abortWatches();
         store.dropHistory();
       }
+      case RESTORE_STORE -> submit(() -> restoreStore(event.durationMillis()));
       case RESET_CALLER_CONNECTIONS -> members.get(event.target()).proxy().resetAll();
       case RESET_SERVER_CONNECTIONS -> serverProxies.get(event.target()).resetAll();
       case DISCARD_SERVER_TRAFFIC -> serverProxies.get(event.target()).discardTraffic();
@@ -299,9 +319,20 @@
   }
 
   private void drainAndRestore(SoakServer server, long millis) throws InterruptedException {
-    store.write("servers", server.id(), server.registration("draining"));
+    register(server, "draining");
     Thread.sleep(millis);
-    store.write("servers", server.id(), server.registration("ready"));
+    register(server, "ready");
+  }
+
+  /** Restores a copy that was taken some time ago; operator and servers write again. */
+  private void restoreStore(long copyAgeMillis) throws InterruptedException {
+    StoreStandin.Copy copy = store.copy();
+    Thread.sleep(copyAgeMillis);
+    store.restore(copy);
+    Thread.sleep(OPERATOR_DELAY_MILLIS);
+    rewriteConfiguration();
+    Thread.sleep(SERVER_DELAY_AFTER_OPERATOR_MILLIS);
+    registrations.forEach((id, registration) -> store.write("servers", id, registration));
   }
 
   private void makeStoreUnavailable(long millis) throws InterruptedException {
