Bound what a gateway holds for its callers, and blame no server for unread responses

With the feature "pressure", all request bodies, buffered responses and unsent bytes count towards one bound that follows from the heap and memoryMegabytes. Above half of it, requests are rejected at their head by rank. If unsent bytes exceed a quarter, the callers that have taken nothing for the longest time lose their response.

A server whose response is not read because its caller is behind was taken for unresponsive: the attempt was replaced, and the server became suspect (UnreadResponseIT shows it without the feature). Now it is neither, and a connection that is lost after a second of this says nothing about the server.

Without the feature nothing changes.

--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -38,6 +38,9 @@
   /** Limit for a suspect server, which recently failed to respond to other requests. */
   private static final Duration SUSPECT_TIMEOUT = Duration.ofMillis(250);
 
+  /** Servers cut off a response that stays unread for some seconds. */
+  private static final Duration UNREAD_TIME = Duration.ofSeconds(1);
+
   /** A response with fewer events is still at its beginning. */
   private static final int BEGINNING_EVENTS = 3;
 
@@ -62,6 +65,11 @@
 
   private boolean isClosedByGateway;
 
+  /** Since when the response is not read, because its caller is behind. */
+  private @Nullable Duration pausedAt;
+
+  private boolean hasStayedUnread;
+
   Attempt(
       ForwardedRequest request,
       GatewayCore core,
@@ -80,6 +88,10 @@
 
   /** Returns what the failure of the attempt says about its server. */
   AttemptResult resultOf(AttemptFailure failure) {
+    boolean isCut = failure == AttemptFailure.LOST || failure == AttemptFailure.CUT;
+    if (isCut && hasStayedUnread()) {
+      return AttemptResult.NEUTRAL;
+    }
     return switch (failure) {
       case NOT_SENT -> AttemptResult.NOT_CONNECTED;
       case LOST -> AttemptResult.UNREACHABLE;
@@ -141,6 +153,9 @@
    */
   void logTo(RequestLog.Entry entry) {
     logEndTo(entry);
+    if (hasStayedUnread()) {
+      entry.put("stayedUnread", true);
+    }
     ClientExchange current = exchange;
     if (current != null) {
       current
@@ -316,6 +331,7 @@
   }
 
   void pause() {
+    pausedAt = pausedAt == null ? core.now() : pausedAt;
     ClientExchange current = exchange;
     if (current != null) {
       current.pause();
@@ -323,12 +339,34 @@
   }
 
   void resume() {
+    hasStayedUnread = hasStayedUnread();
+    pausedAt = null;
+    activeTimeAtLastData = boundsMemory() ? core.activeTime() : activeTimeAtLastData;
     ClientExchange current = exchange;
     if (current != null) {
       current.resume();
     }
   }
 
+  private boolean boundsMemory() {
+    return request.inbound().exchange().isMemoryBounded();
+  }
+
+  /**
+   * Returns whether the response was not read for so long, because its caller is behind, that its
+   * server may cut it off for that. What is read after a pause may have been cut off during it.
+   */
+  boolean hasStayedUnread() {
+    Duration since = pausedAt;
+    boolean isUnread = since != null && core.now().minus(since).compareTo(UNREAD_TIME) >= 0;
+    return boundsMemory() && (hasStayedUnread || isUnread);
+  }
+
+  /** Returns whether the server can't show that it responds, because it is not read. */
+  boolean isUnreadable() {
+    return boundsMemory() && pausedAt != null;
+  }
+
   /** Reports the result of the attempt to the scheduler, at most once. */
   void report(AttemptResult result) {
     if (!reported) {
@@ -340,7 +378,7 @@
 
   private void recordTimes() {
     Duration first = firstPartAt;
-    if (first != null && eventCount > 1) {
+    if (first != null && eventCount > 1 && !hasStayedUnread()) {
       core.recordEventGap(request, server, lastDataAt.minus(first).dividedBy(eventCount - 1));
     }
     ClientExchange current = exchange;
--- a/src/main/java/org/wigeonstage/gateway/CallerResponse.java
+++ b/src/main/java/org/wigeonstage/gateway/CallerResponse.java
@@ -62,7 +62,7 @@
   /** Discards what is buffered of an attempt that has ended. */
   void discardBuffered() {
     splitter.takeRemainder();
-    buffer.reset();
+    resetBuffer();
   }
 
   /** Applies the head of an attempt's response. */
@@ -101,16 +101,23 @@
       buffer.writeBytes(data);
       if (buffer.size() > MAX_BUFFERED_BYTES) {
         write(head, buffer.toByteArray(), isFirstAttempt);
-        buffer.reset();
+        resetBuffer();
+      } else {
+        exchange.setBufferedBytes(buffer.size());
       }
     }
-    if (exchange.undeliveredBytes() > MAX_UNDELIVERED_BYTES) {
+    if (exchange.heldBytes() > MAX_UNDELIVERED_BYTES) {
       paused = true;
       source.pause();
     }
     return true;
   }
 
+  private void resetBuffer() {
+    buffer.reset();
+    exchange.setBufferedBytes(0);
+  }
+
   private void write(ResponseHead head, byte[] data, boolean isFirstAttempt) {
     if (!started) {
       started = true;
@@ -150,6 +157,7 @@
       byte[] body = buffer.toByteArray();
       start(head, body.length);
       exchange.write(body);
+      resetBuffer();
     }
     exchange.end();
   }
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -244,7 +244,7 @@
 
   /** Records that the connection has ended, perhaps because the prompt crashed the server. */
   private void recordLoss(Attempt source) {
-    if (source.isAtBeginning()) {
+    if (source.isAtBeginning() && !source.hasStayedUnread()) {
       source.recordServerLoss();
       isTrial = false;
     }
@@ -338,7 +338,8 @@
     if (!current.isConnected()) {
       return current.isConnectTimeoutOver();
     }
-    return current.isUnresponsive(route)
+    return !current.isUnreadable()
+        && current.isUnresponsive(route)
         && attempts.wouldRetry(unansweredFailure())
         && (!current.hasMarkedServerSuspect() || canRetryOnAnotherServer());
   }
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -8,6 +8,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import org.wigeonstage.common.ClockReader;
 import org.wigeonstage.common.ControlExecutors;
@@ -15,10 +16,12 @@
 import org.wigeonstage.common.Polling;
 import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.fleet.FleetStore;
+import org.wigeonstage.fleet.StoredConfiguration;
 import org.wigeonstage.forward.HeaderCodec;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpServer;
 import org.wigeonstage.http.InFlightWork;
+import org.wigeonstage.http.MemoryBound;
 import org.wigeonstage.http.PooledHttpClient;
 import org.wigeonstage.http.ServerOptions;
 import org.wigeonstage.quota.AccountQuotas;
@@ -96,6 +99,7 @@
                 new ServerOptions(MAX_HEAD_BYTES, MAX_BODY_BYTES, IDLE_TIMEOUT, HANDLER_THREADS),
                 clock,
                 new ConnectionEndRecorder(metrics),
+                memoryBound(settings, headerCodec),
                 requestHandler));
     this.peerSynchronizer =
         closer.register(
@@ -112,6 +116,7 @@
         HttpServer.start(
             "metrics", Endpoint.parse(settings.metrics()), probeOptions, probeHandler));
     metrics.register("callers.reservedBodyBytes", (Gauge<Long>) callerServer::reservedBodyBytes);
+    metrics.register("callers.responseBytes", (Gauge<Long>) callerServer::responseBytes);
     metrics.register("jvm.memory.heap.used", (Gauge<Long>) GatewayProcess::heapUsed);
     metrics.register("jvm.memory.heap.max", (Gauge<Long>) Runtime.getRuntime()::maxMemory);
     metrics.register(
@@ -173,6 +178,17 @@
                 .applyOverrides(current.heldPromptParts(), current.releasedPromptParts()));
   }
 
+  private Optional<MemoryBound> memoryBound(GatewaySettings settings, HeaderCodec headerCodec) {
+    MemoryAdmission admission =
+        new MemoryAdmission(
+            () -> configuration.current().map(StoredConfiguration::table), headerCodec);
+    return settings.memoryMegabytes().stream()
+        .mapToObj(
+            megabytes ->
+                MemoryBound.ofProcess(megabytes, Runtime.getRuntime().maxMemory(), admission))
+        .findFirst();
+  }
+
   /** Reads the runtime instead of the management beans, because those take long to load. */
   private static long heapUsed() {
     Runtime runtime = Runtime.getRuntime();
--- a/src/main/java/org/wigeonstage/gateway/RouteFilter.java
+++ b/src/main/java/org/wigeonstage/gateway/RouteFilter.java
@@ -22,7 +22,7 @@
     return Optional.empty();
   }
 
-  private static String withoutPort(String hostField) {
+  static String withoutPort(String hostField) {
     int colon = hostField.indexOf(':');
     return colon < 0 ? hostField : hostField.substring(0, colon);
   }
--- a/src/main/java/org/wigeonstage/http/CallerConnection.java
+++ b/src/main/java/org/wigeonstage/http/CallerConnection.java
@@ -59,6 +59,7 @@
   private final ScheduledExecutorService timer;
   private final RequestHandler handler;
   private final BodyMemory.Share bodyMemory;
+  private final Runnable unsentExceededAction;
   private final RequestPipeline<ServerExchange> pipeline;
   private final AtomicReference<@Nullable Reason> endReason = new AtomicReference<>();
   private final AtomicReference<@Nullable Throwable> endCause = new AtomicReference<>();
@@ -72,7 +73,9 @@
       MonotonicClock clock,
       ScheduledExecutorService timer,
       BodyMemory.Share bodyMemory,
+      Runnable unsentExceededAction,
       RequestHandler handler) {
+    this.unsentExceededAction = unsentExceededAction;
     this.connection = connection;
     this.acceptance = acceptance;
     this.clock = clock;
@@ -101,6 +104,23 @@
     return bodyMemory;
   }
 
+  /** Counts a part of a response that is written. */
+  void addUnsent(long bytes) {
+    bodyMemory.addUnsent(bytes, clock.elapsed());
+  }
+
+  /** Releases a part of a response that the operating system has taken. */
+  void removeUnsent(long bytes) {
+    bodyMemory.removeUnsent(bytes, clock.elapsed());
+  }
+
+  /** Makes room for unsent parts if those of all connections together take too much. */
+  void checkUnsent() {
+    if (bodyMemory.memory().countsAll() && bodyMemory.memory().hasTooMuchUnsent()) {
+      unsentExceededAction.run();
+    }
+  }
+
   /** Returns the request being read, or null if there is none; call on the selector thread. */
   @Nullable CallerRequest incoming() {
     return incoming;
@@ -176,6 +196,7 @@
     ServerExchange completed = currentExchange;
     if (completed != null) {
       bodyMemory.release(completed.reservedBytes());
+      bodyMemory.setBuffered(0);
     }
     currentExchange = null;
     ServerExchange next = pipeline.completeCurrent(keepsConnection, clock.elapsed());
--- a/src/main/java/org/wigeonstage/http/CallerRequest.java
+++ b/src/main/java/org/wigeonstage/http/CallerRequest.java
@@ -108,12 +108,12 @@
 
   /** Reserves memory for a body of the given length; returns false if there is too little. */
   boolean tryReserve(long bodyLength, BodyMemory.Share memory) {
-    if (bodyLength <= Math.max(reservedBytes, BodyMemory.SMALL_BODY_BYTES)) {
+    if (bodyLength <= Math.max(reservedBytes, memory.memory().uncountedBytes())) {
       return true;
     }
     // A body without a declared length is reserved in growing steps.
     long additional = Math.max(bodyLength - reservedBytes, reservedBytes);
-    boolean isReserved = memory.tryReserve(additional);
+    boolean isReserved = memory.tryReserve(additional, this);
     reservedBytes += isReserved ? additional : 0;
     return isReserved;
   }
--- a/src/main/java/org/wigeonstage/http/ConnectionEnd.java
+++ b/src/main/java/org/wigeonstage/http/ConnectionEnd.java
@@ -38,6 +38,8 @@
     OVERLOADED,
     /** A request violated the HTTP protocol. */
     MALFORMED,
+    /** The caller did not read its response while memory was needed for those of others. */
+    UNREAD,
     /** A response was aborted. */
     BROKEN_OFF,
     /** Writing a response failed. */
--- a/src/main/java/org/wigeonstage/http/HttpServer.java
+++ b/src/main/java/org/wigeonstage/http/HttpServer.java
@@ -128,6 +128,31 @@
       MonotonicClock clock,
       ConnectionListener listener,
       RequestHandler handler) {
+    return start(name, endpoint, options, clock, listener, Optional.empty(), handler);
+  }
+
+  /**
+   * Starts a server that bounds the memory that it holds for its callers.
+   *
+   * @param name the prefix of the names of its threads
+   * @param endpoint the address to listen on; port 0 selects a free port
+   * @param options the limits of the server
+   * @param clock the clock that measures the arrival of requests
+   * @param listener notified when connections close, on the selector thread
+   * @param bound the bound, or empty if only large bodies are bounded, by a share of the heap
+   * @param handler handles the requests
+   * @return the running server
+   * @throws WigeonstageException with {@link ErrorCode#IO} if the server can't listen on the
+   *     endpoint
+   */
+  public static HttpServer start(
+      String name,
+      Endpoint endpoint,
+      ServerOptions options,
+      MonotonicClock clock,
+      ConnectionListener listener,
+      Optional<MemoryBound> bound,
+      RequestHandler handler) {
     TCPNIOTransport transport = Transports.create(name, SELECTOR_THREADS);
     TimingSelectorHandler selectorHandler = new TimingSelectorHandler(clock);
     transport.setSelectorHandler(selectorHandler);
@@ -148,6 +173,7 @@
             selectorHandler,
             timer,
             listener,
+            bound.map(BodyMemory::of).orElseGet(BodyMemory::ofHeap),
             exceptionMappingHandler);
     transport.setProcessor(
         FilterChainBuilder.stateless()
@@ -181,6 +207,15 @@
     return requestFilter.reservedBodyBytes();
   }
 
+  /**
+   * Returns the memory that is held for responses.
+   *
+   * @return the number of bytes, or 0 if the server has no {@link MemoryBound}
+   */
+  public long responseBytes() {
+    return requestFilter.responseBytes();
+  }
+
   /**
    * Returns the address that the server listens on.
    *
--- a/src/main/java/org/wigeonstage/http/RequestFilter.java
+++ b/src/main/java/org/wigeonstage/http/RequestFilter.java
@@ -1,10 +1,15 @@
 package org.wigeonstage.http;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -25,13 +30,19 @@
  */
 final class RequestFilter extends BaseFilter {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** The interval in seconds between two log lines about errors. */
+  private static final int LOG_INTERVAL_SECONDS = 10;
+
   private final int maxBodyBytes;
   private final MonotonicClock clock;
   private final TimingSelectorHandler selectorHandler;
   private final ScheduledExecutorService timer;
   private final ConnectionListener listener;
   private final RequestHandler handler;
-  private final BodyMemory bodyMemory = BodyMemory.ofHeap();
+  private final BodyMemory bodyMemory;
+  private final AtomicBoolean isEndingUnread = new AtomicBoolean();
   private final Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
   private volatile boolean isDraining;
   private volatile long acceptedCount;
@@ -42,7 +53,9 @@
       TimingSelectorHandler selectorHandler,
       ScheduledExecutorService timer,
       ConnectionListener listener,
+      BodyMemory bodyMemory,
       RequestHandler handler) {
+    this.bodyMemory = bodyMemory;
     this.maxBodyBytes = maxBodyBytes;
     this.clock = clock;
     this.selectorHandler = selectorHandler;
@@ -60,6 +73,7 @@
             clock,
             timer,
             bodyMemory.new Share(),
+            this::endUnreadSoon,
             handler);
     connections.add(connection);
     acceptedCount = acceptedCount + 1;
@@ -91,8 +105,7 @@
     long expectedBytes = Math.max(bodyBytes, content.getHttpHeader().getContentLength());
     if (bodyBytes > maxBodyBytes) {
       refuseTooLarge(connection, request);
-    } else if (!request.tryReserve(
-        Math.min(expectedBytes, maxBodyBytes), connection.bodyMemory())) {
+    } else if (!tryReserve(request, Math.min(expectedBytes, maxBodyBytes), connection)) {
       refuseForMemory(connection, request);
     } else {
       request.appendBody(PacketCopies.copyBytes(content));
@@ -105,6 +118,45 @@
     return context.getStopAction();
   }
 
+  /** Reserves memory for a body; an error while this is decided refuses only this request. */
+  private static boolean tryReserve(
+      CallerRequest request, long bodyLength, CallerConnection connection) {
+    try {
+      return request.tryReserve(bodyLength, connection.bodyMemory());
+    } catch (RuntimeException e) {
+      logger.atSevere().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).withCause(e).log(
+          "a request is refused because its share of the memory could not be determined");
+      return false;
+    }
+  }
+
+  /** Ends unread connections on the timer thread, because the calling thread may hold locks. */
+  private void endUnreadSoon() {
+    if (isEndingUnread.compareAndSet(false, true)) {
+      try {
+        timer.execute(this::endUnread);
+      } catch (RejectedExecutionException e) {
+        logger.atFine().withCause(e).log("the server has stopped");
+      }
+    }
+  }
+
+  /** Ends the connections that were not read from for the longest time, until others have room. */
+  private void endUnread() {
+    isEndingUnread.set(false);
+    while (bodyMemory.hasTooMuchUnsent()) {
+      Optional<CallerConnection> unread =
+          connections.stream()
+              .filter(connection -> connection.bodyMemory().unsentBytes() > 0)
+              .min(Comparator.comparing(connection -> connection.bodyMemory().lastTakenAt()));
+      if (unread.isEmpty()) {
+        return;
+      }
+      unread.get().bodyMemory().close();
+      unread.get().abort(Reason.UNREAD);
+    }
+  }
+
   private CallerRequest startRequest(CallerConnection connection, HttpRequestPacket head) {
     CallerRequest request =
         new CallerRequest(head, selectorHandler.arrival(connection.acceptance()));
@@ -132,6 +184,11 @@
     return bodyMemory.reservedBytes();
   }
 
+  /** Returns the memory that is held for responses. */
+  long responseBytes() {
+    return bodyMemory.responseBytes();
+  }
+
   /** Refuses a request that violates the HTTP protocol, and closes the connection. */
   void refuseMalformed(CallerConnection connection, HttpRequestPacket head, String detail) {
     Arrival arrival = selectorHandler.arrival(connection.acceptance());
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -263,6 +263,38 @@
     return writtenBytes - deliveredBytes;
   }
 
+  /**
+   * Returns whether the memory that is held for responses is bounded for all callers together.
+   *
+   * @return whether the server has a {@link MemoryBound}
+   */
+  public boolean isMemoryBounded() {
+    return callerConnection.bodyMemory().memory().countsAll();
+  }
+
+  /**
+   * Returns the memory that is held for what was written but not yet delivered.
+   *
+   * @return the number of bytes; with a {@link MemoryBound}, with what each part takes beside them
+   */
+  public synchronized long heldBytes() {
+    long overhead = isMemoryBounded() ? (long) pendingWrites * BodyMemory.BYTES_PER_WRITE : 0;
+    return undeliveredBytes() + overhead;
+  }
+
+  private static long heldBytes(int length) {
+    return (long) length + BodyMemory.BYTES_PER_WRITE;
+  }
+
+  /**
+   * Counts what is buffered of the response before it is written.
+   *
+   * @param bytes the number of bytes, in place of the earlier number
+   */
+  public void setBufferedBytes(long bytes) {
+    callerConnection.bodyMemory().setBuffered(bytes);
+  }
+
   /**
    * Appends to the response body.
    *
@@ -295,6 +327,7 @@
       if (!isLast || data.length > 0 || !response.isCommitted() || response.isChunked()) {
         writtenBytes += data.length;
         pendingWrites++;
+        callerConnection.addUnsent(heldBytes(data.length));
         HttpContent content =
             HttpContent.builder(response).content(Buffers.wrap(null, data)).last(isLast).build();
         socketConnection().write(content, new WriteCompletionHandler(data.length));
@@ -304,6 +337,7 @@
     if (isLast) {
       removeListeners();
     }
+    callerConnection.checkUnsent();
     if (isDelivered) {
       complete();
     }
@@ -408,6 +442,7 @@
       deliveredBytes += bytes;
       totalBytes = deliveredBytes;
       pendingWrites--;
+      callerConnection.removeUnsent(heldBytes(bytes));
       isDelivered = hasEnded.get() && pendingWrites == 0;
     }
     if (bytes > 0) {
