--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -41,6 +41,9 @@
   /** A given up response is late if it took this multiple of the objective of its first part. */
   private static final int LATE_FACTOR = 2;
 
+  /** Servers cut off a response that stays unread for some seconds. */
+  private static final Duration UNREAD_TIME = Duration.ofSeconds(1);
+
   /** A response with fewer events is still at its beginning. */
   private static final int BEGINNING_EVENTS = 3;
 
@@ -74,6 +77,11 @@
   /** Whether the caller read so slowly that the server had to wait. */
   private boolean wasPaused;
 
+  /** Since when the response is not read, because its caller is behind. */
+  private @Nullable Duration pausedAt;
+
+  private boolean hasStayedUnread;
+
   Attempt(
       ForwardedRequest request,
       GatewayCore core,
@@ -92,6 +100,10 @@
 
   /** Returns what the failure of the attempt says about its server. */
   AttemptResult resultOf(AttemptFailure failure) {
+    boolean isCut = failure == AttemptFailure.LOST || failure == AttemptFailure.CUT;
+    if (isCut && hasStayedUnread()) {
+      return AttemptResult.NEUTRAL;
+    }
     return switch (failure) {
       case NOT_SENT -> AttemptResult.NOT_CONNECTED;
       case LOST -> AttemptResult.UNREACHABLE;
@@ -153,6 +165,9 @@
    */
   void logTo(RequestLog.Entry entry) {
     logEndTo(entry);
+    if (hasStayedUnread()) {
+      entry.put("stayedUnread", true);
+    }
     ClientExchange current = exchange;
     if (current != null) {
       current
@@ -344,6 +359,7 @@
 
   void pause() {
     wasPaused = true;
+    pausedAt = pausedAt == null ? core.now() : pausedAt;
     ClientExchange current = exchange;
     if (current != null) {
       current.pause();
@@ -351,12 +367,34 @@
   }
 
   void resume() {
+    hasStayedUnread = hasStayedUnread();
+    pausedAt = null;
+    activeTimeAtLastData = boundsMemory() ? core.activeTime() : activeTimeAtLastData;
     ClientExchange current = exchange;
     if (current != null) {
       current.resume();
     }
   }
 
+  private boolean boundsMemory() {
+    return request.inbound().exchange().isMemoryBounded();
+  }
+
+  /**
+   * Returns whether the response was not read for so long, because its caller is behind, that its
+   * server may cut it off for that. What is read after a pause may have been cut off during it.
+   */
+  boolean hasStayedUnread() {
+    Duration since = pausedAt;
+    boolean isUnread = since != null && core.now().minus(since).compareTo(UNREAD_TIME) >= 0;
+    return boundsMemory() && (hasStayedUnread || isUnread);
+  }
+
+  /** Returns whether the server can't show that it responds, because it is not read. */
+  boolean isUnreadable() {
+    return boundsMemory() && pausedAt != null;
+  }
+
   /** Reports the result of the attempt to the scheduler, at most once. */
   void report(AttemptResult result) {
     if (!reported) {
@@ -388,7 +426,7 @@
     Duration first = firstPartAt;
     // The assumed speeds include the delays of slow callers; the learned ones don't.
     boolean isMeasured = !wasPaused || !core.capacities().areLearned();
-    if (first != null && eventCount > 1 && isMeasured) {
+    if (first != null && eventCount > 1 && isMeasured && !hasStayedUnread()) {
       core.recordEventGap(request, server, lastDataAt.minus(first).dividedBy(eventCount - 1));
     }
     ClientExchange current = exchange;
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -16,10 +16,12 @@
 import org.wigeonstage.common.Polling;
 import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.fleet.FleetStore;
+import org.wigeonstage.fleet.StoredConfiguration;
 import org.wigeonstage.forward.HeaderCodec;
 import org.wigeonstage.http.Endpoint;
 import org.wigeonstage.http.HttpServer;
 import org.wigeonstage.http.InFlightWork;
+import org.wigeonstage.http.MemoryBound;
 import org.wigeonstage.http.PooledHttpClient;
 import org.wigeonstage.http.ServerOptions;
 import org.wigeonstage.quota.AccountQuotas;
@@ -120,6 +122,7 @@
                 new ServerOptions(MAX_HEAD_BYTES, MAX_BODY_BYTES, IDLE_TIMEOUT, HANDLER_THREADS),
                 clock,
                 new ConnectionEndRecorder(metrics),
+                memoryBound(settings, headerCodec),
                 requestHandler));
     this.peerSynchronizer =
         closer.register(
@@ -136,6 +139,7 @@
         HttpServer.start(
             "metrics", Endpoint.parse(settings.metrics()), probeOptions, probeHandler));
     metrics.register("callers.reservedBodyBytes", (Gauge<Long>) callerServer::reservedBodyBytes);
+    metrics.register("callers.responseBytes", (Gauge<Long>) callerServer::responseBytes);
     metrics.register("jvm.memory.heap.used", (Gauge<Long>) GatewayProcess::heapUsed);
     metrics.register("jvm.memory.heap.max", (Gauge<Long>) Runtime.getRuntime()::maxMemory);
     metrics.register(
@@ -203,6 +207,17 @@
                 .applyOverrides(current.heldPromptParts(), current.releasedPromptParts()));
   }
 
+  private Optional<MemoryBound> memoryBound(GatewaySettings settings, HeaderCodec headerCodec) {
+    MemoryAdmission admission =
+        new MemoryAdmission(
+            () -> configuration.current().map(StoredConfiguration::table), headerCodec);
+    return settings.memoryMegabytes().stream()
+        .mapToObj(
+            megabytes ->
+                MemoryBound.ofProcess(megabytes, Runtime.getRuntime().maxMemory(), admission))
+        .findFirst();
+  }
+
   /** Reads the runtime instead of the management beans, because those take long to load. */
   private static long heapUsed() {
     Runtime runtime = Runtime.getRuntime();
