Prefer servers of the own failure domain where crossing is dear

With the setting crossingCostMillis (0 by default, which changes nothing), a server in another failure domain counts as that much slower: it is used if no near server has a free slot, or if the near ones are slower by more than that.

--- a/src/main/java/org/wigeonstage/gateway/GatewayCore.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayCore.java
@@ -23,6 +23,7 @@
 import org.wigeonstage.handover.WaitingCount;
 import org.wigeonstage.http.PooledHttpClient;
 import org.wigeonstage.placement.AttemptResult;
+import org.wigeonstage.placement.Locality;
 import org.wigeonstage.placement.PlacementRequest;
 import org.wigeonstage.placement.PoolScheduler;
 import org.wigeonstage.placement.SchedulingLimits;
@@ -61,6 +62,7 @@
   private boolean hasNonLeavingPeer;
   private boolean stoppedAccepting;
   private final ProcessDelay processDelay;
+  private final Locality locality;
   private final CachedFairShares fairShares;
   private volatile @Nullable Duration leavingSince;
 
@@ -71,7 +73,9 @@
       MetricRegistry metrics,
       RetryLimits retryLimits,
       AccountQuotas quotas,
-      RequestLogSampler logSampler) {
+      RequestLogSampler logSampler,
+      Locality locality) {
+    this.locality = locality;
     this.clock = clock;
     this.headerCodec = headerCodec;
     this.client = client;
@@ -489,6 +493,7 @@
 
   private PoolScheduler pool(String name) {
     return pools.computeIfAbsent(
-        name, key -> new PoolScheduler(SchedulingLimits.DEFAULTS, placementExecutor, random));
+        name,
+        key -> new PoolScheduler(SchedulingLimits.DEFAULTS, placementExecutor, random, locality));
   }
 }
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -21,6 +21,7 @@
 import org.wigeonstage.http.InFlightWork;
 import org.wigeonstage.http.PooledHttpClient;
 import org.wigeonstage.http.ServerOptions;
+import org.wigeonstage.placement.Locality;
 import org.wigeonstage.quota.AccountQuotas;
 import org.wigeonstage.quota.RetryLimits;
 import org.wigeonstage.settings.GatewaySettings;
@@ -80,7 +81,8 @@
             metrics,
             retryLimits(settings),
             new AccountQuotas(settings.quotaTolerance(), settings.isFirstStart(), clock.elapsed()),
-            new RequestLogSampler(settings.logOneIn()));
+            new RequestLogSampler(settings.logOneIn()),
+            new Locality(settings.failureDomain(), settings.crossingCost()));
     this.readLag = new ReadLagMonitor(clock);
     this.schedulingDelay = new SchedulingDelayMonitor(clock, TICK_INTERVAL);
     this.configuration = new ConfigurationState(clocks, maxConfigurationAge(settings));
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -55,17 +55,27 @@
   private Duration queuesReviewedAt = Duration.ZERO;
   private Duration delayRecordedUntil = Duration.ZERO;
 
+  /** Creates a scheduler without servers, to which all servers are equally near. */
+  PoolScheduler(SchedulingLimits limits, PlacementEffects effects, RandomGenerator random) {
+    this(limits, effects, random, Locality.NONE);
+  }
+
   /**
    * Creates a scheduler without servers.
    *
    * @param limits the limits
    * @param effects carries out the decisions
    * @param random chooses among equivalent servers
+   * @param locality what it costs to use servers in other failure domains
    */
-  public PoolScheduler(SchedulingLimits limits, PlacementEffects effects, RandomGenerator random) {
+  public PoolScheduler(
+      SchedulingLimits limits,
+      PlacementEffects effects,
+      RandomGenerator random,
+      Locality locality) {
     this.reservations = new SlotReservations(limits.reservedSlotsPerRank());
     this.servers = new ServerStates(limits, reservations);
-    this.selector = new ServerSelector(random);
+    this.selector = new ServerSelector(random, locality);
     this.effects = effects;
     this.startRates = new StartRateEstimator(limits.rateWindow());
     this.queuePolicy = new QueuePolicy(waitingRequests, startRates);
@@ -199,18 +209,11 @@
    * @return the expected time
    */
   public Duration expectedDuration(long promptTokens, long outputTokens) {
-    return expectedDurationOf(promptTokens, (double) outputTokens / tokensPerEvent);
+    return servers.expectedDuration(promptTokens, (double) outputTokens / tokensPerEvent);
   }
 
   private Duration expectedDurationOf(PlacementRequest request) {
-    return expectedDurationOf(request.promptTokens(), request.expectedEvents());
-  }
-
-  private Duration expectedDurationOf(long promptTokens, double events) {
-    double meanGapMillis =
-        servers.all().stream().mapToDouble(ServerState::eventGapMillis).average().orElse(0);
-    double millis = events * meanGapMillis + promptTokens * ServerState.PREFILL_MILLIS_PER_TOKEN;
-    return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
+    return servers.expectedDuration(request.promptTokens(), request.expectedEvents());
   }
 
   /**
@@ -426,7 +429,8 @@
   private void startInReservedSlots(List<PlacementRequest> queue, Duration now) {
     while (!queue.isEmpty()) {
       PlacementRequest first = queue.get(0);
-      Optional<ServerState> server = chooseAmong(reservedServers(first, now), first, now);
+      Optional<ServerState> server =
+          selector.selectCheapest(reservedServers(first, now), first, now);
       if (server.isEmpty()) {
         return;
       }
@@ -447,12 +451,7 @@
 
   /** Returns the cheapest server with a free slot, and prefers servers not tried before. */
   private Optional<ServerState> choose(PlacementRequest request, Duration now) {
-    return chooseAmong(availableServers(request, now), request, now);
-  }
-
-  private Optional<ServerState> chooseAmong(
-      List<ServerState> candidates, PlacementRequest request, Duration now) {
-    return selector.selectCheapest(candidates, request, now);
+    return selector.selectCheapest(availableServers(request, now), request, now);
   }
 
   /**
--- a/src/main/java/org/wigeonstage/placement/ServerSelector.java
+++ b/src/main/java/org/wigeonstage/placement/ServerSelector.java
@@ -13,14 +13,17 @@
   private static final double COST_TOLERANCE_MILLIS = 4;
 
   private final RandomGenerator random;
+  private final Locality locality;
 
-  ServerSelector(RandomGenerator random) {
+  ServerSelector(RandomGenerator random, Locality locality) {
     this.random = random;
+    this.locality = locality;
   }
 
   /**
    * Picks one of the cheapest servers at random, so that peers with the same figures spread, and
-   * prefers servers not tried before.
+   * prefers servers not tried before. One in another failure domain is chosen if no near one has a
+   * free slot, or if the delay at each near one exceeds that at it by the cost of crossing.
    */
   Optional<ServerState> selectCheapest(
       List<ServerState> available, PlacementRequest request, Duration now) {
@@ -31,7 +34,8 @@
     double[] costs = new double[candidates.size()];
     double lowest = Double.MAX_VALUE;
     for (int i = 0; i < costs.length; i++) {
-      costs[i] = candidates.get(i).costMillis(request, now);
+      ServerState candidate = candidates.get(i);
+      costs[i] = candidate.costMillis(request, now) + locality.costMillis(candidate.server());
       lowest = Math.min(lowest, costs[i]);
     }
     double highestAccepted = lowest + COST_TOLERANCE_MILLIS;
--- a/src/main/java/org/wigeonstage/placement/ServerStates.java
+++ b/src/main/java/org/wigeonstage/placement/ServerStates.java
@@ -14,6 +14,8 @@
 /** The servers of one pool with their estimated states, and which of them can take a request. */
 final class ServerStates {
 
+  private static final double NANOS_PER_MILLI = 1e6;
+
   private final SchedulingLimits limits;
   private final SlotReservations reservations;
   private final Map<String, ServerState> states = new HashMap<>();
@@ -122,6 +124,14 @@
     states.values().forEach(state -> state.decay(elapsed));
   }
 
+  /** Returns how long a server of average speed is expected to take for a complete response. */
+  Duration expectedDuration(long promptTokens, double events) {
+    double meanGapMillis =
+        states.values().stream().mapToDouble(ServerState::eventGapMillis).average().orElse(0);
+    double millis = events * meanGapMillis + promptTokens * ServerState.PREFILL_MILLIS_PER_TOKEN;
+    return Duration.ofNanos((long) (millis * NANOS_PER_MILLI));
+  }
+
   /** Updates how many slots less urgent requests leave free, by the load of the servers. */
   void updateReservations(Duration elapsed) {
     int own = 0;
--- a/src/main/java/org/wigeonstage/settings/GatewaySettings.java
+++ b/src/main/java/org/wigeonstage/settings/GatewaySettings.java
@@ -46,6 +46,8 @@
  * @param rollout the limits of roll-outs of server versions, or empty if there are none
  * @param memoryMegabytes the memory that this process may use, in megabytes, or empty if only its
  *     heap limits it
+ * @param crossingCostMillis the delay that is accepted to send a request to a server in the
+ *     gateway's own failure domain instead of another one, in milliseconds
  */
 public record GatewaySettings(
     String name,
@@ -72,7 +74,8 @@
     Set<String> releasedPromptParts,
     boolean learnedServerLimits,
     Optional<RolloutSettings> rollout,
-    OptionalInt memoryMegabytes) {
+    OptionalInt memoryMegabytes,
+    long crossingCostMillis) {
 
   /** Copies the collections. */
   public GatewaySettings {
@@ -116,6 +119,15 @@
     return new QuotaTolerance(Duration.ofSeconds(quotaWindowSeconds), quotaOverage, quotaSlack);
   }
 
+  /**
+   * Returns the delay that is accepted to stay in the gateway's own failure domain.
+   *
+   * @return the delay
+   */
+  public Duration crossingCost() {
+    return Duration.ofMillis(crossingCostMillis);
+  }
+
   /**
    * Returns the maximum time that a leaving gateway waits for its requests to finish.
    *
--- a/src/main/java/org/wigeonstage/settings/SettingsLoader.java
+++ b/src/main/java/org/wigeonstage/settings/SettingsLoader.java
@@ -139,6 +139,7 @@
     checkNumber(tree, "rolloutSlack", 0, 1_000_000, faults);
     checkNumber(tree, "rolloutRollbackMillis", 1, 600_000, faults);
     checkNumber(tree, "memoryMegabytes", 64, 1_000_000, faults);
+    checkNumber(tree, "crossingCostMillis", 0, 10_000, faults);
     checkBoolean(tree, "isFirstStart", faults);
     checkBoolean(tree, "learnedServerLimits", faults);
     rejectIfFaulty(GATEWAY_DOCUMENT, faults);
@@ -174,7 +175,8 @@
         features.contains(ROLLOUT_FEATURE) ? Optional.of(rollout(tree)) : Optional.empty(),
         features.contains(MEMORY_FEATURE)
             ? OptionalInt.of(tree.path("memoryMegabytes").asInt())
-            : OptionalInt.empty());
+            : OptionalInt.empty(),
+        tree.path("crossingCostMillis").asLong());
   }
 
   private static RolloutSettings rollout(JsonNode tree) {
--- a/src/test/java/org/wigeonstage/settings/SettingsLoaderTest.java
+++ b/src/test/java/org/wigeonstage/settings/SettingsLoaderTest.java
@@ -94,6 +94,14 @@
         .hasMessageContaining("/rolloutRollbackMillis: must be a number from 1.0");
   }
 
+  @Test
+  void impossibleCostOfCrossingFailureDomainsIsRejectedWithItsRange() {
+    assertThat(SettingsLoader.parseGateway(GATEWAY).crossingCost()).isZero();
+    assertThatThrownBy(
+            () -> SettingsLoader.parseGateway(withSettings("\"crossingCostMillis\": -1")))
+        .hasMessageContaining("/crossingCostMillis: must be a number from 0.0 to 10000.0");
+  }
+
   private static String withSettings(String settings) {
     return GATEWAY.replace("\"heldPromptParts\": [\"5c1e\"]", settings);
   }
