Write a buffered response and its end in one step

A buffered response is now sent in one step, and a body that was delivered up to its known length counts as whole.

--- a/src/main/java/org/wigeonstage/gateway/CallerResponse.java
+++ b/src/main/java/org/wigeonstage/gateway/CallerResponse.java
@@ -163,14 +163,12 @@
 
   /** Sends what is buffered and completes the response. */
   void complete(ResponseHead head) {
-    if (isStream) {
-      if (!started) {
-        start(head, -1);
-      }
-    } else if (!started) {
-      byte[] body = buffer.toByteArray();
-      start(head, body.length);
-      exchange.write(body);
+    if (!isStream && !started) {
+      exchange.respond(head.status(), core.closeIfLeaving(fields), buffer.toByteArray());
+      return;
+    }
+    if (!started) {
+      start(head, -1);
     }
     exchange.end();
   }
--- a/src/main/java/org/wigeonstage/http/ServerExchange.java
+++ b/src/main/java/org/wigeonstage/http/ServerExchange.java
@@ -365,9 +365,15 @@
     return hasEnded.get();
   }
 
-  /** Returns whether the whole response was handed to the operating system. */
+  /**
+   * Returns whether the whole response was handed to the operating system. A body of known length
+   * is whole before {@link #end} is called.
+   */
   synchronized boolean isDelivered() {
-    return hasEnded.get() && pendingWrites == 0 && !isAborted;
+    boolean isWhole =
+        response.getContentLength() >= 0 && writtenBytes >= response.getContentLength();
+    boolean hasLastPart = hasEnded.get() || (isWhole && response.isCommitted());
+    return hasLastPart && pendingWrites == 0 && !isAborted;
   }
 
   /** Discards a request that the connection does not accept. */
@@ -393,7 +399,7 @@
 
   private void connectionClosed() {
     Runnable action = disconnectAction.getAndSet(null);
-    if (action == null || hasEnded.get()) {
+    if (action == null || hasEnded.get() || isDelivered()) {
       return;
     }
     if (Thread.holdsLock(this)) {
