--- a/src/main/java/org/wigeonstage/gateway/CallerResponse.java
+++ b/src/main/java/org/wigeonstage/gateway/CallerResponse.java
@@ -170,15 +170,13 @@
 
   /** Sends what is buffered and completes the response. */
   void complete(ResponseHead head) {
-    if (isStream) {
-      if (!started) {
-        start(head, -1);
-      }
-    } else if (!started) {
-      byte[] body = buffer.toByteArray();
-      start(head, body.length);
-      exchange.write(body);
+    if (!isStream && !started) {
+      exchange.respond(head.status(), core.closeIfLeaving(fields), buffer.toByteArray());
       resetBuffer();
+      return;
+    }
+    if (!started) {
+      start(head, -1);
     }
     exchange.end();
   }
