--- a/src/main/java/org/wigeonstage/placement/SlotReservations.java
+++ b/src/main/java/org/wigeonstage/placement/SlotReservations.java
@@ -25,9 +25,9 @@
   private static final double TIME_CONSTANT_SECONDS = 2;
 
   /**
-   * The longest time for which arrivals are provided for: meanwhile, a full server frees several
-   * slots. A quarter of a second left a tenth of the urgent requests late in SimulatedPool; with
-   * three quarters, the middle rank lost more than the most urgent one won at a moderate load.
+   * The longest time for which arrivals are provided for: in it, a full server of nine slots with
+   * runs of a second frees one by itself. With half of a second, slots stayed empty under lasting
+   * overload, and less urgent requests lost more than the most urgent ones won.
    */
   private static final Duration MAX_HORIZON = Duration.ofMillis(100);
 
