--- a/src/main/java/org/wigeonstage/wire/LinkOptions.java
+++ b/src/main/java/org/wigeonstage/wire/LinkOptions.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.http.Transports;
 
 /**
@@ -28,7 +29,7 @@
   TCPNIOTransport createTransport(String name) {
     TCPNIOTransport transport = Transports.create(name, threads, isDirect);
     if (!readPause.isZero()) {
-      transport.setSelectorHandler(new PausingSelectorHandler(readPause));
+      transport.setSelectorHandler(new PausingSelectorHandler(MonotonicClock.system(), readPause));
     }
     return transport;
   }
--- a/src/main/java/org/wigeonstage/wire/PausingSelectorHandler.java
+++ b/src/main/java/org/wigeonstage/wire/PausingSelectorHandler.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.locks.LockSupport;
 import org.glassfish.grizzly.nio.DefaultSelectorHandler;
 import org.glassfish.grizzly.nio.SelectorRunner;
+import org.wigeonstage.common.MonotonicClock;
 
 /**
  * Selector handler that pauses between two selections, so that one wake-up serves all connections
@@ -14,22 +15,24 @@
  */
 final class PausingSelectorHandler extends DefaultSelectorHandler {
 
-  private final long pauseNanos;
-  private long selectedAtNanos;
+  private final MonotonicClock clock;
+  private final Duration pause;
+  private Duration selectedAt;
 
-  PausingSelectorHandler(Duration pause) {
-    this.pauseNanos = pause.toNanos();
-    this.selectedAtNanos = System.nanoTime() - pauseNanos;
+  PausingSelectorHandler(MonotonicClock clock, Duration pause) {
+    this.clock = clock;
+    this.pause = pause;
+    this.selectedAt = clock.elapsed().minus(pause);
   }
 
   @Override
   public Set<SelectionKey> select(SelectorRunner runner) throws IOException {
-    long remainingNanos = pauseNanos - (System.nanoTime() - selectedAtNanos);
-    if (remainingNanos > 0) {
-      LockSupport.parkNanos(remainingNanos);
+    Duration remaining = pause.minus(clock.elapsed().minus(selectedAt));
+    if (remaining.compareTo(Duration.ZERO) > 0) {
+      LockSupport.parkNanos(remaining.toNanos());
     }
     Set<SelectionKey> keys = super.select(runner);
-    selectedAtNanos = System.nanoTime();
+    selectedAt = clock.elapsed();
     return keys;
   }
 }
