Let larger requests of a kind use reserved slots for longer, in proportion

Change: the limit grows with the duration of a request relative to the usual one of its urgency, up to the whole objective.

--- a/src/main/java/org/wigeonstage/placement/BackfillPolicy.java
+++ b/src/main/java/org/wigeonstage/placement/BackfillPolicy.java
@@ -32,12 +32,16 @@
    */
   private static final int OBJECTIVE_DIVISOR = 3;
 
+  /** The weight of the newest expected duration in its mean. */
+  private static final double SMOOTHING_FACTOR = 0.05;
+
   /** The time in which the weight of a request in the shares decreases to 1/e. */
   private static final Duration TIME_CONSTANT = Duration.ofSeconds(4);
 
   /** What is known of the requests of one urgency; the numbers are weighted by age. */
   private static final class History {
     private Duration shortestObjective = Duration.ZERO;
+    private double meanDurationNanos;
     private double started;
     private double refused;
 
@@ -53,10 +57,17 @@
     return histories.computeIfAbsent(request.urgency(), key -> new History());
   }
 
-  /** Records the objective of a request. Resumed ones have another objective. */
-  void recordSubmission(PlacementRequest request) {
+  /**
+   * Records the objective of a request, and how long it is expected to use a slot. Resumed ones
+   * have another objective.
+   */
+  void recordSubmission(PlacementRequest request, Duration expectedDuration) {
     if (!request.wasPlacedBefore()) {
       History history = history(request);
+      double nanos = expectedDuration.toNanos();
+      history.meanDurationNanos +=
+          (history.meanDurationNanos == 0 ? 1 : SMOOTHING_FACTOR)
+              * (nanos - history.meanDurationNanos);
       Duration objective = request.firstPartObjective();
       history.shortestObjective =
           history.shortestObjective.isZero()
@@ -91,9 +102,21 @@
   }
 
   /**
-   * Returns how long a request of an urgency may use a slot that is reserved for more urgent ones,
-   * or empty if it may not, or none is known that slots are reserved for.
+   * Returns how long a request may use a slot that is reserved for more urgent ones, or empty if it
+   * may not, or none is known that slots are reserved for. A request that takes longer than is
+   * usual for its urgency may use it longer by the same factor, up to the whole objective;
+   * otherwise, the larger requests of a kind would be served far less often than the smaller ones.
    */
+  Optional<Duration> maxDuration(PlacementRequest request, Duration expectedDuration) {
+    History own = histories.get(request.urgency());
+    double mean = own == null ? 0 : own.meanDurationNanos;
+    double factor = mean == 0 ? 1 : expectedDuration.toNanos() / mean;
+    double bounded = Math.max(1, Math.min(OBJECTIVE_DIVISOR, factor));
+    return maxDuration(request.urgency())
+        .map(duration -> Duration.ofNanos((long) (duration.toNanos() * bounded)));
+  }
+
+  /** Returns how long a request of usual size may use a reserved slot, or empty if it may not. */
   Optional<Duration> maxDuration(Urgency urgency) {
     History own = histories.get(urgency);
     double share = own == null ? 1 : own.startedShare();
--- a/src/main/java/org/wigeonstage/placement/PoolScheduler.java
+++ b/src/main/java/org/wigeonstage/placement/PoolScheduler.java
@@ -149,8 +149,9 @@
       refuse(request, RefusalReason.NO_SERVER, NO_SERVER_RETRY_AFTER, now);
       return;
     }
-    backfill.recordSubmission(request);
-    reservations.recordArrival(request.urgency().routeRank(), expectedDurationOf(request));
+    Duration expectedDuration = expectedDurationOf(request);
+    backfill.recordSubmission(request, expectedDuration);
+    reservations.recordArrival(request.urgency().routeRank(), expectedDuration);
     request.markQueued(now);
     if (queuePolicy.isTooLongFor(request, now)
         && !(waitingRequests.queue(request.urgency()).isEmpty() && canStartNow(request, now))) {
@@ -479,7 +480,7 @@
    */
   private List<ServerState> reservedServers(PlacementRequest request, Duration now) {
     return backfill
-        .maxDuration(request.urgency())
+        .maxDuration(request, expectedDurationOf(request))
         .map(
             maxDuration ->
                 servers.withReservedSlot(
--- a/src/test/java/org/wigeonstage/placement/BackfillPolicyTest.java
+++ b/src/test/java/org/wigeonstage/placement/BackfillPolicyTest.java
@@ -7,6 +7,8 @@
 
 class BackfillPolicyTest {
 
+  private static final Duration USUAL = Duration.ofMillis(100);
+
   private static final Duration OBJECTIVE = Duration.ofMillis(600);
 
   private final BackfillPolicy policy = new BackfillPolicy();
@@ -25,14 +27,14 @@
 
   private void start(int routeRank, int count) {
     for (int i = 0; i < count; i++) {
-      policy.recordSubmission(request(routeRank));
+      policy.recordSubmission(request(routeRank), USUAL);
       policy.recordStart(request(routeRank));
     }
   }
 
   private void refuse(int routeRank, int count) {
     for (int i = 0; i < count; i++) {
-      policy.recordSubmission(request(routeRank));
+      policy.recordSubmission(request(routeRank), USUAL);
       policy.recordRefusal(request(routeRank));
     }
   }
@@ -81,8 +83,20 @@
     PlacementRequest placed = request(1);
     placed.markTried("a");
     policy.recordSubmission(
-        placed.resumed(Duration.ZERO, Duration.ofMillis(10), Duration.ofMillis(100)));
+        placed.resumed(Duration.ZERO, Duration.ofMillis(10), Duration.ofMillis(100)), USUAL);
     refuse(2, 10);
     assertThat(policy.maxDuration(new Urgency(0, 2))).contains(OBJECTIVE.dividedBy(3));
   }
+
+  /** Guards against a rank whose large requests never start: only small ones were short enough. */
+  @Test
+  void largeRequestsMayUseSlotsLongerInProportionUpToTheObjective() {
+    start(1, 10);
+    refuse(2, 10);
+    assertThat(policy.maxDuration(request(2), USUAL.dividedBy(2))).contains(OBJECTIVE.dividedBy(3));
+    assertThat(policy.maxDuration(request(2), USUAL.multipliedBy(2)))
+        .contains(OBJECTIVE.dividedBy(3).multipliedBy(2));
+    assertThat(policy.maxDuration(request(2), USUAL.multipliedBy(30)).orElseThrow())
+        .isBetween(OBJECTIVE.minusMillis(1), OBJECTIVE);
+  }
 }
