--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -91,11 +91,7 @@
     this.client =
         closer.register(
             PooledHttpClient.start("backend", 1, clock, new ServerConnectionEndRecorder(metrics)));
-    this.capacities =
-        new ServerCapacities(
-            settings.learnedServerLimits(),
-            new Locality(settings.failureDomain(), settings.crossingCost()),
-            metrics);
+    this.capacities = createCapacities(settings, metrics);
     this.core =
         new GatewayCore(
             clock,
@@ -143,6 +139,16 @@
     closer.register(
         HttpServer.start(
             "metrics", Endpoint.parse(settings.metrics()), probeOptions, probeHandler));
+    registerMetrics();
+  }
+
+  private static ServerCapacities createCapacities(
+      GatewaySettings settings, MetricRegistry metrics) {
+    Locality locality = new Locality(settings.failureDomain(), settings.crossingCost());
+    return new ServerCapacities(settings.learnedServerLimits(), locality, metrics);
+  }
+
+  private void registerMetrics() {
     metrics.register("callers.reservedBodyBytes", (Gauge<Long>) callerServer::reservedBodyBytes);
     metrics.register("callers.responseBytes", (Gauge<Long>) callerServer::responseBytes);
     metrics.register("jvm.memory.heap.used", (Gauge<Long>) GatewayProcess::heapUsed);
