Check the octets of responses before they are parsed

What callers saw: a signed 200 whose body was not the server's, or that passed a line on that is no field. A head with a misspelt Transfer-Encoding, repeated and different lengths, a blank or control octet in a name, or a line without a colon counted as sound; with the connection kept, some of them ended as 504 at the deadline.

Cause: Grizzly's codec reads past what it can't parse. It drops lines without a colon, takes any octet in a name, joins folded lines and removes carriage returns in place, knows one of several lengths, takes an unknown transfer coding for none, and then guesses that the body ends with the connection. The fields of requests were checked after parsing (StrictHttpServerFilter), those of responses only by their values, and what never becomes a field can't be seen there.

Change: ResponseSyntaxFilter, ahead of the codec, checks the octets of each response against RFC 9112: status lines (interim ones too), names, values, one decimal Content-Length or one "chunked" or neither, chunk headers, the end of each chunk, and trailers. Each line is checked as soon as it arrives. A violation ends the attempt as "malformed", closes the connection and names the violation in the log; the route decides on a retry. It acts on all responses: of backend servers, of the platform's store, and those that the load tool and the operators' commands read. What StrictHttpClientFilter did is part of it. Data on a connection without a call closes it at once; part of a head stayed in the codec and was put before the next response.

ResponseSyntaxTest splits all of them before each octet.

--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -41,6 +41,7 @@
   private final ResponseListener listener;
   private final ConnectionReleaser releaser;
   private final MonotonicClock clock;
+  private final ResponseSyntax syntax = new ResponseSyntax();
   private @Nullable Connection<?> connection;
   private @Nullable FilterChainContext suspendedRead;
   private boolean isPaused;
@@ -161,6 +162,11 @@
     }
   }
 
+  /** Returns the check of the response, to be used by the selector thread of the connection. */
+  ResponseSyntax syntax() {
+    return syntax;
+  }
+
   /** Passes the head of the response to the listener, unless this was done before. */
   void responseStarted(Supplier<ResponseHead> head) {
     if (!hasResponseStarted) {
--- a/src/main/java/org/wigeonstage/http/ClientTransport.java
+++ b/src/main/java/org/wigeonstage/http/ClientTransport.java
@@ -6,6 +6,7 @@
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpPacket;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -28,7 +29,8 @@
     this.filterChain =
         FilterChainBuilder.stateless()
             .add(new ReadingTransportFilter())
-            .add(new StrictHttpClientFilter())
+            .add(new ResponseSyntaxFilter())
+            .add(new HttpClientFilter())
             .add(new ResponseFilter(listener))
             .build();
   }
--- a/src/main/java/org/wigeonstage/http/ResponseFilter.java
+++ b/src/main/java/org/wigeonstage/http/ResponseFilter.java
@@ -9,7 +9,6 @@
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
 import org.wigeonstage.http.ServerConnectionEnd.Reason;
-import org.wigeonstage.request.HeaderFields;
 
 /** Passes the parts of a response to the {@link ClientExchange} of its connection. */
 final class ResponseFilter extends BaseFilter {
@@ -41,7 +40,7 @@
       return context.getStopAction();
     }
     HttpResponsePacket response = (HttpResponsePacket) content.getHttpHeader();
-    exchange.responseStarted(() -> headOf(response, context.getConnection()));
+    exchange.responseStarted(() -> headOf(response));
     if (content.getContent().hasRemaining()) {
       exchange.dataReceived(PacketCopies.copyBytes(content));
     }
@@ -54,14 +53,12 @@
     return exchange.suspendIfPaused(context) ? context.getSuspendAction() : context.getStopAction();
   }
 
-  private static ResponseHead headOf(HttpResponsePacket response, Connection<?> connection) {
-    HeaderFields fields = PacketCopies.copyFields(response);
-    if (!fields.fields().stream().allMatch(field -> FieldValues.isValid(field.value()))) {
-      ServerConnection.recordEndReason(connection, Reason.MALFORMED);
-      throw new IllegalStateException("a header field has control characters");
-    }
+  private static ResponseHead headOf(HttpResponsePacket response) {
     return new ResponseHead(
-        response.getStatus(), fields, response.getContentLength(), isFramed(response));
+        response.getStatus(),
+        PacketCopies.copyFields(response),
+        response.getContentLength(),
+        isFramed(response));
   }
 
   private static boolean isFramed(HttpResponsePacket response) {
--- a/src/main/java/org/wigeonstage/http/ResponseHead.java
+++ b/src/main/java/org/wigeonstage/http/ResponseHead.java
@@ -11,8 +11,4 @@
  * @param isFramed whether the response itself shows where its body ends; otherwise, the body ends
  *     when the connection is closed
  */
-public record ResponseHead(int status, HeaderFields fields, long contentLength, boolean isFramed) {
-
-  /** The status of a response whose status line has a code of more than three digits. */
-  static final int NO_STATUS = 0;
-}
+public record ResponseHead(int status, HeaderFields fields, long contentLength, boolean isFramed) {}
--- a/src/main/java/org/wigeonstage/http/StrictHttpServerFilter.java
+++ b/src/main/java/org/wigeonstage/http/StrictHttpServerFilter.java
@@ -1,6 +1,5 @@
 package org.wigeonstage.http;
 
-import com.google.common.base.CharMatcher;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -25,14 +24,7 @@
 
   private static final String UPGRADE = "Upgrade";
 
-  private static final String CONTENT_LENGTH = "Content-Length";
-  private static final String TRANSFER_ENCODING = "Transfer-Encoding";
   private static final String CONTENT_LENGTH_LINE = "\ncontent-length";
-  private static final CharMatcher TOKEN_CHARACTERS =
-      CharMatcher.inRange('a', 'z')
-          .or(CharMatcher.inRange('A', 'Z'))
-          .or(CharMatcher.inRange('0', '9'))
-          .or(CharMatcher.anyOf("!#$%&'*+-.^_`|~"));
 
   /** Handles requests that violate the HTTP protocol. */
   @FunctionalInterface
@@ -128,33 +120,24 @@
    * request could be used to smuggle another request past this server.
    */
   private static void checkFraming(boolean isChunked, MimeHeaders fields) {
-    int contentLengths = 0;
-    int transferEncodings = 0;
+    BodyFraming framing = new BodyFraming();
     int hosts = 0;
     for (int i = 0; i < fields.size(); i++) {
       String name = fields.getName(i).toString();
-      if (name.isEmpty() || !TOKEN_CHARACTERS.matchesAllOf(name)) {
+      if (!FieldNames.isValid(name)) {
         throw new IllegalStateException("malformed header field name");
       }
       String value = FieldValues.read(fields, i);
       if (!FieldValues.isValid(value)) {
         throw new IllegalStateException("a header field has control characters");
       }
-      if (name.equalsIgnoreCase(CONTENT_LENGTH)) {
-        contentLengths++;
-        requireUnambiguous(isDecimal(value));
-      } else if (name.equalsIgnoreCase(TRANSFER_ENCODING)) {
-        transferEncodings++;
-        requireUnambiguous(value.equalsIgnoreCase("chunked"));
-      } else if (name.equalsIgnoreCase("Host")) {
+      framing.add(name, value);
+      if (name.equalsIgnoreCase("Host")) {
         hosts++;
       }
     }
-    boolean hasTransferEncoding = isChunked || transferEncodings > 0;
     requireUnambiguous(
-        contentLengths + (hasTransferEncoding ? 1 : 0) <= 1
-            && transferEncodings <= 1
-            && hosts <= 1);
+        framing.isUnambiguous() && !(isChunked && framing.hasContentLength()) && hosts <= 1);
   }
 
   /** Refuses targets that two parsers could read differently. */
@@ -166,10 +149,6 @@
     }
   }
 
-  private static boolean isDecimal(String value) {
-    return !value.isEmpty() && CharMatcher.inRange('0', '9').matchesAllOf(value);
-  }
-
   private static void requireUnambiguous(boolean isUnambiguous) {
     if (!isUnambiguous) {
       throw new IllegalStateException(
--- /dev/null
+++ b/src/test/java/org/wigeonstage/gateway/MalformedResponseIT.java
@@ -0,0 +1,165 @@
+package org.wigeonstage.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.wigeonstage.gateway.GatewayFixture.statusOf;
+import static org.wigeonstage.gateway.ScriptedServer.PAUSE;
+import static org.wigeonstage.gateway.StreamText.LAST_CHUNK;
+import static org.wigeonstage.http.MalformedResponses.printable;
+
+import com.google.common.io.Closer;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
+import org.assertj.core.api.SoftAssertions;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.wigeonstage.common.Polling;
+import org.wigeonstage.gateway.ScriptedServer.Ending;
+import org.wigeonstage.http.MalformedResponses;
+
+/** Guards against responses that callers get as sound ones although they violate HTTP. */
+class MalformedResponseIT {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final int EVENTS = 4;
+
+  /** The fields of a usable response; {@link #prepare} replaces the ID. */
+  private static final String FIELDS = "Attempt-Id: ID\r\nResponse-Signature: s\r\n";
+
+  private static final String SIGNATURE = "response-signature";
+
+  private final Closer closer = Closer.create();
+  private final DecisionLogCapture decisions = closer.register(new DecisionLogCapture());
+  private final Map<String, String> responses = new ConcurrentHashMap<>();
+  private final Map<String, Integer> positions = new ConcurrentHashMap<>();
+  private ScriptedServer server;
+  private GatewayFixture fixture;
+
+  @AfterEach
+  void stop() throws IOException {
+    closer.close();
+  }
+
+  /** Starts a server that sends prepared responses once, and sound ones to other requests. */
+  private void start(Ending ending, ScriptedServer.Script soundResponses) throws Exception {
+    server =
+        closer.register(
+            ScriptedServer.afterWarmUp(
+                (id, position) -> {
+                  positions.put(id, position);
+                  String prepared = responses.remove(id);
+                  return prepared == null ? soundResponses.respond(id, position) : prepared;
+                },
+                ending));
+    fixture = closer.register(GatewayFixture.with(server));
+  }
+
+  private static String soundResponse(String id, int position) {
+    return StreamText.head(id, "200 OK", "Content-Length: 4\r\n") + MalformedResponses.BODY;
+  }
+
+  private String soundStream(String id, int position) {
+    int next = 1 + server.lastEventId(id).orElse(0);
+    return StreamText.chunkedHead(id) + StreamText.chunkedEvents(next, EVENTS) + LAST_CHUNK;
+  }
+
+  private String prepare(String id, String response) {
+    responses.put(id, response.replace("ID", id));
+    return id;
+  }
+
+  @ParameterizedTest
+  @EnumSource(names = {"KEPT", "CLOSED"})
+  void malformedResponseIsAFailedAttempt(Ending ending) throws Exception {
+    start(ending, MalformedResponseIT::soundResponse);
+    List<String> malformed = MalformedResponses.all(FIELDS);
+    SoftAssertions softly = new SoftAssertions();
+    for (int i = 0; i < malformed.size(); i++) {
+      String id = prepare("r" + i, malformed.get(i));
+      String response = fixture.request("plain", id);
+      String description = printable(malformed.get(i)) + " gave " + printable(response);
+      softly.assertThat(statusOf(response)).as(description).isEqualTo(502);
+      softly.assertThat(response).as(description).doesNotContainIgnoringCase(SIGNATURE);
+      softly.assertThat(server.receivedCount(id)).as(description).isEqualTo(1);
+    }
+    softly.assertAll();
+  }
+
+  @Test
+  void connectionIsNotUsedAgain() throws Exception {
+    start(Ending.KEPT, MalformedResponseIT::soundResponse);
+    for (String malformed : MalformedResponses.all(FIELDS)) {
+      fixture.request("plain", prepare("r", malformed));
+      assertThat(statusOf(fixture.request("plain", "next"))).isEqualTo(200);
+      assertThat(positions.get("next")).as(printable(malformed)).isZero();
+    }
+  }
+
+  @Test
+  void idempotentRequestIsRetried() throws Exception {
+    start(Ending.KEPT, MalformedResponseIT::soundResponse);
+    String malformed = MalformedResponses.all(FIELDS).get(0);
+    String response = fixture.request("status", prepare("r", malformed));
+    assertThat(statusOf(response)).isEqualTo(200);
+    assertThat(response).endsWith("\r\n\r\n" + MalformedResponses.BODY);
+    assertThat(server.receivedCount("r")).isEqualTo(2);
+  }
+
+  /** The responses replace a stream of four events. */
+  static Stream<String> malformedStreams() {
+    String head = StreamText.chunkedHead("r");
+    String events = StreamText.chunkedEvents(1, 2);
+    return Stream.of(
+        head.replace("Content-Type", "X Field: a\r\nContent-Type") + events + LAST_CHUNK,
+        head.replace("Content-Type", "nonsense\r\nContent-Type") + events + LAST_CHUNK,
+        head.replace("chunked", "chunkd") + events + LAST_CHUNK,
+        head.replace("Encoding:", "Encoding :") + events + LAST_CHUNK,
+        head + events + "0\r\nnonsense\r\n\r\n",
+        head + events + "0\r\n: comment\n\n\r\n" + LAST_CHUNK,
+        head + PAUSE + events + PAUSE + "0\r\nX Trailer: a\r\n\r\n");
+  }
+
+  @ParameterizedTest
+  @MethodSource("malformedStreams")
+  void malformedStreamIsResumed(String malformed) throws Exception {
+    start(Ending.KEPT, this::soundStream);
+    String response = fixture.request("stream", prepare("r", malformed));
+    assertThat(statusOf(response)).isEqualTo(200);
+    assertThat(StreamText.bodyOf(response)).isEqualTo(StreamText.events(1, EVENTS) + LAST_CHUNK);
+  }
+
+  @Test
+  void reasonIsLogged() throws Exception {
+    start(Ending.KEPT, MalformedResponseIT::soundResponse);
+    String malformed = soundResponse("r", 0).replace("Content-Length", "Content Length");
+    fixture.request("plain", prepare("r", malformed));
+    Polling.await(() -> !decisions.linesOf("connection-lost").isEmpty(), TIMEOUT);
+    assertThat(decisions.linesOf("connection-lost").get(0))
+        .contains("a field name is malformed")
+        .contains("\"closedBy\":\"gateway\"")
+        .contains("\"closeReason\":\"malformed\"");
+  }
+
+  @Test
+  void soundResponseIsPassedOn() throws Exception {
+    start(Ending.KEPT, MalformedResponseIT::soundResponse);
+    List<String> sound = MalformedResponses.sound(FIELDS);
+    for (int i = 0; i < sound.size(); i++) {
+      if (sound.get(i).contains("Connection: close")) {
+        continue; // Ends with its connection: see UnframedResponseIT.
+      }
+      String response = fixture.request("plain", prepare("r" + i, sound.get(i)));
+      assertThat(statusOf(response)).as(printable(sound.get(i))).isEqualTo(200);
+      assertThat(response)
+          .as(printable(sound.get(i)))
+          .endsWith("\r\n\r\n" + MalformedResponses.BODY)
+          .containsIgnoringCase(SIGNATURE);
+    }
+  }
+}
