Check the octets that follow a response

What callers saw: a signed 200 with the beginning of the body, where the server had sent more octets than the Content-Length, or the size of the last chunk, said; a chunk header of 0 ahead of an event even looks like sound trailers. The next request on the connection got 502, also behind a sound response with a line break too many, or behind a 204, 205 or 304, or the response to a HEAD request, that the server had given a body.

Cause: what follows a response stayed in the codec, and was read as the beginning of the next one.

Change: ResponseSyntax follows bodies to their ends. Octets that arrive with the end of a body, aside from line breaks, and are not the beginning of another response show that the length is wrong: the attempt fails as "malformed". In the other cases the response is passed on, and its connection isn't used again. Octets that arrive after the response was passed on close the connection, as before, and can't change what its caller got.

--- a/src/main/java/org/wigeonstage/http/BodyFraming.java
+++ b/src/main/java/org/wigeonstage/http/BodyFraming.java
@@ -11,9 +11,11 @@
 
   private static final String CONTENT_LENGTH = "Content-Length";
   private static final String TRANSFER_ENCODING = "Transfer-Encoding";
+  private static final long NO_LENGTH = -1;
   private static final CharMatcher DIGITS = CharMatcher.inRange('0', '9');
 
   private int contentLengths;
+  private long contentLength = NO_LENGTH;
   private int transferEncodings;
   private boolean isValid = true;
 
@@ -21,7 +23,9 @@
   void add(String name, String value) {
     if (name.equalsIgnoreCase(CONTENT_LENGTH)) {
       contentLengths++;
-      isValid &= DIGITS.matchesAllOf(value) && Longs.tryParse(value) != null;
+      Long length = DIGITS.matchesAllOf(value) ? Longs.tryParse(value) : null;
+      isValid &= length != null;
+      contentLength = length == null ? NO_LENGTH : length;
     } else if (name.equalsIgnoreCase(TRANSFER_ENCODING)) {
       transferEncodings++;
       isValid &= value.equalsIgnoreCase("chunked");
@@ -32,6 +36,11 @@
     return contentLengths > 0;
   }
 
+  /** Returns the length that the last {@code Content-Length} field states, or -1 for none. */
+  long contentLength() {
+    return contentLength;
+  }
+
   boolean hasTransferEncoding() {
     return transferEncodings > 0;
   }
--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -15,6 +15,7 @@
 import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpPacket;
+import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.MonotonicClock;
 import org.wigeonstage.http.ServerConnectionEnd.Reason;
@@ -70,6 +71,9 @@
   /** Sends the request on a connection, unless the call was aborted before. */
   @SuppressWarnings("unchecked") // connections of a TCP transport have socket addresses
   void connected(Connection<?> newConnection, HttpPacket packet) {
+    if (((HttpRequestPacket) packet.getHttpHeader()).isHeadRequest()) {
+      syntax.expectNoBody();
+    }
     ATTRIBUTE.set(newConnection, this);
     boolean mustSend;
     connectionObtainedAt = clock.elapsed();
@@ -187,7 +191,8 @@
   void responseCompleted(Connection<?> source, boolean isReusable) {
     ATTRIBUTE.remove(source);
     boolean isFirst = markEnded();
-    releaser.release(source, isReusable && isFirst && writtenAt != null);
+    releaser.release(
+        source, isReusable && isFirst && writtenAt != null && !syntax.hasOctetsBehindEnd());
     if (isFirst) {
       notifyListener(listener::onComplete);
     }
--- a/src/main/java/org/wigeonstage/http/ResponseSyntax.java
+++ b/src/main/java/org/wigeonstage/http/ResponseSyntax.java
@@ -1,6 +1,7 @@
 package org.wigeonstage.http;
 
 import com.google.common.base.CharMatcher;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.glassfish.grizzly.Buffer;
@@ -8,7 +9,7 @@
 
 /**
  * Checks that the octets of one response conform to HTTP/1.1 (RFC 9112) wherever they tell what its
- * fields are and where its body ends: in heads, chunk headers and trailers.
+ * fields are and where its body ends: in heads, chunk headers and trailers, and behind its end.
  *
  * <p>A line may end with a line feed alone. The last line of each part of the response is checked
  * although its end has not arrived, because a server that sends no valid line may never end it.
@@ -31,14 +32,23 @@
 
   private static final CharMatcher WHITE_SPACE = CharMatcher.anyOf("\t ");
 
+  /** Statuses of responses without a body, whatever their fields say; as in Grizzly's codec. */
+  private static final Set<String> BODILESS_STATUSES = Set.of("204", "205", "304");
+
+  private static final String PROTOCOL = "HTTP/";
+
   private enum Part {
     STATUS_LINE,
     HEADER_FIELDS,
+    /** A body with a length. */
+    BODY,
     CHUNK_HEADER,
     CHUNK_DATA,
     CHUNK_END,
     TRAILER_FIELDS,
-    /** A body that is not sent in chunks, or what follows a complete response. */
+    /** Where nothing is expected any more. */
+    BEHIND_END,
+    /** What ends with the connection. */
     UNCHECKED
   }
 
@@ -46,8 +56,20 @@
   private Part part = Part.STATUS_LINE;
   private BodyFraming framing = new BodyFraming();
   private boolean isHttp10;
-  private boolean isInterim;
-  private long remainingChunkBytes;
+  private String status = "";
+  private long remainingBytes;
+  private boolean isBodiless;
+  private boolean hasOctetsBehindEnd;
+
+  /** Expects the response to a {@code HEAD} request, which has no body. */
+  void expectNoBody() {
+    isBodiless = true;
+  }
+
+  /** Returns whether octets have arrived behind the end of the response. */
+  boolean hasOctetsBehindEnd() {
+    return hasOctetsBehindEnd;
+  }
 
   /**
    * Checks the next octets of the response.
@@ -57,8 +79,11 @@
   void check(Buffer data) {
     int index = data.position();
     while (index < data.limit() && part != Part.UNCHECKED) {
-      if (part == Part.CHUNK_DATA) {
-        index += skipChunkData(data.limit() - index);
+      if (part == Part.BODY || part == Part.CHUNK_DATA) {
+        index += skipData(data.limit() - index);
+      } else if (part == Part.BEHIND_END) {
+        appendBehindEnd(data.get(index));
+        index++;
       } else {
         appendToLine(data.get(index));
         index++;
@@ -69,15 +94,24 @@
     }
   }
 
-  private int skipChunkData(int availableBytes) {
-    int skippedBytes = (int) Math.min(availableBytes, remainingChunkBytes);
-    remainingChunkBytes -= skippedBytes;
-    if (remainingChunkBytes == 0) {
-      part = Part.CHUNK_END;
+  private int skipData(int availableBytes) {
+    int skippedBytes = (int) Math.min(availableBytes, remainingBytes);
+    remainingBytes -= skippedBytes;
+    if (remainingBytes == 0) {
+      part = part == Part.BODY ? Part.BEHIND_END : Part.CHUNK_END;
     }
     return skippedBytes;
   }
 
+  /** Adds an octet to the start of what follows a body, except line breaks ahead of it. */
+  private void appendBehindEnd(byte octet) {
+    hasOctetsBehindEnd = true;
+    boolean isLeadingBreak = line.isEmpty() && (octet == '\r' || octet == '\n');
+    if (!isBodiless && !isLeadingBreak && line.length() < PROTOCOL.length()) {
+      line.append((char) (octet & OCTET_MASK));
+    }
+  }
+
   private void appendToLine(byte octet) {
     if (octet == '\n') {
       String text = withoutLineBreak();
@@ -103,16 +137,16 @@
       case CHUNK_HEADER -> endChunkHeader(text);
       case CHUNK_END -> endChunk(text);
       case TRAILER_FIELDS -> endTrailerLine(text);
-      case CHUNK_DATA, UNCHECKED -> throw new AssertionError(part + " has no lines");
+      case BODY, CHUNK_DATA, BEHIND_END, UNCHECKED ->
+          throw new AssertionError(part + " has no lines");
     };
   }
 
   private Part endStatusLine(String text) {
     Matcher matcher = STATUS_LINE.matcher(text);
     require(matcher.matches(), "the status line is malformed");
-    String status = matcher.group(2);
     isHttp10 = matcher.group(1).equals("0");
-    isInterim = status.startsWith("1") && !status.equals("101");
+    status = matcher.group(2);
     framing = new BodyFraming();
     return Part.HEADER_FIELDS;
   }
@@ -130,17 +164,28 @@
     require(
         framing.isUnambiguous() && !(isHttp10 && framing.hasTransferEncoding()),
         "a Content-Length or Transfer-Encoding field is malformed, repeated or contradictory");
-    if (isInterim) {
-      return Part.STATUS_LINE;
+    if (status.startsWith("1")) {
+      return status.equals("101") ? Part.UNCHECKED : Part.STATUS_LINE;
+    }
+    isBodiless |= BODILESS_STATUSES.contains(status);
+    if (isBodiless) {
+      return Part.BEHIND_END;
     }
-    return framing.hasTransferEncoding() ? Part.CHUNK_HEADER : Part.UNCHECKED;
+    if (framing.hasTransferEncoding()) {
+      return Part.CHUNK_HEADER;
+    }
+    remainingBytes = framing.contentLength();
+    if (remainingBytes < 0) {
+      return Part.UNCHECKED;
+    }
+    return remainingBytes == 0 ? Part.BEHIND_END : Part.BODY;
   }
 
   private Part endChunkHeader(String text) {
     Matcher matcher = CHUNK_HEADER.matcher(text);
     require(matcher.matches(), "a chunk header is malformed");
-    remainingChunkBytes = Long.parseLong(matcher.group(1), HEXADECIMAL);
-    return remainingChunkBytes == 0 ? Part.TRAILER_FIELDS : Part.CHUNK_DATA;
+    remainingBytes = Long.parseLong(matcher.group(1), HEXADECIMAL);
+    return remainingBytes == 0 ? Part.TRAILER_FIELDS : Part.CHUNK_DATA;
   }
 
   private static Part endChunk(String text) {
@@ -150,7 +195,7 @@
 
   private static Part endTrailerLine(String text) {
     if (text.isEmpty()) {
-      return Part.UNCHECKED;
+      return Part.BEHIND_END;
     }
     requireField(text);
     return Part.TRAILER_FIELDS;
@@ -171,10 +216,16 @@
       case HEADER_FIELDS, TRAILER_FIELDS -> requireFieldStart(text);
       case CHUNK_HEADER -> requireStart(CHUNK_HEADER, text, "a chunk header is malformed");
       case CHUNK_END -> endChunk(text);
-      case CHUNK_DATA, UNCHECKED -> throw new AssertionError(part + " has no lines");
+      case BEHIND_END -> requireProtocol(text);
+      case BODY, CHUNK_DATA, UNCHECKED -> throw new AssertionError(part + " has no lines");
     }
   }
 
+  /** Another response is none of this call's; other octets belong to a body that is longer. */
+  private static void requireProtocol(String text) {
+    require(PROTOCOL.startsWith(text), "the body is longer than its length");
+  }
+
   private static void requireStart(Pattern pattern, String text, String violation) {
     Matcher matcher = pattern.matcher(text);
     require(matcher.matches() || matcher.hitEnd(), violation);
--- a/src/test/java/org/wigeonstage/gateway/MalformedResponseIT.java
+++ b/src/test/java/org/wigeonstage/gateway/MalformedResponseIT.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.wigeonstage.common.Polling;
@@ -101,6 +102,41 @@
     }
   }
 
+  /** What follows has arrived with the response, and belongs to no request. */
+  @ParameterizedTest
+  @CsvSource({
+    "200 OK, 4, 'done\r\n'",
+    "200 OK, 4, 'doneHTTP/1.1 299 OK\r\nX-Junk: '",
+    "200 OK, 4, 'doneHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore'",
+    "204 No Content, 4, done",
+    "205 Reset Content, 4, done",
+    "304 Not Modified, 4, done",
+    "304 Not Modified, 4, ''"
+  })
+  void octetsBehindAResponseDoNotReachTheNextRequest(String status, int length, String octets)
+      throws Exception {
+    start(Ending.KEPT, MalformedResponseIT::soundResponse);
+    String head = StreamText.head("r", status, "Content-Length: " + length + "\r\n");
+    String response = fixture.request("plain", prepare("r", head + unescaped(octets)));
+    assertThat(response).startsWith("HTTP/1.1 " + status.substring(0, 3)).doesNotContain("more");
+    String next = fixture.request("plain", "next");
+    assertThat(next).startsWith("HTTP/1.1 200").endsWith("\r\n\r\n" + MalformedResponses.BODY);
+  }
+
+  private static String unescaped(String text) {
+    return text.replace("\\r", "\r").replace("\\n", "\n");
+  }
+
+  @Test
+  void responseToAHeadRequestIsPassedOnAlthoughABodyFollows() throws Exception {
+    start(Ending.KEPT, MalformedResponseIT::soundResponse);
+    String request =
+        "HEAD /status/x HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\nAttempt-Id: %s\r\n"
+            + "Credential: key\r\n\r\n";
+    assertThat(statusOf(fixture.sendRaw(request.formatted("head")))).isEqualTo(200);
+    assertThat(statusOf(fixture.request("plain", "next"))).isEqualTo(200);
+  }
+
   @Test
   void idempotentRequestIsRetried() throws Exception {
     start(Ending.KEPT, MalformedResponseIT::soundResponse);
@@ -122,6 +158,7 @@
         head.replace("Encoding:", "Encoding :") + events + LAST_CHUNK,
         head + events + "0\r\nnonsense\r\n\r\n",
         head + events + "0\r\n: comment\n\n\r\n" + LAST_CHUNK,
+        head + events + "0\r\n" + StreamText.event(3) + "\r\n" + StreamText.chunkedEvents(4, 4),
         head + PAUSE + events + PAUSE + "0\r\nX Trailer: a\r\n\r\n");
   }
 
--- a/src/test/java/org/wigeonstage/http/MalformedResponses.java
+++ b/src/test/java/org/wigeonstage/http/MalformedResponses.java
@@ -44,6 +44,8 @@
             contradictoryFraming().map(framing -> withFraming(fields, framing, CHUNKED_BODY)),
             misspeltFraming().map(framing -> withFraming(fields, framing, BODY)),
             malformedChunks().map(body -> withFraming(fields, CHUNKED, body)),
+            tooLongBodies()
+                .map(framedBody -> response(STATUS_LINE, fields + framedBody[0], framedBody[1])),
             Stream.of(
                 response("HTTP/1.0 200 OK", fields + CHUNKED, CHUNKED_BODY),
                 "HTTP/1.1 100 Continue\r\nX Field: a\r\n\r\n"
@@ -300,6 +302,19 @@
         "4\r\ndone\r\n0\r\n: a\r\n\r\n");
   }
 
+  /** Fields, and a body that is longer than they or its chunks say. */
+  private static Stream<String[]> tooLongBodies() {
+    return Stream.of(
+        new String[] {"Content-Length: 0\r\n", BODY},
+        new String[] {"Content-Length: 3\r\n", BODY},
+        new String[] {"Content-Length: 2\r\n", "a\r\nb\r\n"},
+        new String[] {LENGTH, "done, and more"},
+        new String[] {LENGTH, "doneHTTX"},
+        new String[] {CHUNKED, "4\r\ndone\r\n0\r\n\r\n4\r\nmore\r\n0\r\n\r\n"},
+        new String[] {CHUNKED, "4\r\ndone\r\n0\r\nid: 2\ndata: more\n\n\r\n0\r\n\r\n"},
+        new String[] {CHUNKED, "0\r\nid: 1\ndata: more\n\n\r\n0\r\n\r\n"});
+  }
+
   /** Returns a response with the octets that can't be printed as escape sequences. */
   public static String printable(String response) {
     StringBuilder text = new StringBuilder();
