Detect a reset behind the end of a response without a length

What callers saw: a whole 200 of ten bytes for an upload that its server had never read.

Cause: a server that closes a socket with an unread request sends the end of its output and, as bytes were unread, a reset right behind it. Reading shows the end only. With the system's own buffers an upload of 1.5 MB counts as written although nobody reads it, so that the end completed the response.

Change: the end of a connection completes a response without a length, to a request with a body, only after 50 ms, unless the system reports an error or hang-up of the socket by then. A reset is a lost connection (network_failed, "connection reset behind its end"), which is retried where the route allows. Responses with a length or in chunks, and requests without a body, aren't delayed.

--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -51,6 +51,7 @@
   private volatile boolean hasResponseStarted;
   private volatile boolean endsWithConnection;
   private volatile boolean usesNewConnection = true;
+  private volatile boolean hasRequestBody;
   private volatile Runnable lostBeforeResponseAction = () -> {};
   private volatile @Nullable Duration connectionObtainedAt;
   private volatile @Nullable Duration writtenAt;
@@ -71,7 +72,9 @@
   /** Sends the request on a connection, unless the call was aborted before. */
   @SuppressWarnings("unchecked") // connections of a TCP transport have socket addresses
   void connected(Connection<?> newConnection, HttpPacket packet) {
-    if (((HttpRequestPacket) packet.getHttpHeader()).isHeadRequest()) {
+    HttpRequestPacket head = (HttpRequestPacket) packet.getHttpHeader();
+    hasRequestBody = head.getContentLength() > 0;
+    if (head.isHeadRequest()) {
       syntax.expectNoBody();
     }
     ATTRIBUTE.set(newConnection, this);
@@ -198,6 +201,11 @@
     }
   }
 
+  /** Returns whether a request with a body was sent, or begun to be sent. */
+  boolean hasRequestBody() {
+    return hasRequestBody;
+  }
+
   /** Records that the whole request was handed to the operating system. */
   void recordWritten() {
     writtenAt = clock.elapsed();
--- a/src/main/java/org/wigeonstage/http/ReadingTransportFilter.java
+++ b/src/main/java/org/wigeonstage/http/ReadingTransportFilter.java
@@ -2,6 +2,8 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -18,19 +20,69 @@
  */
 final class ReadingTransportFilter extends TransportFilter {
 
+  /** How long after the end of a connection a reset may arrive. */
+  private static final int RESET_DELAY_MILLIS = 50;
+
   @Override
   public NextAction handleRead(FilterChainContext context) {
     TCPNIOConnection connection = (TCPNIOConnection) context.getConnection();
-    Buffer buffer = readOrTerminate(connection);
-    if (buffer == null || buffer.position() == 0) {
+    try {
+      Buffer buffer = TCPNIOUtils.allocateAndReadBuffer(connection);
+      return buffer == null || buffer.position() == 0
+          ? context.getStopAction()
+          : passOn(buffer, context);
+    } catch (EOFException e) {
+      return endOrAwaitReset(connection, context, e);
+    } catch (IOException e) {
+      terminate(connection, Reason.NETWORK_FAILED, e);
       return context.getStopAction();
     }
+  }
+
+  private static NextAction passOn(Buffer buffer, FilterChainContext context) {
     buffer.trim();
     context.setMessage(buffer);
-    context.setAddress(connection.getPeerAddress());
+    context.setAddress(context.getConnection().getPeerAddress());
     return context.getInvokeAction();
   }
 
+  /**
+   * Ends a connection whose end was read. If this would complete a response, the end is delayed,
+   * because a server that closes a socket with an unread request sends a reset behind the end.
+   */
+  private static NextAction endOrAwaitReset(
+      TCPNIOConnection connection, FilterChainContext context, EOFException end) {
+    ClientExchange exchange = ClientExchange.ATTRIBUTE.get(connection);
+    if (exchange == null || !exchange.hasRequestBody() || !exchange.isCompletedByEnd(true)) {
+      terminate(connection, Reason.SERVER_CLOSED, end);
+      return context.getStopAction();
+    }
+    context.suspend();
+    CompletableFuture.delayedExecutor(
+            RESET_DELAY_MILLIS,
+            TimeUnit.MILLISECONDS,
+            action -> Transports.runOnSelectorThread(connection, action))
+        .execute(() -> endUnlessReset(connection, end));
+    return context.getSuspendAction();
+  }
+
+  private static void endUnlessReset(TCPNIOConnection connection, EOFException end) {
+    if (!connection.isOpen()) {
+      return;
+    }
+    try {
+      ResetProbe.requireNoReset(connection.getChannel());
+      terminate(connection, Reason.SERVER_CLOSED, end);
+    } catch (IOException e) {
+      terminate(connection, Reason.NETWORK_FAILED, e);
+    }
+  }
+
+  private static void terminate(TCPNIOConnection connection, Reason reason, IOException cause) {
+    ServerConnection.recordEndReason(connection, reason);
+    connection.terminateWithReason(cause);
+  }
+
   /** Ends the connection, and the call on it, because of an error in any filter. */
   @Override
   public void exceptionOccurred(FilterChainContext context, Throwable cause) {
@@ -49,17 +101,4 @@
     }
     return cause instanceof Error ? Reason.HANDLING_FAILED : Reason.MALFORMED;
   }
-
-  /** Reads what has arrived, or terminates the connection with the reason why it has ended. */
-  private static @Nullable Buffer readOrTerminate(TCPNIOConnection connection) {
-    try {
-      return TCPNIOUtils.allocateAndReadBuffer(connection);
-    } catch (IOException e) {
-      boolean isOrderly = e instanceof EOFException;
-      ServerConnection.recordEndReason(
-          connection, isOrderly ? Reason.SERVER_CLOSED : Reason.NETWORK_FAILED);
-      connection.terminateWithReason(e);
-      return null;
-    }
-  }
 }
--- a/src/test/java/org/wigeonstage/gateway/EarlyResponseIT.java
+++ b/src/test/java/org/wigeonstage/gateway/EarlyResponseIT.java
@@ -32,6 +32,13 @@
   /** More than the buffers of two sockets take, so that part of it stays unwritten. */
   private static final int UPLOAD_BYTES = 4_000_000;
 
+  /**
+   * Fits into the buffers of two sockets, so that it counts as written although nobody reads it.
+   */
+  private static final int BUFFERED_UPLOAD_BYTES = 1_500_000;
+
+  private static final int SMALL_RECEIVE_BUFFER_BYTES = 16 * 1024;
+  private static final int REPETITIONS = 20;
   private static final String BODY = "ten bytes.";
 
   private final Closer closer = Closer.create();
@@ -52,9 +59,16 @@
   }
 
   private void start(String framing, End end) throws Exception {
-    ServerSocket serverSocket =
-        closer.register(new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1")));
-    serverSocket.setReceiveBufferSize(16 * 1024);
+    ServerSocket serverSocket = listen();
+    serverSocket.setReceiveBufferSize(SMALL_RECEIVE_BUFFER_BYTES);
+    start(serverSocket, framing, end);
+  }
+
+  private ServerSocket listen() throws IOException {
+    return closer.register(new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1")));
+  }
+
+  private void start(ServerSocket serverSocket, String framing, End end) throws Exception {
     run(
         () -> {
           while (true) {
@@ -96,7 +110,7 @@
       String head = readHead(input);
       String id = head.replaceAll("(?is).*attempt-id: (\\S+).*", "$1");
       int length = Integer.parseInt(head.replaceAll("(?is).*content-length: (\\d+).*", "$1"));
-      if (length < UPLOAD_BYTES) {
+      if (ScriptedServer.isWarmUp(id)) {
         input.readNBytes(length);
         send(socket, ScriptedServer.success(id));
         continue;
@@ -146,15 +160,19 @@
 
   /** Sends an upload, and returns what is read until the connection ends. */
   private String upload(String route) throws IOException {
+    return upload(route, UPLOAD_BYTES);
+  }
+
+  private String upload(String route, int length) throws IOException {
     try (Socket socket = new Socket("127.0.0.1", fixture.gateway.callersEndpoint().port())) {
       OutputStream out = socket.getOutputStream();
       out.write(
           ("POST /%s/x HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\nAttempt-Id: r\r\n"
                   + "Deadline-Ms: 2500\r\nCredential: key\r\nToken-Count: 10,20\r\n"
                   + "Content-Length: %d\r\n\r\n")
-              .formatted(route, UPLOAD_BYTES)
+              .formatted(route, length)
               .getBytes(StandardCharsets.US_ASCII));
-      out.write(new byte[UPLOAD_BYTES]);
+      out.write(new byte[length]);
       out.flush();
       return GatewayFixture.readResponse(socket);
     }
@@ -186,6 +204,29 @@
         .contains("\"closeReason\":\"request_unwritten\"");
   }
 
+  /** The server's system sends the end first, as for a sound response, and a reset behind it. */
+  @ParameterizedTest
+  @CsvSource({"plain, CLOSE", "plain, RESET", "status, CLOSE", "status, RESET"})
+  void unframedResponseIsNotCompleteIfItsRequestWasWrittenButNotRead(String route, End end)
+      throws Exception {
+    start(listen(), "", end);
+    for (int i = 0; i < REPETITIONS; i++) {
+      assertThat(statusOf(upload(route, 100))).isEqualTo(502);
+      assertThat(statusOf(upload(route, BUFFERED_UPLOAD_BYTES))).isEqualTo(502);
+    }
+  }
+
+  @Test
+  void resetBehindTheEndIsLogged() throws Exception {
+    start(listen(), "", End.CLOSE);
+    upload("plain", BUFFERED_UPLOAD_BYTES);
+    Polling.await(() -> !decisions.linesOf("connection-lost").isEmpty(), TIMEOUT);
+    assertThat(decisions.linesOf("connection-lost").get(0))
+        .contains("connection reset behind its end")
+        .contains("\"closedBy\":\"server\"")
+        .contains("\"closeReason\":\"network_failed\"");
+  }
+
   /** Servers may answer an upload early, for example to reject it. */
   @ParameterizedTest
   @CsvSource({"CLOSE", "SHUT_DOWN_OUTPUT"})
