--- a/src/main/java/org/wigeonstage/http/ClientExchange.java
+++ b/src/main/java/org/wigeonstage/http/ClientExchange.java
@@ -201,7 +201,7 @@
     }
   }
 
-  /** Returns whether a request with a body was sent, or begun to be sent. */
+  /** Returns whether a request with a body is sent on the connection. */
   boolean hasRequestBody() {
     return hasRequestBody;
   }
--- a/src/main/java/org/wigeonstage/http/ResponseSyntax.java
+++ b/src/main/java/org/wigeonstage/http/ResponseSyntax.java
@@ -11,8 +11,8 @@
  * Checks that the octets of one response conform to HTTP/1.1 (RFC 9112) wherever they tell what its
  * fields are and where its body ends: in heads, chunk headers and trailers, and behind its end.
  *
- * <p>A line may end with a line feed alone. The last line of each part of the response is checked
- * although its end has not arrived, because a server that sends no valid line may never end it.
+ * <p>A line may end with a line feed alone. A line whose end has not arrived is checked, too,
+ * because a server that sends something else may never end it.
  */
 final class ResponseSyntax {
 
@@ -46,9 +46,9 @@
     CHUNK_DATA,
     CHUNK_END,
     TRAILER_FIELDS,
-    /** Where nothing is expected any more. */
+    /** What follows a complete response. */
     BEHIND_END,
-    /** What ends with the connection. */
+    /** A body that ends with the connection, or data of another protocol. */
     UNCHECKED
   }
 
