Don't take malformed responses for crashes of their servers

What callers saw: 503 prompt-held for requests whose prompt shares a part with requests that servers in trouble had answered with malformed responses.

Cause: each loss of a connection at the beginning of a response counted as a crash that the prompt may have caused, also if this process had closed the connection. Few responses were malformed before their octets were checked; now those count that used to be taken for sound.

Change: only ends by the server or the network count. A server that has sent something is up.

--- a/src/main/java/org/wigeonstage/gateway/Attempt.java
+++ b/src/main/java/org/wigeonstage/gateway/Attempt.java
@@ -203,6 +203,11 @@
     isClosedByGateway = isByGateway;
   }
 
+  /** Returns whether this process has closed the connection, after the end was recorded. */
+  boolean isClosedByGateway() {
+    return isClosedByGateway;
+  }
+
   /** Logs who has closed the connection of the attempt, and why. */
   void logEndTo(RequestLog.Entry entry) {
     closeReason.ifPresent(
--- a/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
+++ b/src/main/java/org/wigeonstage/gateway/ForwardedRequest.java
@@ -242,9 +242,12 @@
     endAttempt(source, failure, source.resultOf(failure));
   }
 
-  /** Records that the connection has ended, perhaps because the prompt crashed the server. */
+  /**
+   * Records that the connection has ended, perhaps because the prompt crashed the server; not if
+   * this process closed it, for example because of a malformed response.
+   */
   private void recordLoss(Attempt source) {
-    if (source.isAtBeginning() && !source.hasStayedUnread()) {
+    if (source.isAtBeginning() && !source.hasStayedUnread() && !source.isClosedByGateway()) {
       source.recordServerLoss();
       isTrial = false;
     }
--- a/src/test/java/org/wigeonstage/gateway/MalformedResponseIT.java
+++ b/src/test/java/org/wigeonstage/gateway/MalformedResponseIT.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Stream;
 import org.assertj.core.api.SoftAssertions;
@@ -30,6 +31,12 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
   private static final int EVENTS = 4;
 
+  /** More than the number of crashes after which a prompt is held. */
+  private static final int SERVERS = 5;
+
+  private static final int MAX_REQUESTS = 200;
+  private static final String MALFORMED_ID = "malformed-";
+
   /** The fields of a usable response; {@link #prepare} replaces the ID. */
   private static final String FIELDS = "Attempt-Id: ID\r\nResponse-Signature: s\r\n";
 
@@ -183,6 +190,38 @@
         .contains("\"closeReason\":\"malformed\"");
   }
 
+  /** A server that has sent something did not crash while it read the prompt. */
+  @Test
+  void promptIsNotHeldAfterMalformedResponses() throws Exception {
+    Set<Integer> used = ConcurrentHashMap.newKeySet();
+    fixture = closer.register(GatewayFixture.with(partlyMalformedServer(0, used)));
+    for (int number = 1; number < SERVERS; number++) {
+      fixture.store.write(
+          "servers", "scripted-" + number, partlyMalformedServer(number, used).registration());
+    }
+    String prompt = "Prompt-Prefix: shared:60,own:5";
+    for (int i = 0; i < MAX_REQUESTS && used.size() < SERVERS; i++) {
+      assertThat(statusOf(fixture.request("plain", MALFORMED_ID + i, prompt))).isEqualTo(502);
+    }
+    assertThat(used).hasSize(SERVERS);
+    assertThat(statusOf(fixture.request("plain", "next", prompt))).isEqualTo(200);
+  }
+
+  /** Returns a server that records its number when it sends a malformed response. */
+  private ScriptedServer partlyMalformedServer(int number, Set<Integer> used) throws IOException {
+    return closer.register(
+        ScriptedServer.afterWarmUp(
+            (id, position) -> {
+              String sound = soundResponse(id, position);
+              if (!id.startsWith(MALFORMED_ID)) {
+                return sound;
+              }
+              used.add(number);
+              return sound.replace("Content-Length", "Content Length");
+            },
+            Ending.KEPT));
+  }
+
   @Test
   void soundResponseIsPassedOn() throws Exception {
     start(Ending.KEPT, MalformedResponseIT::soundResponse);
