Split a header line once, and share the end after an error

Found in a reread of the check of responses; behaviour stays as it is.

- ResponseSyntax split each header line into its name and value twice.
It now parses a line into the field type that the project has (HeaderFields.Field).
- ResponseSyntaxFilter repeated how ReadingTransportFilter ends a connection and its call after an error; both call ServerConnection.closeAfterError.
- MalformedResponseTest had a parameter with one value; MalformedResponses wrote out what withFraming does.
The same responses are sent in the same order (compared one by one), and the assertions are unchanged.

--- a/src/main/java/org/wigeonstage/http/ReadingTransportFilter.java
+++ b/src/main/java/org/wigeonstage/http/ReadingTransportFilter.java
@@ -88,11 +88,7 @@
   public void exceptionOccurred(FilterChainContext context, Throwable cause) {
     Connection<?> connection = context.getConnection();
     ClientExchange exchange = ClientExchange.ATTRIBUTE.get(connection);
-    ServerConnection.recordEndReason(connection, reasonOf(cause, exchange));
-    if (exchange != null) {
-      exchange.connectionLost(ServerConnection.endReason(connection), cause);
-    }
-    connection.closeSilently();
+    ServerConnection.closeAfterError(connection, reasonOf(cause, exchange), cause);
   }
 
   private static Reason reasonOf(Throwable cause, @Nullable ClientExchange exchange) {
--- a/src/main/java/org/wigeonstage/http/ResponseSyntax.java
+++ b/src/main/java/org/wigeonstage/http/ResponseSyntax.java
@@ -6,6 +6,7 @@
 import java.util.regex.Pattern;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.http.HttpCodecFilter;
+import org.wigeonstage.request.HeaderFields;
 
 /**
  * Checks that the octets of one response conform to HTTP/1.1 (RFC 9112) wherever they tell what its
@@ -155,8 +156,8 @@
     if (text.isEmpty()) {
       return endHead();
     }
-    int colon = requireField(text);
-    framing.add(text.substring(0, colon), WHITE_SPACE.trimFrom(text.substring(colon + 1)));
+    HeaderFields.Field field = parseField(text);
+    framing.add(field.name(), field.value());
     return Part.HEADER_FIELDS;
   }
 
@@ -197,17 +198,18 @@
     if (text.isEmpty()) {
       return Part.BEHIND_END;
     }
-    requireField(text);
+    parseField(text);
     return Part.TRAILER_FIELDS;
   }
 
-  /** Requires that a line is a field; returns the position of the colon behind its name. */
-  private static int requireField(String text) {
+  private static HeaderFields.Field parseField(String text) {
     int colon = text.indexOf(':');
     require(colon >= 0, "a header line has no colon");
-    require(FieldNames.isValid(text.substring(0, colon)), "a field name is malformed");
-    require(FieldValues.isValid(text.substring(colon + 1)), "a field has control characters");
-    return colon;
+    String name = text.substring(0, colon);
+    require(FieldNames.isValid(name), "a field name is malformed");
+    String value = WHITE_SPACE.trimFrom(text.substring(colon + 1));
+    require(FieldValues.isValid(value), "a field has control characters");
+    return new HeaderFields.Field(name, value);
   }
 
   private void checkUnfinishedLine(String text) {
@@ -233,7 +235,7 @@
 
   private static void requireFieldStart(String text) {
     if (text.indexOf(':') >= 0) {
-      requireField(text);
+      parseField(text);
     } else {
       require(FieldNames.isPartValid(text), "a field name is malformed");
     }
--- a/src/main/java/org/wigeonstage/http/ResponseSyntaxFilter.java
+++ b/src/main/java/org/wigeonstage/http/ResponseSyntaxFilter.java
@@ -24,9 +24,7 @@
       exchange.syntax().check(context.getMessage());
       return context.getInvokeAction();
     } catch (MalformedMessageException e) {
-      ServerConnection.recordEndReason(connection, Reason.MALFORMED);
-      exchange.connectionLost(Reason.MALFORMED, e);
-      ServerConnection.close(connection, Reason.MALFORMED);
+      ServerConnection.closeAfterError(connection, Reason.MALFORMED, e);
       return context.getStopAction();
     }
   }
--- a/src/main/java/org/wigeonstage/http/ServerConnection.java
+++ b/src/main/java/org/wigeonstage/http/ServerConnection.java
@@ -25,6 +25,16 @@
     connection.closeSilently();
   }
 
+  /** Closes a connection because of an error, and ends the call on it, if there is one. */
+  static void closeAfterError(Connection<?> connection, Reason reason, Throwable cause) {
+    recordEndReason(connection, reason);
+    ClientExchange exchange = ClientExchange.ATTRIBUTE.get(connection);
+    if (exchange != null) {
+      exchange.connectionLost(endReason(connection), cause);
+    }
+    connection.closeSilently();
+  }
+
   /** Records why a connection is about to end, unless a reason is already known. */
   static void recordEndReason(Connection<?> connection, Reason reason) {
     END_REASON.get(connection).compareAndSet(null, reason);
--- a/src/test/java/org/wigeonstage/http/MalformedResponseTest.java
+++ b/src/test/java/org/wigeonstage/http/MalformedResponseTest.java
@@ -63,16 +63,14 @@
     closer.close();
   }
 
-  /** Returns the response to a call that the server answers with the given octets. */
-  private Optional<HttpResponse> call(String octets, boolean isClosed) throws IOException {
+  /** Returns the response to a call that the server answers with octets and a close. */
+  private Optional<HttpResponse> call(String octets) throws IOException {
     Endpoint target = new Endpoint("127.0.0.1", server.getLocalPort());
     BlockingCall.Pending call = BlockingCall.start(client, target, GET, Map.of());
     try (Socket socket = server.accept()) {
       assertThat(socket.getInputStream().read(new byte[1024])).isPositive();
       socket.getOutputStream().write(octets.getBytes(StandardCharsets.ISO_8859_1));
-      if (isClosed) {
-        socket.close();
-      }
+      socket.close();
       return Optional.of(call.await(TIMEOUT));
     } catch (CallFailedException e) {
       return Optional.empty();
@@ -87,7 +85,7 @@
   void malformedResponseFailsTheCall() throws IOException {
     SoftAssertions softly = new SoftAssertions();
     for (String response : MalformedResponses.all("Date: a\r\n")) {
-      softly.assertThat(call(response, true)).as(printable(response)).isEmpty();
+      softly.assertThat(call(response)).as(printable(response)).isEmpty();
     }
     softly.assertAll();
   }
@@ -95,7 +93,7 @@
   @Test
   void soundResponseIsReturned() throws IOException {
     for (String response : MalformedResponses.sound("Date: a\r\n")) {
-      assertThat(call(response, true).map(MalformedResponseTest::text))
+      assertThat(call(response).map(MalformedResponseTest::text))
           .as(printable(response))
           .contains(MalformedResponses.BODY);
     }
@@ -150,7 +148,7 @@
     SoftAssertions softly = new SoftAssertions();
     for (int seed = 1; seed <= SEEDS; seed++) {
       String response = mutate(sound[seed % sound.length], new SplittableRandom(seed));
-      Optional<String> received = call(response, true).map(MalformedResponseTest::text);
+      Optional<String> received = call(response).map(MalformedResponseTest::text);
       if (received.isPresent()) {
         softly
             .assertThat(bodyOf(response))
--- a/src/test/java/org/wigeonstage/http/MalformedResponses.java
+++ b/src/test/java/org/wigeonstage/http/MalformedResponses.java
@@ -31,8 +31,7 @@
   public static List<String> all(String fields) {
     return Stream.of(
             malformedStatusLines().map(line -> response(line, fields + LENGTH, BODY)),
-            malformedHeaderLines()
-                .map(line -> response(STATUS_LINE, fields + line + "\r\n" + LENGTH, BODY)),
+            malformedHeaderLines().map(line -> withFraming(fields, line + "\r\n" + LENGTH, BODY)),
             malformedLengths()
                 .map(length -> withFraming(fields, "Content-Length: " + length + "\r\n", BODY)),
             malformedTransferEncodings()
@@ -44,14 +43,12 @@
             contradictoryFraming().map(framing -> withFraming(fields, framing, CHUNKED_BODY)),
             misspeltFraming().map(framing -> withFraming(fields, framing, BODY)),
             malformedChunks().map(body -> withFraming(fields, CHUNKED, body)),
-            tooLongBodies()
-                .map(framedBody -> response(STATUS_LINE, fields + framedBody[0], framedBody[1])),
+            tooLongBodies().map(framedBody -> withFraming(fields, framedBody[0], framedBody[1])),
             Stream.of(
                 response("HTTP/1.0 200 OK", fields + CHUNKED, CHUNKED_BODY),
-                "HTTP/1.1 100 Continue\r\nX Field: a\r\n\r\n"
-                    + response(STATUS_LINE, fields + LENGTH, BODY),
+                "HTTP/1.1 100 Continue\r\nX Field: a\r\n\r\n" + withFraming(fields, LENGTH, BODY),
                 "HTTP/1.1 100 Continue\r\n\r\n"
-                    + response(STATUS_LINE, fields + "X Field: a\r\n" + LENGTH, BODY)))
+                    + withFraming(fields, "X Field: a\r\n" + LENGTH, BODY)))
         .flatMap(responses -> responses)
         .toList();
   }
@@ -90,8 +87,8 @@
                 response("HTTP/1.1 200", fields + LENGTH, BODY),
                 response("HTTP/1.1 200 ", fields + LENGTH, BODY),
                 response("HTTP/1.1 200 \u00e9\t!", fields + LENGTH, BODY),
-                response(STATUS_LINE, fields + LENGTH, BODY).replace("\r\n", "\n"),
-                "HTTP/1.1 100 Continue\r\n\r\n" + response(STATUS_LINE, fields + LENGTH, BODY)))
+                withFraming(fields, LENGTH, BODY).replace("\r\n", "\n"),
+                "HTTP/1.1 100 Continue\r\n\r\n" + withFraming(fields, LENGTH, BODY)))
         .flatMap(responses -> responses)
         .toList();
   }
