Take the configuration of a restored store together with the peers

Cause: each gateway judged the restored store alone. A started one took the first configuration that it read, and an equal version confirmed the one in force however old its last confirmation was, though the peers held version 8.

Change: gateways tell each other which configuration they have in force (ConfigurationKnown). An answer of a restored store confirms or replaces the configuration only if the era is settled: the store was followed up to the restore, a peer for which the era is settled holds nothing later, operators have written in it, or 10 s have passed. Otherwise, one peer at a time is asked for its configuration, whose age counts from the request. A started gateway waits for its peers for at most 3 s. In a settled era an earlier version confirms the one in force, too, so that callers are served before the operator has written again.

--- a/src/main/java/org/wigeonstage/common/ClockReading.java
+++ b/src/main/java/org/wigeonstage/common/ClockReading.java
@@ -27,4 +27,14 @@
     Duration larger = Comparators.max(byMonotonic, byWallClock);
     return larger.isNegative() ? Duration.ZERO : larger;
   }
+
+  /**
+   * Returns the reading some time before this one.
+   *
+   * @param time the time
+   * @return the earlier reading
+   */
+  public ClockReading minus(Duration time) {
+    return new ClockReading(monotonic.minus(time), wallClock.minus(time));
+  }
 }
--- a/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
+++ b/src/main/java/org/wigeonstage/gateway/GatewayProcess.java
@@ -104,7 +104,7 @@
             capacities);
     this.readLag = new ReadLagMonitor(clock);
     this.schedulingDelay = new SchedulingDelayMonitor(clock, TICK_INTERVAL);
-    this.configuration = new ConfigurationState(clocks, maxConfigurationAge(settings));
+    this.configuration = createConfiguration(settings, clocks);
     StoreRestores restores = new StoreRestores(settings.name(), store.era(), clock, metrics);
     this.storeWatcher =
         closer.register(
@@ -127,8 +127,7 @@
                 requestHandler));
     this.peerSynchronizer =
         closer.register(
-            new PeerSynchronizer(
-                settings.name(), Endpoint.parse(settings.peers()), store, core, restores, metrics));
+            new PeerSynchronizer(settings, store, core, configuration, clocks, restores, metrics));
     ProbeHandler probeHandler = new ProbeHandler(new ProbePages(metrics, this::isReady));
     ServerOptions probeOptions =
         new ServerOptions(MAX_HEAD_BYTES, MAX_PROBE_BODY_BYTES, IDLE_TIMEOUT, HANDLER_THREADS);
@@ -142,6 +141,16 @@
     registerMetrics();
   }
 
+  /** Creates the state of the configuration; a first start has no peers that may know more. */
+  private static ConfigurationState createConfiguration(
+      GatewaySettings settings, ClockReader clocks) {
+    ConfigurationState created = new ConfigurationState(clocks, maxConfigurationAge(settings));
+    if (!settings.isFirstStart()) {
+      created.startJoin();
+    }
+    return created;
+  }
+
   private static ServerCapacities createCapacities(
       GatewaySettings settings, MetricRegistry metrics) {
     Locality locality = new Locality(settings.failureDomain(), settings.crossingCost());
--- a/src/main/java/org/wigeonstage/gateway/PeerState.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerState.java
@@ -37,6 +37,11 @@
 
   long reportedStoreEra;
 
+  /** The link on which the configuration in force was reported, and the report. */
+  @Nullable Link configurationLink;
+
+  Message.@Nullable ConfigurationKnown reportedConfiguration;
+
   /** When the complete load is sent again. */
   Duration completeReportAt = Duration.ZERO;
 
--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -18,6 +18,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Supplier;
+import org.wigeonstage.common.ClockReader;
 import org.wigeonstage.common.ControlExecutors;
 import org.wigeonstage.common.RepeatedTask;
 import org.wigeonstage.common.WigeonstageException;
@@ -31,6 +32,7 @@
 import org.wigeonstage.peering.GatewayRun;
 import org.wigeonstage.peering.PeerLinks;
 import org.wigeonstage.routing.RendezvousHash;
+import org.wigeonstage.settings.GatewaySettings;
 import org.wigeonstage.telemetry.DecisionLog;
 import org.wigeonstage.wire.EncodedMessage;
 import org.wigeonstage.wire.Link;
@@ -82,6 +84,7 @@
   private final PeerLoadSums loadSums = new PeerLoadSums();
   private final RolloutLinks rolloutLinks;
   private final PeerNotifications notifications;
+  private final ConfigurationLinks configurationLinks;
 
   /**
    * Names of peers that expired. Registrations outlive their gateways, so an expired peer counts
@@ -98,13 +101,14 @@
   private volatile long lastListedAtMillis;
 
   PeerSynchronizer(
-      String name,
-      Endpoint listen,
+      GatewaySettings settings,
       FleetStore store,
       GatewayCore core,
+      ConfigurationState configuration,
+      ClockReader clocks,
       StoreRestores restores,
       MetricRegistry metrics) {
-    this.name = name;
+    this.name = settings.name();
     this.store = store;
     this.core = core;
     this.restores = restores;
@@ -113,18 +117,31 @@
     this.rolloutLinks = new RolloutLinks(name, peers);
     this.notifications = new PeerNotifications(core, store.era());
     this.random = new SplittableRandom(Objects.hash(name, incarnation));
+    this.configurationLinks =
+        new ConfigurationLinks(
+            peers,
+            core,
+            configuration,
+            new ConfigurationExchange(configuration, clocks, random.split()),
+            store.era());
     core.promptHolds().setOwnTurn(this::isOwnTurn);
     this.connector =
         closer.register(LinkConnector.start(this::hello, this, metrics, LinkOptions.REPORTS));
     this.endpoint =
         closer
-            .register(LinkServer.start(listen, this::hello, this, metrics, LinkOptions.REPORTS))
+            .register(
+                LinkServer.start(
+                    Endpoint.parse(settings.peers()),
+                    this::hello,
+                    this,
+                    metrics,
+                    LinkOptions.REPORTS))
             .endpoint();
   }
 
   private Message.Hello hello() {
     return new Message.Hello(
-        Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.SERVER_SPEEDS);
+        Message.PROTOCOL_VERSION, ROLE, name, incarnation, Message.CONFIGURATIONS);
   }
 
   void start() {
@@ -236,6 +253,7 @@
     peers.entrySet().removeIf(entry -> isExpired(entry.getValue(), now) && expire(entry, now));
     core.updateGatewayCount(1 + peers.size());
     notifications.send(peers.values(), now);
+    configurationLinks.tick(lastListedAtMillis != 0, now);
     if (now.minus(lastSentAt).compareTo(REPORT_INTERVAL) >= 0) {
       lastSentAt = now;
       reportLoad(now);
@@ -418,6 +436,8 @@
       core.capacities().applyReports(link.peerHello().name(), speeds.reports(), core.now());
     } else if (message instanceof Message.StoreEra storeEra) {
       store.era().observe(storeEra.era());
+    } else if (message instanceof Message.ConfigurationMessage configurationMessage) {
+      configurationLinks.received(link.peerHello().name(), link, configurationMessage);
     }
   }
 
--- a/src/main/java/org/wigeonstage/gateway/StoreWatcher.java
+++ b/src/main/java/org/wigeonstage/gateway/StoreWatcher.java
@@ -99,7 +99,13 @@
           stored.table().routeCount(),
           "ageMillis",
           clocks.read().elapsedSince(requestedAt).toMillis());
-      core.withLock(() -> core.applyConfiguration(stored.table()));
+      // A peer may have passed on a later one meanwhile.
+      core.withLock(
+          () ->
+              configuration
+                  .current()
+                  .map(StoredConfiguration::table)
+                  .ifPresent(core::applyConfiguration));
     } else if (configuration.isOutdated(stored) && !stored.version().equals(lastOutdated)) {
       lastOutdated = stored.version();
       DecisionLog.write(
--- a/src/main/java/org/wigeonstage/handover/Message.java
+++ b/src/main/java/org/wigeonstage/handover/Message.java
@@ -8,6 +8,8 @@
 import org.wigeonstage.capacity.SpeedReport;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.crash.CrashReport;
+import org.wigeonstage.fleet.ConfigurationReport;
+import org.wigeonstage.fleet.KnownConfiguration;
 import org.wigeonstage.request.Outcome;
 import org.wigeonstage.request.RequestId;
 import org.wigeonstage.request.RequestSpec;
@@ -56,6 +58,12 @@
    */
   long SERVER_SPEEDS = 6;
 
+  /**
+   * The value of {@link Hello#configVersion} of gateways that accept {@link ConfigurationKnown},
+   * {@link ConfigurationRequest} and {@link ConfigurationReply} messages, too.
+   */
+  long CONFIGURATIONS = 7;
+
   /** A message about one request. */
   sealed interface RequestMessage extends Message {
     /**
@@ -74,7 +82,7 @@
    * @param name the name of the sender
    * @param incarnation a number that grows with each start of the sender
    * @param configVersion the version of the configuration in force at the sender; a gateway, whose
-   *     peers do not need it, states {@link #SERVER_SPEEDS}
+   *     peers do not need it, states {@link #CONFIGURATIONS}
    */
   record Hello(int protocolVersion, String role, String name, long incarnation, long configVersion)
       implements Message {}
@@ -286,6 +294,35 @@
    */
   record StoreEra(long era) implements Message {}
 
+  /** A message about the configuration that a gateway has in force. */
+  sealed interface ConfigurationMessage extends Message {}
+
+  /**
+   * Reports which configuration the sender has in force, on each new link and when it changes. Sent
+   * only to gateways whose hello message states at least {@link #CONFIGURATIONS}, and only if the
+   * store states its era.
+   *
+   * @param known the configuration, or null if the sender has none yet
+   */
+  record ConfigurationKnown(@Nullable KnownConfiguration known) implements ConfigurationMessage {}
+
+  /**
+   * Asks for the configuration that the receiver has in force.
+   *
+   * @param id identifies the request on its link
+   * @param heldVersion the version of the configuration that the sender holds, or -1 if it has none
+   */
+  record ConfigurationRequest(long id, long heldVersion) implements ConfigurationMessage {}
+
+  /**
+   * Answers a {@link ConfigurationRequest}.
+   *
+   * @param id the identifier of the request
+   * @param report the configuration, or null if the sender has none
+   */
+  record ConfigurationReply(long id, @Nullable ConfigurationReport report)
+      implements ConfigurationMessage {}
+
   /**
    * Reports how slow some servers are, compared to the others of their pools. Sent when a server
    * slows down or recovers, and each second while it is slow. Sent only to gateways whose hello
--- a/src/main/java/org/wigeonstage/routes/RoutingTable.java
+++ b/src/main/java/org/wigeonstage/routes/RoutingTable.java
@@ -79,6 +79,29 @@
         .findFirst();
   }
 
+  /**
+   * Returns all routes.
+   *
+   * @return the routes, in which those of one host are ordered by the length of their prefixes
+   */
+  public List<Route> routes() {
+    return routesByHostName.values().stream().flatMap(List::stream).toList();
+  }
+
+  /**
+   * Returns whether another table has the same version and content.
+   *
+   * @param other the other table
+   * @return whether both decide the same for each request
+   */
+  public boolean hasSameContent(RoutingTable other) {
+    return version == other.version
+        && limits.equals(other.limits)
+        && routesByHostName.equals(other.routesByHostName)
+        && pools.equals(other.pools)
+        && accounts.equals(other.accounts);
+  }
+
   /**
    * Returns the number of routes.
    *
--- a/src/main/java/org/wigeonstage/wire/MessageDecoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageDecoder.java
@@ -69,6 +69,11 @@
       case ROLLOUT_COMMAND -> new Message.RolloutCommand(RolloutCodec.readDirective(in));
       case STORE_ERA -> new Message.StoreEra(in.unpackLong());
       case SERVER_SPEEDS -> readServerSpeeds(in);
+      case CONFIGURATION_KNOWN -> new Message.ConfigurationKnown(ConfigurationCodec.readKnown(in));
+      case CONFIGURATION_REQUEST ->
+          new Message.ConfigurationRequest(in.unpackLong(), in.unpackLong());
+      case CONFIGURATION_REPLY ->
+          new Message.ConfigurationReply(in.unpackLong(), ConfigurationCodec.readReport(in));
       default -> readRequestMessage(type, RequestId.of(readText(in)), in);
     };
   }
--- a/src/main/java/org/wigeonstage/wire/MessageEncoder.java
+++ b/src/main/java/org/wigeonstage/wire/MessageEncoder.java
@@ -77,6 +77,23 @@
       packType(packer, MessageType.STORE_ERA).packLong(storeEra.era());
     } else if (message instanceof Message.ServerSpeeds speeds) {
       writeServerSpeeds(packType(packer, MessageType.SERVER_SPEEDS), speeds);
+    } else if (message instanceof Message.ConfigurationMessage configuration) {
+      writeConfigurationMessage(packer, configuration);
+    }
+  }
+
+  private static void writeConfigurationMessage(
+      MessageBufferPacker packer, Message.ConfigurationMessage message) throws IOException {
+    if (message instanceof Message.ConfigurationKnown known) {
+      packType(packer, MessageType.CONFIGURATION_KNOWN);
+      ConfigurationCodec.write(packer, known.known());
+    } else if (message instanceof Message.ConfigurationRequest request) {
+      packType(packer, MessageType.CONFIGURATION_REQUEST)
+          .packLong(request.id())
+          .packLong(request.heldVersion());
+    } else if (message instanceof Message.ConfigurationReply reply) {
+      packType(packer, MessageType.CONFIGURATION_REPLY).packLong(reply.id());
+      ConfigurationCodec.write(packer, reply.report());
     }
   }
 
--- a/src/test/java/org/wigeonstage/gateway/EarlierGatewayIT.java
+++ b/src/test/java/org/wigeonstage/gateway/EarlierGatewayIT.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,6 +29,9 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
+  private static final Message IDLE =
+      new Message.GatewayLoad(true, false, Map.of(), List.of(), Map.of(), Map.of(), Map.of());
+
   private final Closer closer = Closer.create();
   private final DecisionLogCapture decisions = closer.register(new DecisionLogCapture());
 
@@ -51,6 +55,8 @@
     @Override
     public void received(Link link, Message message) {
       received.add(message);
+      // The gateway closes links of peers that report nothing.
+      link.send(IDLE);
     }
 
     @Override
@@ -151,6 +157,21 @@
         .isEqualTo(stated == Message.SERVER_SPEEDS);
   }
 
+  /** Guards against links that a gateway of an earlier build closes because of a message. */
+  @ParameterizedTest
+  @ValueSource(longs = {Message.SERVER_SPEEDS, Message.CONFIGURATIONS})
+  void configurationsAreReportedOnlyToGatewaysThatReadThem(long stated) throws Exception {
+    GatewayFixture fixture = closer.register(new GatewayFixture(1));
+    fixture.awaitStatus("stream", 200);
+    fixture.store.restore(fixture.store.copy());
+    assertThat(Polling.await(() -> !decisions.linesOf("store-current").isEmpty(), TIMEOUT))
+        .isTrue();
+    RecordingListener peer = connectPeer(stated);
+    awaitDecisionAndReports("store-current", peer);
+    assertThat(peer.hasReceived(Message.ConfigurationKnown.class))
+        .isEqualTo(stated == Message.CONFIGURATIONS);
+  }
+
   /** Returns the address that the gateway has registered. */
   private Endpoint peersEndpoint() {
     String line = decisions.linesOf("registered").get(0);
--- a/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
+++ b/src/test/java/org/wigeonstage/wire/MessageCodecTest.java
@@ -9,13 +9,17 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
 import org.wigeonstage.capacity.SpeedReport;
 import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.KeyHash;
 import org.wigeonstage.crash.CrashReport;
+import org.wigeonstage.fleet.ConfigurationReport;
+import org.wigeonstage.fleet.KnownConfiguration;
 import org.wigeonstage.fleet.StoreVersion;
 import org.wigeonstage.handover.LoadReport;
 import org.wigeonstage.handover.Message;
@@ -34,6 +38,14 @@
 import org.wigeonstage.rollout.RolloutState;
 import org.wigeonstage.rollout.RolloutStep;
 import org.wigeonstage.rollout.TimeHistogram;
+import org.wigeonstage.routes.AccountQuota;
+import org.wigeonstage.routes.ClientAccount;
+import org.wigeonstage.routes.ConnectionLimits;
+import org.wigeonstage.routes.PoolDefinition;
+import org.wigeonstage.routes.Route;
+import org.wigeonstage.routes.RouteKind;
+import org.wigeonstage.routes.RoutingTable;
+import org.wigeonstage.routes.WeightedPool;
 
 class MessageCodecTest {
 
@@ -136,6 +148,55 @@
     assertThat(MessageDecoder.decode(MessageEncoder.encode(message))).isEqualTo(message);
   }
 
+  /** Guards against a configuration that decides otherwise at the gateway that receives it. */
+  @Test
+  void decodesEveryEncodedMessageAboutConfigurations() {
+    Route route =
+        new Route(
+            "r",
+            "a.example",
+            "/p/",
+            RouteKind.STREAMING,
+            true,
+            Duration.ofMillis(1001),
+            Duration.ofMillis(150),
+            Duration.ofMillis(400),
+            2,
+            3,
+            true,
+            List.of(new WeightedPool("portal", 3), new WeightedPool("audit", 1)));
+    ClientAccount account =
+        new ClientAccount(
+            "Clínica",
+            Set.of(KeyHash.of("a"), KeyHash.of("b")),
+            1,
+            new AccountQuota(174_988.5, 10, true, 200));
+    RoutingTable table =
+        new RoutingTable(
+            8,
+            List.of(route),
+            List.of(new PoolDefinition("portal", "/healthz", 100, 14, 1L << 40, 5)),
+            List.of(account),
+            new ConnectionLimits(16_384, 4, Duration.ofSeconds(3), Duration.ofSeconds(15)));
+    KnownConfiguration known = new KnownConfiguration(new StoreVersion(2, 1L << 40), 8, -1);
+    Duration age = Duration.ofMillis(1234);
+    List<Message> messages =
+        List.of(
+            new Message.ConfigurationKnown(known),
+            new Message.ConfigurationKnown(null),
+            new Message.ConfigurationRequest(1L << 40, -1),
+            new Message.ConfigurationReply(5, null),
+            new Message.ConfigurationReply(5, new ConfigurationReport(known, age, null)));
+    for (Message message : messages) {
+      assertThat(MessageDecoder.decode(MessageEncoder.encode(message))).isEqualTo(message);
+    }
+    Message reply = new Message.ConfigurationReply(6, new ConfigurationReport(known, age, table));
+    Message.ConfigurationReply decoded =
+        (Message.ConfigurationReply) MessageDecoder.decode(MessageEncoder.encode(reply));
+    RoutingTable decodedTable = Objects.requireNonNull(decoded.report()).table();
+    assertThat(Objects.requireNonNull(decodedTable).hasSameContent(table)).isTrue();
+  }
+
   @Test
   void decodesBytesOfChunk() {
     byte[] data = {1, 2, 3};
