Keep only the fields of the store's objects that are read

Cause: the whole content of each object became a tree, which was kept as long as the object was listed, with the tree of the list before it. A nested list takes 54 times its size, a list of {} 28 times. Unknown fields of sound entries, finalizers, the status of all kinds, long texts and objects of the configuration's kind that nobody reads did the same.

Change: each kind selects the fields that are read (ObjectKind). The rest is checked token by token, so that malformed and too deep content still makes an entry unreadable, and skipped (JsonSelection). Texts of registrations are kept up to 256 characters, names up to 1024; a longer name does not stop the paging.

--- a/src/main/java/org/wigeonstage/common/Json.java
+++ b/src/main/java/org/wigeonstage/common/Json.java
@@ -52,7 +52,7 @@
    * @throws WigeonstageException with {@link ErrorCode#BAD_REQUEST} if the text is not valid JSON
    */
   public static JsonNode parse(String text) {
-    return parse(() -> FACTORY.createParser(text));
+    return parse(() -> FACTORY.createParser(text), JsonTrees::readSingleValue);
   }
 
   /**
@@ -65,7 +65,23 @@
    * @throws WigeonstageException with {@link ErrorCode#BAD_REQUEST} if the part is not valid JSON
    */
   public static JsonNode parse(byte[] text, int offset, int length) {
-    return parse(() -> FACTORY.createParser(text, offset, length));
+    return parse(() -> FACTORY.createParser(text, offset, length), JsonTrees::readSingleValue);
+  }
+
+  /**
+   * Parses the selected parts of a part of a text that is encoded in UTF-8.
+   *
+   * @param text the text
+   * @param offset the index of the first byte of the value
+   * @param length the length of the value in bytes
+   * @param selection what is kept
+   * @return the tree, or a missing node if the part of the text is empty
+   * @throws WigeonstageException with {@link ErrorCode#BAD_REQUEST} if the part is not valid JSON
+   */
+  public static JsonNode parse(byte[] text, int offset, int length, JsonSelection selection) {
+    return parse(
+        () -> FACTORY.createParser(text, offset, length),
+        parser -> JsonTrees.readSingleValue(parser, selection));
   }
 
   private interface ParserSource {
@@ -73,9 +89,14 @@
     JsonParser open() throws IOException;
   }
 
-  private static JsonNode parse(ParserSource source) {
+  private interface TreeReader {
+
+    JsonNode read(JsonParser parser) throws IOException;
+  }
+
+  private static JsonNode parse(ParserSource source, TreeReader reader) {
     try (JsonParser parser = source.open()) {
-      return JsonTrees.readSingleValue(parser);
+      return reader.read(parser);
     } catch (JsonProcessingException e) {
       throw new WigeonstageException(
           ErrorCode.BAD_REQUEST, "not valid JSON: " + e.getOriginalMessage(), e);
--- a/src/main/java/org/wigeonstage/common/JsonTrees.java
+++ b/src/main/java/org/wigeonstage/common/JsonTrees.java
@@ -29,10 +29,7 @@
       return MissingNode.getInstance();
     }
     JsonNode tree = read(parser);
-    if (parser.nextToken() != null) {
-      throw new JsonParseException(
-          parser, "unexpected token " + parser.currentToken() + " after the end of the value");
-    }
+    checkEnd(parser);
     return tree;
   }
 
@@ -50,6 +47,64 @@
     };
   }
 
+  /** Reads the selected parts of a text that contains a single value. */
+  static JsonNode readSingleValue(JsonParser parser, JsonSelection selection) throws IOException {
+    if (parser.nextToken() == null) {
+      return MissingNode.getInstance();
+    }
+    JsonNode tree = read(parser, selection);
+    checkEnd(parser);
+    return tree;
+  }
+
+  private static JsonNode read(JsonParser parser, JsonSelection selection) throws IOException {
+    JsonToken token = parser.currentToken();
+    JsonSelection items = selection.items();
+    if (token == JsonToken.START_OBJECT && selection.selectsFields()) {
+      return readFields(parser, selection);
+    }
+    if (token == JsonToken.START_ARRAY && items != null) {
+      ArrayNode array = NODES.arrayNode();
+      while (parser.nextToken() != JsonToken.END_ARRAY) {
+        array.add(read(parser, items));
+      }
+      return array;
+    }
+    boolean isSelected =
+        token.isScalarValue()
+            && selection.isScalar()
+            && (token != JsonToken.VALUE_STRING
+                || parser.getTextLength() <= selection.maxTextLength());
+    if (isSelected) {
+      return read(parser);
+    }
+    parser.skipChildren();
+    return NODES.nullNode();
+  }
+
+  private static JsonNode readFields(JsonParser parser, JsonSelection selection)
+      throws IOException {
+    ObjectNode object = NODES.objectNode();
+    while (parser.nextToken() != JsonToken.END_OBJECT) {
+      JsonSelection field = selection.field(parser.currentName());
+      String name = field == null ? "" : parser.currentName();
+      parser.nextToken();
+      if (field == null) {
+        parser.skipChildren();
+      } else {
+        object.set(name, read(parser, field));
+      }
+    }
+    return object;
+  }
+
+  private static void checkEnd(JsonParser parser) throws IOException {
+    if (parser.nextToken() != null) {
+      throw new JsonParseException(
+          parser, "unexpected token " + parser.currentToken() + " after the end of the value");
+    }
+  }
+
   private static JsonNode readObject(JsonParser parser) throws IOException {
     ObjectNode object = NODES.objectNode();
     while (parser.nextToken() != JsonToken.END_OBJECT) {
--- a/src/main/java/org/wigeonstage/platform/PlatformFleetStore.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformFleetStore.java
@@ -24,22 +24,20 @@
  */
 final class PlatformFleetStore implements FleetStore {
 
-  private static final String CONFIGURATION_KIND = "config";
-  private static final String CONFIGURATION_NAME = "main";
-  private static final String SERVER_KIND = "servers";
-  private static final String GATEWAY_KIND = "gateways";
+  private static final String CONFIGURATION_NAME =
+      ObjectKind.CONFIGURATION.onlyObject().orElseThrow();
 
   private final PlatformStoreClient client;
   private final WatchedObjects configurations;
   private final WatchedObjects servers;
-  private final EntryDecoder serverDecoder = new EntryDecoder(SERVER_KIND);
-  private final EntryDecoder gatewayDecoder = new EntryDecoder(GATEWAY_KIND);
+  private final EntryDecoder serverDecoder = new EntryDecoder(ObjectKind.SERVERS.name());
+  private final EntryDecoder gatewayDecoder = new EntryDecoder(ObjectKind.GATEWAYS.name());
   private volatile @Nullable StoredConfiguration lastConfiguration;
 
   PlatformFleetStore(PlatformStoreClient client) {
     this.client = client;
-    this.configurations = new WatchedObjects(client, CONFIGURATION_KIND);
-    this.servers = new WatchedObjects(client, SERVER_KIND);
+    this.configurations = new WatchedObjects(client, ObjectKind.CONFIGURATION);
+    this.servers = new WatchedObjects(client, ObjectKind.SERVERS);
   }
 
   @Override
@@ -106,12 +104,12 @@
 
   @Override
   public List<GatewayRegistration> readGateways() {
-    return decodeGateways(client.list(GATEWAY_KIND));
+    return decodeGateways(client.list(ObjectKind.GATEWAYS));
   }
 
   @Override
   public List<GatewayRegistration> readRecentGateways() {
-    return decodeGateways(client.listRecent(GATEWAY_KIND));
+    return decodeGateways(client.listRecent(ObjectKind.GATEWAYS));
   }
 
   private List<GatewayRegistration> decodeGateways(PlatformStoreClient.Listing listing) {
@@ -128,6 +126,6 @@
     ObjectNode object = JsonNodeFactory.instance.objectNode();
     object.putObject("metadata").put("name", registration.name());
     object.putObject("spec").put("address", registration.address().toString());
-    client.put(GATEWAY_KIND, registration.name(), object);
+    client.put(ObjectKind.GATEWAYS, registration.name(), object);
   }
 }
--- a/src/main/java/org/wigeonstage/platform/PlatformRolloutStore.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformRolloutStore.java
@@ -23,7 +23,6 @@
  */
 final class PlatformRolloutStore implements RolloutStore {
 
-  private static final String KIND = "rollouts";
   private static final double MIN_DURATION_SECONDS = 0.1;
   private static final double MAX_DURATION_SECONDS = 86_400;
   private static final double MILLIS_PER_SECOND = 1000;
@@ -38,12 +37,12 @@
 
   private final PlatformStoreClient client;
   private final WatchedObjects objects;
-  private final EntryDecoder decoder = new EntryDecoder(KIND);
+  private final EntryDecoder decoder = new EntryDecoder(ObjectKind.ROLLOUTS.name());
   private Map<String, RolloutOrder> ordersByName = Map.of();
 
   PlatformRolloutStore(PlatformStoreClient client) {
     this.client = client;
-    this.objects = new WatchedObjects(client, KIND);
+    this.objects = new WatchedObjects(client, ObjectKind.ROLLOUTS);
   }
 
   @Override
@@ -99,7 +98,7 @@
         .put("revision", order.version().revision());
     body.putObject("status").put("state", nameOf(state)).put("target", order.target());
     long era = order.version().era();
-    return decode(client.putStatus(KIND, order.name(), body, era), era);
+    return decode(client.putStatus(ObjectKind.ROLLOUTS, order.name(), body, era), era);
   }
 
   private static String nameOf(RolloutState state) {
--- a/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
@@ -82,16 +82,16 @@
    * Reads all pages of a kind. Returns the version of the first page, so that a watch from this
    * version reports all changes that later pages may lack.
    */
-  Listing list(String kind) {
+  Listing list(ObjectKind kind) {
     return list(kind, "");
   }
 
   /** Reads all pages of a kind as they were up to some seconds ago, which costs the store less. */
-  Listing listRecent(String kind) {
+  Listing listRecent(ObjectKind kind) {
     return list(kind, "stale_read=1");
   }
 
-  private Listing list(String kind, String parameters) {
+  private Listing list(ObjectKind kind, String parameters) {
     for (int attempt = 0; attempt < MAX_LIST_ATTEMPTS; attempt++) {
       Optional<Listing> listing = listInOneEra(kind, parameters);
       if (listing.isPresent()) {
@@ -100,17 +100,21 @@
     }
     throw new StoreException(
         ErrorCode.STORE_UNAVAILABLE,
-        "the store was restored during " + MAX_LIST_ATTEMPTS + " lists of " + kind,
+        "the store was restored during " + MAX_LIST_ATTEMPTS + " lists of " + kind.name(),
         null);
   }
 
   /** Reads all pages, or returns empty if they are of different eras. */
-  private Optional<Listing> listInOneEra(String kind, String parameters) {
+  private Optional<Listing> listInOneEra(ObjectKind kind, String parameters) {
     StorePage page = readPage(kind, parameters);
     StoreVersion version = page.version();
     List<StoreObject> objects = new ArrayList<>(page.objects());
     while (page.hasMore()) {
       String lastName = page.lastName();
+      if (lastName.isEmpty()) {
+        throw new StoreException(
+            ErrorCode.STORE_UNAVAILABLE, "a page of the store's list has no readable name", null);
+      }
       String after = "after=" + URLEncoder.encode(lastName, StandardCharsets.UTF_8);
       page = readPage(kind, parameters.isEmpty() ? after : parameters + "&" + after);
       if (page.version().era() != version.era()) {
@@ -121,18 +125,18 @@
       if (!advances || objects.size() > MAX_OBJECTS) {
         throw new StoreException(
             ErrorCode.STORE_UNAVAILABLE,
-            "the list of " + kind + " does not end after " + objects.size() + " objects",
+            "the list of " + kind.name() + " does not end after " + objects.size() + " objects",
             null);
       }
     }
     return Optional.of(new Listing(version, objects));
   }
 
-  private StorePage readPage(String kind, String parameters) {
+  private StorePage readPage(ObjectKind kind, String parameters) {
     String query = parameters.isEmpty() ? "" : "?" + parameters;
-    HttpResponse response = call("GET", kind + query, NO_BODY);
+    HttpResponse response = call("GET", kind.name() + query, NO_BODY);
     checkStatus(response, OK);
-    return decode(() -> StorePage.decode(response.body(), eraOf(response)));
+    return decode(() -> StorePage.decode(kind, response.body(), eraOf(response)));
   }
 
   /**
@@ -148,11 +152,11 @@
    * Waits for changes after a version. Returns no events if none occur within the time, and empty
    * if the store no longer has its history back to that version, or a higher era becomes known.
    */
-  Optional<Changes> watch(String kind, StoreVersion since, Duration maxWait) {
+  Optional<Changes> watch(ObjectKind kind, StoreVersion since, Duration maxWait) {
     if (era.highest() > since.era()) {
       return Optional.empty();
     }
-    String path = kind + "?watch_rev=" + since.revision() + "&wait_ms=" + maxWait.toMillis();
+    String path = kind.name() + "?watch_rev=" + since.revision() + "&wait_ms=" + maxWait.toMillis();
     HttpResponse response;
     try {
       response = call("GET", path, NO_BODY, maxWait.plus(WATCH_MARGIN), since.era());
@@ -166,15 +170,15 @@
       return Optional.empty();
     }
     checkStatus(response, OK);
-    return Optional.of(decode(() -> StoreEvent.decodeChanges(response.body())));
+    return Optional.of(decode(() -> StoreEvent.decodeChanges(kind, response.body())));
   }
 
   /** Creates an object, or replaces the existing one. */
-  void put(String kind, String name, JsonNode object) {
+  void put(ObjectKind kind, String name, JsonNode object) {
     byte[] body = Json.write(object).getBytes(StandardCharsets.UTF_8);
-    HttpResponse created = call("POST", kind, body);
+    HttpResponse created = call("POST", kind.name(), body);
     if (created.status() == CONFLICT) {
-      checkStatus(call("PUT", kind + "/" + name, body), OK);
+      checkStatus(call("PUT", kind.name() + "/" + name, body), OK);
     } else {
       checkStatus(created, CREATED);
     }
@@ -189,26 +193,26 @@
    * @throws StoreException with the code {@code WRITE_UNDECIDED} if the response is of a higher
    *     era: the write may have been lost with the restore, or have changed another content
    */
-  StoreObject putStatus(String kind, String name, JsonNode object, long readEra) {
+  StoreObject putStatus(ObjectKind kind, String name, JsonNode object, long readEra) {
     if (era.highest() > readEra) {
       throw new StoreException(
           ErrorCode.STORE_UNAVAILABLE,
-          "not written: " + kind + " " + name + " was read before the store was restored",
+          "not written: " + kind.name() + " " + name + " was read before the store was restored",
           null);
     }
     byte[] body = Json.write(object).getBytes(StandardCharsets.UTF_8);
     String encodedName = URLEncoder.encode(name, StandardCharsets.UTF_8);
-    HttpResponse response = call("PUT", kind + "/" + encodedName + "/status", body);
+    HttpResponse response = call("PUT", kind.name() + "/" + encodedName + "/status", body);
     if (eraOf(response) > readEra) {
       throw new StoreException(
           ErrorCode.WRITE_UNDECIDED,
-          "the store was restored while " + kind + " " + name + " was written",
+          "the store was restored while " + kind.name() + " " + name + " was written",
           null);
     }
     if (response.status() != CONFLICT) {
       checkStatus(response, OK);
     }
-    return decode(() -> StoreObject.decode(RawJson.of(response.body())));
+    return decode(() -> StoreObject.decode(kind, RawJson.of(response.body())));
   }
 
   private HttpResponse call(String method, String path, byte[] body) {
--- a/src/main/java/org/wigeonstage/platform/RawJson.java
+++ b/src/main/java/org/wigeonstage/platform/RawJson.java
@@ -2,12 +2,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.wigeonstage.common.ErrorCode;
 import org.wigeonstage.common.Json;
+import org.wigeonstage.common.JsonSelection;
 import org.wigeonstage.common.WigeonstageException;
 
 /**
@@ -19,6 +20,9 @@
  */
 final class RawJson {
 
+  /** Longer names belong to no field that is read. */
+  private static final int MAX_NAME_BYTES = 64;
+
   private final byte[] text;
   private final int start;
   private final int end;
@@ -45,39 +49,44 @@
   }
 
   /**
-   * Returns the fields of an object; of several fields with the same name, the last one. Names are
-   * returned as written, including escape sequences.
+   * Returns some fields of an object; of several fields with the same name, the last one. Names are
+   * compared as written, including escape sequences.
    *
    * @throws WigeonstageException with {@link ErrorCode#BAD_REQUEST} if this is not an object
    */
-  Map<String, RawJson> fields() {
+  Map<String, RawJson> fields(Set<String> names) {
     Scanner scanner = contents('{', '}');
-    Map<String, RawJson> fields = new LinkedHashMap<>();
+    Map<String, RawJson> fields = new HashMap<>();
     while (scanner.hasNext()) {
       RawJson name = scanner.nextValue();
       if (!name.isString()) {
         throw malformed("a field name is not a string");
       }
       scanner.expect(':');
-      fields.put(name.textWithoutQuotes(), scanner.nextValue());
+      RawJson value = scanner.nextValue();
+      if (name.length() <= MAX_NAME_BYTES && names.contains(name.textWithoutQuotes())) {
+        fields.put(name.textWithoutQuotes(), value);
+      }
       scanner.skipSeparator();
     }
     return fields;
   }
 
   /**
-   * Returns the elements of an array.
+   * Passes the elements of an array to an action one by one.
    *
+   * @return the number of elements
    * @throws WigeonstageException with {@link ErrorCode#BAD_REQUEST} if this is not an array
    */
-  List<RawJson> elements() {
+  int forEachElement(Consumer<RawJson> action) {
     Scanner scanner = contents('[', ']');
-    List<RawJson> elements = new ArrayList<>();
+    int count = 0;
     while (scanner.hasNext()) {
-      elements.add(scanner.nextValue());
+      action.accept(scanner.nextValue());
+      count++;
       scanner.skipSeparator();
     }
-    return elements;
+    return count;
   }
 
   /**
@@ -90,6 +99,11 @@
     return Json.parse(text, start, end - start);
   }
 
+  /** Parses the selected parts of the value within the same limits. */
+  JsonNode parse(JsonSelection selection) {
+    return Json.parse(text, start, end - start, selection);
+  }
+
   /** Returns the length of the value in bytes. */
   int length() {
     return end - start;
--- a/src/main/java/org/wigeonstage/platform/RegistrationFields.java
+++ b/src/main/java/org/wigeonstage/platform/RegistrationFields.java
@@ -17,7 +17,7 @@
 final class RegistrationFields {
 
   /** The maximum number of characters of a text. */
-  private static final int MAX_TEXT_LENGTH = 256;
+  static final int MAX_TEXT_LENGTH = 256;
 
   private static final int MAX_PORT = 65_535;
 
--- a/src/main/java/org/wigeonstage/platform/StoreObject.java
+++ b/src/main/java/org/wigeonstage/platform/StoreObject.java
@@ -5,13 +5,16 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.wigeonstage.common.ErrorCode;
+import org.wigeonstage.common.JsonSelection;
 import org.wigeonstage.common.WigeonstageException;
 
 /**
- * An object of the store. Other writers may add objects whose content can't be read.
+ * An object of the store, with the parts of its content that its kind selects. Other writers may
+ * add objects whose content can't be read.
  *
  * @param name the name, which is unique among the objects of a kind
  * @param revision the revision of the store at which the object last changed, or 0 if not given
@@ -29,15 +32,23 @@
   /** Twice what the store allows for the content, as the limit also covers metadata and status. */
   private static final int MAX_OBJECT_BYTES = 2 * 1024 * 1024;
 
+  /** Objects with longer names are left out of lists. */
+  private static final int MAX_NAME_LENGTH = 1024;
+
+  private static final JsonNode NONE = MissingNode.getInstance();
+  private static final Set<String> FIELDS = Set.of("metadata", "spec", "status");
+  private static final JsonSelection METADATA =
+      JsonSelection.fields(JsonSelection.scalar(MAX_OBJECT_BYTES), "name", "revision");
+
   /**
    * Decodes an object.
    *
    * @throws WigeonstageException if it is not an object or its name can't be read
    */
-  static StoreObject decode(RawJson object) {
-    Map<String, RawJson> fields = object.fields();
+  static StoreObject decode(ObjectKind kind, RawJson object) {
+    Map<String, RawJson> fields = object.fields(FIELDS);
     RawJson metadata = fields.get("metadata");
-    JsonNode parsedMetadata = metadata == null ? MissingNode.getInstance() : metadata.parse();
+    JsonNode parsedMetadata = metadata == null ? NONE : metadata.parse(METADATA);
     JsonNode name = parsedMetadata.path("name");
     if (!name.isTextual() || name.asText().isEmpty()) {
       throw new WigeonstageException(ErrorCode.BAD_REQUEST, "the object has no name");
@@ -50,18 +61,25 @@
     if (object.length() > MAX_OBJECT_BYTES) {
       return unreadable(name.asText(), revision, "it has " + object.length() + " bytes");
     }
+    if (!kind.keeps(name.asText())) {
+      return unreadable(name.asText(), revision, "objects of this name are not read");
+    }
     try {
       return new StoreObject(
-          name.asText(), revision, spec.parse(), status(fields.get("status")), null);
+          name.asText(),
+          revision,
+          spec.parse(kind.spec()),
+          kind.status().map(selected -> status(fields.get("status"), selected)).orElse(NONE),
+          null);
     } catch (RuntimeException e) { // must not affect the other objects of the list
       return unreadable(name.asText(), revision, String.valueOf(e.getMessage()));
     }
   }
 
   /** Decodes an object, or logs why its name can't be read and returns empty. */
-  static Optional<StoreObject> tryDecode(RawJson object) {
+  static Optional<StoreObject> tryDecode(ObjectKind kind, RawJson object) {
     try {
-      return Optional.of(decode(object));
+      return Optional.of(decode(kind, object));
     } catch (RuntimeException e) { // must not affect the other objects of the list
       logger.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
           "an object of the store is left out: %s", e.getMessage());
@@ -69,16 +87,20 @@
     }
   }
 
+  /** Returns whether the object is short enough to be kept as long as it is listed. */
+  boolean hasBoundedName() {
+    return name.length() <= MAX_NAME_LENGTH;
+  }
+
   private static StoreObject unreadable(String name, long revision, String fault) {
-    return new StoreObject(
-        name, revision, MissingNode.getInstance(), MissingNode.getInstance(), fault);
+    return new StoreObject(name, revision, NONE, NONE, fault);
   }
 
-  private static JsonNode status(@Nullable RawJson status) {
+  private static JsonNode status(@Nullable RawJson status, JsonSelection selected) {
     try {
-      return status == null ? MissingNode.getInstance() : status.parse();
+      return status == null ? NONE : status.parse(selected);
     } catch (RuntimeException e) { // must not make the content unreadable
-      return MissingNode.getInstance();
+      return NONE;
     }
   }
 }
--- a/src/main/java/org/wigeonstage/platform/WatchedObjects.java
+++ b/src/main/java/org/wigeonstage/platform/WatchedObjects.java
@@ -18,11 +18,11 @@
 final class WatchedObjects {
 
   private final PlatformStoreClient client;
-  private final String kind;
+  private final ObjectKind kind;
   private final Map<String, StoreObject> objectsByName = new TreeMap<>();
   private @Nullable StoreVersion version;
 
-  WatchedObjects(PlatformStoreClient client, String kind) {
+  WatchedObjects(PlatformStoreClient client, ObjectKind kind) {
     this.client = client;
     this.kind = kind;
   }
--- a/src/test/java/org/wigeonstage/platform/OddEntriesTest.java
+++ b/src/test/java/org/wigeonstage/platform/OddEntriesTest.java
@@ -38,6 +38,14 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+  /** Just below what the store allows for the content of an object. */
+  private static final int ODD_BYTES = 1_000_000;
+
+  private static final int LARGE_ENTRIES = 2;
+
+  /** Less than a single one of the large entries. */
+  private static final long MAX_KEPT_BYTES = ODD_BYTES;
+
   private static final String SOUND =
       """
       {"service": "engines", "address": "10.128.0.9:8080", "zone": "fd-a", "version": "v1",
@@ -219,4 +227,70 @@
     writeSound("c");
     assertThat(idsOf(next.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS))).containsExactly("a", "c");
   }
+
+  private static String repeated(String item) {
+    return "[" + (item + ",").repeat(ODD_BYTES / (item.length() + 1)) + item + "]";
+  }
+
+  static Stream<String> largeContents() {
+    String lists = repeated(nested("[", "]", 95));
+    String objects = repeated("{}");
+    return Stream.of(
+        "{\"service\": 7, \"parts\": " + lists + "}",
+        "{\"service\": 7, \"parts\": " + objects + "}",
+        lists,
+        SOUND.replace("\"engines\"", objects),
+        SOUND.replace("\"fd-a\"", "\"" + "z".repeat(ODD_BYTES) + "\""),
+        SOUND.replace("\"sequence\"", "\"more\": " + lists + ", \"sequence\""),
+        SOUND.replace("\"sequence\"", "\"more\": " + objects + ", \"sequence\""),
+        SOUND.replace("\"sequence\"", "\"more\": {\"x\": " + objects + "}, \"sequence\""));
+  }
+
+  private static long usedHeap() {
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+
+  /**
+   * Guards against gateways without heap: the content of another writer's entries was kept as a
+   * tree of up to 54 times their size.
+   */
+  @ParameterizedTest
+  @MethodSource("largeContents")
+  void contentThatNobodyReadsIsNotKept(String content) {
+    writeSound("a");
+    for (int i = 0; i < LARGE_ENTRIES; i++) {
+      store.writeRaw("servers", "large-" + i, content);
+      store.writeRaw("gateways", "large-" + i, content);
+      store.writeRaw("config", "large-" + i, content);
+    }
+    store.write("config", "main", JsonNodeFactory.instance.objectNode().put("version", 3));
+    long before = usedHeap();
+    ServerList servers = fleetStore.readServers();
+    List<GatewayRegistration> gateways = fleetStore.readGateways();
+    long version = fleetStore.readConfiguration().orElseThrow().table().version();
+    assertThat(usedHeap() - before).isLessThan(MAX_KEPT_BYTES);
+    assertThat(idsOf(servers)).contains("a");
+    assertThat(version).isEqualTo(3);
+    assertThat(gateways).hasSizeLessThanOrEqualTo(LARGE_ENTRIES);
+  }
+
+  /** Guards against a server that gets nothing because its entry has one more field. */
+  @Test
+  void aSoundEntryWithALargeUnknownFieldIsUsed() {
+    String more = "\"more\": " + repeated(nested("[", "]", 95)) + ", \"sequence\"";
+    store.writeRaw("servers", "b", SOUND.replace("\"sequence\"", more));
+    assertThat(idsOf(fleetStore.readServers())).containsExactly("b");
+  }
+
+  /** Guards against a list that can't be read because of one name. */
+  @Test
+  void aLongNameDoesNotStopThePaging() {
+    store.setPageSize(1);
+    writeSound("a");
+    writeSound("b" + "x".repeat(2000));
+    writeSound("c");
+    assertThat(idsOf(fleetStore.readServers())).containsExactly("a", "c");
+  }
 }
--- a/src/test/java/org/wigeonstage/platform/StorePageTest.java
+++ b/src/test/java/org/wigeonstage/platform/StorePageTest.java
@@ -31,7 +31,9 @@
   }
 
   private static List<String> namesOf(byte[] page) {
-    return StorePage.decode(page, 0).objects().stream().map(StoreObject::name).toList();
+    return StorePage.decode(ObjectKind.SERVERS, page, 0).objects().stream()
+        .map(StoreObject::name)
+        .toList();
   }
 
   @ParameterizedTest
@@ -57,7 +59,7 @@
   @Test
   void bytesThatAreNotUtf8MakeOnlyTheirEntryUnreadable() {
     String odd = "{\"metadata\": {\"name\": \"x\"}, \"spec\": {\"zone\": \"\u00ff\u00fe\"}}";
-    StorePage page = StorePage.decode(page(object("a"), odd, object("b")), 0);
+    StorePage page = StorePage.decode(ObjectKind.SERVERS, page(object("a"), odd, object("b")), 0);
     assertThat(page.objects())
         .extracting(object -> object.spec().isObject())
         .containsExactly(true, false, true);
@@ -75,7 +77,7 @@
     byte[] page = page(object("a"), object("b"));
     for (int length = 0; length < page.length; length++) {
       byte[] truncated = java.util.Arrays.copyOf(page, length);
-      assertThatThrownBy(() -> StorePage.decode(truncated, 0))
+      assertThatThrownBy(() -> StorePage.decode(ObjectKind.SERVERS, truncated, 0))
           .isInstanceOf(WigeonstageException.class);
     }
   }
@@ -83,7 +85,8 @@
   @Test
   void aPageWithoutRevisionIsNotRead() {
     byte[] page = "{\"entries\": []}".getBytes(StandardCharsets.UTF_8);
-    assertThatThrownBy(() -> StorePage.decode(page, 0)).isInstanceOf(WigeonstageException.class);
+    assertThatThrownBy(() -> StorePage.decode(ObjectKind.SERVERS, page, 0))
+        .isInstanceOf(WigeonstageException.class);
   }
 
   @Property(tries = 2000)
@@ -94,7 +97,9 @@
       page[random.nextInt(page.length)] = (byte) INSERTED.charAt(random.nextInt(INSERTED.length()));
     }
     try {
-      StorePage.decode(page, 0).objects().forEach(object -> assertThat(object.name()).isNotEmpty());
+      StorePage.decode(ObjectKind.SERVERS, page, 0)
+          .objects()
+          .forEach(object -> assertThat(object.name()).isNotEmpty());
     } catch (WigeonstageException e) {
       assertThat(e).hasMessageNotContaining("INTERNAL");
     }
--- a/src/test/java/org/wigeonstage/platform/WatchedObjectsTest.java
+++ b/src/test/java/org/wigeonstage/platform/WatchedObjectsTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -17,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.wigeonstage.common.JsonSelection;
 import org.wigeonstage.common.Polling;
 import org.wigeonstage.fleet.StoreEra;
 import org.wigeonstage.fleet.StoreVersion;
@@ -31,6 +33,13 @@
   private static final Duration SHORT_WAIT = Duration.ofMillis(50);
   private static final Duration LONG_WAIT = Duration.ofSeconds(20);
 
+  private static final ObjectKind THINGS =
+      new ObjectKind(
+          "things",
+          Optional.empty(),
+          JsonSelection.fields(JsonSelection.scalar(10), "of"),
+          Optional.empty());
+
   private final Closer closer = Closer.create();
   private final StoreStandin store =
       closer.register(StoreStandin.start(new Endpoint("127.0.0.1", 0)));
@@ -39,7 +48,7 @@
       new WatchedObjects(
           new PlatformStoreClient(
               closer.register(HttpClient.start("test", 1)), store.endpoint(), era),
-          "things");
+          THINGS);
 
   @AfterEach
   void close() throws IOException {
@@ -185,7 +194,7 @@
                 }));
     HttpClient client = closer.register(HttpClient.start("test", 1));
     PlatformStoreClient.Listing listing =
-        new PlatformStoreClient(client, paged.endpoint(), new StoreEra()).list("things");
+        new PlatformStoreClient(client, paged.endpoint(), new StoreEra()).list(THINGS);
     assertThat(listing.version()).isEqualTo(new StoreVersion(2, 7));
     assertThat(listing.objects()).extracting(StoreObject::name).containsExactly("b", "c");
   }
