Wait until the listed peers are known before a join ends

In one of two relays of restarts after a restore, a restarted gateway ran one request with a removed key. Its log: configuration-joined with no peers, 10 ms before its first link: the time of the list was set before the listed gateways were added under the lock, and a tick in between found no peer to wait for. Both are now done under the lock. The order of the two threads can't be forced by a test; the decision itself is in RestoredConfigurationModelTest.

--- a/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
+++ b/src/main/java/org/wigeonstage/gateway/PeerSynchronizer.java
@@ -95,6 +95,7 @@
   private Message.GatewayLoad lastLoad =
       new Message.GatewayLoad(true, false, Map.of(), List.of(), Map.of(), Map.of(), Map.of());
   private Duration lastSentAt = Duration.ZERO;
+  private boolean arePeersListed;
   private volatile boolean registered;
   private volatile long registeredEra;
   private volatile long listedEra;
@@ -193,6 +194,7 @@
             () -> {
               // Gateways in the first list have registered before, so they started earlier.
               listed.forEach(registration -> addPeer(registration, isFirst));
+              arePeersListed = true;
               core.quotas().markGatewaysListed();
             });
       }
@@ -253,7 +255,7 @@
     peers.entrySet().removeIf(entry -> isExpired(entry.getValue(), now) && expire(entry, now));
     core.updateGatewayCount(1 + peers.size());
     notifications.send(peers.values(), now);
-    configurationLinks.tick(lastListedAtMillis != 0, now);
+    configurationLinks.tick(arePeersListed, now);
     if (now.minus(lastSentAt).compareTo(REPORT_INTERVAL) >= 0) {
       lastSentAt = now;
       reportLoad(now);
