Take the words of peers only while they can settle an era

Words now count when they arrive, and are looked at again only while the era is not settled. A peer that has read a later era no longer makes the configuration in force count as superseded before the store has answered in that era.

--- a/src/main/java/org/wigeonstage/gateway/ConfigurationExchange.java
+++ b/src/main/java/org/wigeonstage/gateway/ConfigurationExchange.java
@@ -58,9 +58,14 @@
     this.random = random;
   }
 
-  /** Records which configuration a connected peer has in force, or that it has none yet. */
-  void recordKnown(String peer, Optional<KnownConfiguration> known) {
+  /**
+   * Records which configuration a connected peer has in force, or that it has none yet.
+   *
+   * @return whether the configuration in force here has changed
+   */
+  boolean recordKnown(String peer, Optional<KnownConfiguration> known) {
     knownByPeer.put(peer, known);
+    return known.isPresent() && configuration.recordKnown(known.get());
   }
 
   /** Forgets all peers but the connected ones. */
@@ -79,6 +84,9 @@
    * @return whether the configuration in force here has changed
    */
   boolean update(boolean isEachPeerHeard, Duration now) {
+    if (!configuration.awaitsPeers()) {
+      return false;
+    }
     boolean isChanged = false;
     for (Optional<KnownConfiguration> known : knownByPeer.values()) {
       isChanged |= known.isPresent() && configuration.recordKnown(known.get());
--- a/src/main/java/org/wigeonstage/gateway/ConfigurationLinks.java
+++ b/src/main/java/org/wigeonstage/gateway/ConfigurationLinks.java
@@ -47,6 +47,11 @@
    * @param now the current time
    */
   void tick(boolean arePeersListed, Duration now) {
+    boolean isJoining = configuration.isJoining();
+    if (!isJoining && storeEra.highest() == 0) {
+      logJoin();
+      return;
+    }
     Set<String> connected = new HashSet<>();
     peers.forEach(
         (name, peer) -> {
@@ -55,7 +60,7 @@
           }
         });
     exchange.retain(connected);
-    if (exchange.update(arePeersListed && isEachPeerHeard(), now)) {
+    if (exchange.update(arePeersListed && isJoining && isEachPeerHeard(), now)) {
       applyChanged("peers");
     }
     exchange.nextRequest(now).ifPresent(this::send);
@@ -125,7 +130,9 @@
   /** Applies a message of a peer. */
   void received(String peerName, Link link, Message.ConfigurationMessage message) {
     if (message instanceof Message.ConfigurationKnown known) {
-      exchange.recordKnown(peerName, Optional.ofNullable(known.known()));
+      if (exchange.recordKnown(peerName, Optional.ofNullable(known.known()))) {
+        applyChanged(peerName);
+      }
     } else if (message instanceof Message.ConfigurationRequest request) {
       link.send(
           new Message.ConfigurationReply(
--- a/src/main/java/org/wigeonstage/gateway/ConfigurationState.java
+++ b/src/main/java/org/wigeonstage/gateway/ConfigurationState.java
@@ -228,11 +228,11 @@
 
   /**
    * Returns whether a peer is known to have a later configuration than one that was confirmed by an
-   * answer of another era. Within an era, the store itself shows later ones.
+   * answer of a later era. Within an era, the store itself shows later ones.
    */
   private boolean isSuperseded(StoredConfiguration configuration, long answerEra) {
     KnownConfiguration known = newestKnown;
-    return known != null && known.version().era() != answerEra && known.isNewerThan(configuration);
+    return known != null && known.version().era() < answerEra && known.isNewerThan(configuration);
   }
 
   /** Returns whether a configuration is from a restored store and older than the one in force. */
@@ -292,6 +292,11 @@
     return confirmation == null || known.isNewerThan(confirmation.configuration());
   }
 
+  /** Returns whether the words of peers may still settle the era of the store. */
+  synchronized boolean awaitsPeers() {
+    return isJoining || (lastAnswer != null && !isSettled());
+  }
+
   /**
    * Returns whether the store's answers don't suffice, so that peers must be asked for the
    * configuration that they have in force.
