--- a/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
+++ b/src/main/java/org/wigeonstage/platform/PlatformStoreClient.java
@@ -83,17 +83,22 @@
    * version reports all changes that later pages may lack.
    */
   Listing list(ObjectKind kind) {
-    return list(kind, "");
+    return list(kind, KnownObjects.NONE);
+  }
+
+  /** Reads all pages of a kind, and decodes what has changed since the known objects were read. */
+  Listing list(ObjectKind kind, KnownObjects known) {
+    return list(kind, "", known);
   }
 
   /** Reads all pages of a kind as they were up to some seconds ago, which costs the store less. */
   Listing listRecent(ObjectKind kind) {
-    return list(kind, "stale_read=1");
+    return list(kind, "stale_read=1", KnownObjects.NONE);
   }
 
-  private Listing list(ObjectKind kind, String parameters) {
+  private Listing list(ObjectKind kind, String parameters, KnownObjects known) {
     for (int attempt = 0; attempt < MAX_LIST_ATTEMPTS; attempt++) {
-      Optional<Listing> listing = listInOneEra(kind, parameters);
+      Optional<Listing> listing = listInOneEra(kind, parameters, known);
       if (listing.isPresent()) {
         return listing.get();
       }
@@ -105,8 +110,8 @@
   }
 
   /** Reads all pages, or returns empty if they are of different eras. */
-  private Optional<Listing> listInOneEra(ObjectKind kind, String parameters) {
-    StorePage page = readPage(kind, parameters);
+  private Optional<Listing> listInOneEra(ObjectKind kind, String parameters, KnownObjects known) {
+    StorePage page = readPage(kind, parameters, known);
     StoreVersion version = page.version();
     List<StoreObject> objects = new ArrayList<>(page.objects());
     while (page.hasMore()) {
@@ -116,7 +121,7 @@
             ErrorCode.STORE_UNAVAILABLE, "a page of the store's list has no readable name", null);
       }
       String after = "after=" + URLEncoder.encode(lastName, StandardCharsets.UTF_8);
-      page = readPage(kind, parameters.isEmpty() ? after : parameters + "&" + after);
+      page = readPage(kind, parameters.isEmpty() ? after : parameters + "&" + after, known);
       if (page.version().era() != version.era()) {
         return Optional.empty();
       }
@@ -132,11 +137,11 @@
     return Optional.of(new Listing(version, objects));
   }
 
-  private StorePage readPage(ObjectKind kind, String parameters) {
+  private StorePage readPage(ObjectKind kind, String parameters, KnownObjects known) {
     String query = parameters.isEmpty() ? "" : "?" + parameters;
     HttpResponse response = call("GET", kind.name() + query, NO_BODY);
     checkStatus(response, OK);
-    return decode(() -> StorePage.decode(kind, response.body(), eraOf(response)));
+    return decode(() -> StorePage.decode(kind, response.body(), eraOf(response), known));
   }
 
   /**
@@ -212,7 +217,7 @@
     if (response.status() != CONFLICT) {
       checkStatus(response, OK);
     }
-    return decode(() -> StoreObject.decode(kind, RawJson.of(response.body())));
+    return decode(() -> StoreObject.decode(kind, RawJson.of(response.body()), Map.of()));
   }
 
   private HttpResponse call(String method, String path, byte[] body) {
--- a/src/main/java/org/wigeonstage/platform/StoreEvent.java
+++ b/src/main/java/org/wigeonstage/platform/StoreEvent.java
@@ -44,7 +44,7 @@
     RawJson deleted = fields.get("deleted");
     boolean isDeleted = deleted != null && deleted.parse().asBoolean();
     return Optional.ofNullable(object)
-        .flatMap(raw -> StoreObject.tryDecode(kind, raw))
+        .flatMap(raw -> StoreObject.tryDecode(kind, raw, Map.of()))
         .filter(StoreObject::hasBoundedName)
         .map(decoded -> new StoreEvent(decoded, isDeleted));
   }
--- a/src/main/java/org/wigeonstage/platform/StoreObject.java
+++ b/src/main/java/org/wigeonstage/platform/StoreObject.java
@@ -43,9 +43,11 @@
   /**
    * Decodes an object.
    *
+   * @param known objects that were read before in the same era, by name; one of the same revision
+   *     is returned as it is
    * @throws WigeonstageException if it is not an object or its name can't be read
    */
-  static StoreObject decode(ObjectKind kind, RawJson object) {
+  static StoreObject decode(ObjectKind kind, RawJson object, Map<String, StoreObject> known) {
     Map<String, RawJson> fields = object.fields(FIELDS);
     RawJson metadata = fields.get("metadata");
     JsonNode parsedMetadata = metadata == null ? NONE : metadata.parse(METADATA);
@@ -54,6 +56,10 @@
       throw new WigeonstageException(ErrorCode.BAD_REQUEST, "the object has no name");
     }
     long revision = parsedMetadata.path("revision").asLong();
+    StoreObject before = known.get(name.asText());
+    if (before != null && revision > 0 && before.revision() == revision) {
+      return before;
+    }
     RawJson spec = fields.get("spec");
     if (spec == null) {
       return unreadable(name.asText(), revision, "it has no content");
@@ -77,9 +83,10 @@
   }
 
   /** Decodes an object, or logs why its name can't be read and returns empty. */
-  static Optional<StoreObject> tryDecode(ObjectKind kind, RawJson object) {
+  static Optional<StoreObject> tryDecode(
+      ObjectKind kind, RawJson object, Map<String, StoreObject> known) {
     try {
-      return Optional.of(decode(kind, object));
+      return Optional.of(decode(kind, object, known));
     } catch (RuntimeException e) { // must not affect the other objects of the list
       logger.atWarning().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
           "an object of the store is left out: %s", e.getMessage());
--- a/src/main/java/org/wigeonstage/platform/StorePage.java
+++ b/src/main/java/org/wigeonstage/platform/StorePage.java
@@ -25,16 +25,19 @@
   /**
    * Decodes a page. Entries without a readable name are left out and logged.
    *
+   * @param era the era that the store stated
+   * @param known the objects of the list before
    * @throws WigeonstageException if the page itself can't be read
    */
-  static StorePage decode(ObjectKind kind, byte[] body, long era) {
+  static StorePage decode(ObjectKind kind, byte[] body, long era, KnownObjects known) {
     Map<String, RawJson> fields = RawJson.of(body).fields(FIELDS);
     RawJson entries = fields.get("entries");
     if (entries == null || !fields.containsKey("at")) {
       throw new WigeonstageException(ErrorCode.BAD_REQUEST, "the page has no entries or revision");
     }
     List<StoreObject> objects = new ArrayList<>();
-    entries.forEachElement(entry -> StoreObject.tryDecode(kind, entry).ifPresent(objects::add));
+    entries.forEachElement(
+        entry -> StoreObject.tryDecode(kind, entry, known.inEra(era)).ifPresent(objects::add));
     String lastName = objects.isEmpty() ? "" : objects.get(objects.size() - 1).name();
     objects.removeIf(object -> !object.hasBoundedName());
     RawJson hasMore = fields.get("has_more");
--- a/src/main/java/org/wigeonstage/platform/WatchedObjects.java
+++ b/src/main/java/org/wigeonstage/platform/WatchedObjects.java
@@ -29,7 +29,10 @@
 
   /** Replaces the copy with the complete list from the store. */
   void read() {
-    PlatformStoreClient.Listing listing = client.list(kind);
+    StoreVersion before = version;
+    KnownObjects known =
+        before == null ? KnownObjects.NONE : new KnownObjects(before.era(), objectsByName);
+    PlatformStoreClient.Listing listing = client.list(kind, known);
     objectsByName.clear();
     listing.objects().forEach(object -> objectsByName.put(object.name(), object));
     version = listing.version();
--- a/src/test/java/org/wigeonstage/platform/StorePageTest.java
+++ b/src/test/java/org/wigeonstage/platform/StorePageTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -31,7 +32,7 @@
   }
 
   private static List<String> namesOf(byte[] page) {
-    return StorePage.decode(ObjectKind.SERVERS, page, 0).objects().stream()
+    return StorePage.decode(ObjectKind.SERVERS, page, 0, KnownObjects.NONE).objects().stream()
         .map(StoreObject::name)
         .toList();
   }
@@ -59,7 +60,9 @@
   @Test
   void bytesThatAreNotUtf8MakeOnlyTheirEntryUnreadable() {
     String odd = "{\"metadata\": {\"name\": \"x\"}, \"spec\": {\"zone\": \"\u00ff\u00fe\"}}";
-    StorePage page = StorePage.decode(ObjectKind.SERVERS, page(object("a"), odd, object("b")), 0);
+    StorePage page =
+        StorePage.decode(
+            ObjectKind.SERVERS, page(object("a"), odd, object("b")), 0, KnownObjects.NONE);
     assertThat(page.objects())
         .extracting(object -> object.spec().isObject())
         .containsExactly(true, false, true);
@@ -77,15 +80,36 @@
     byte[] page = page(object("a"), object("b"));
     for (int length = 0; length < page.length; length++) {
       byte[] truncated = java.util.Arrays.copyOf(page, length);
-      assertThatThrownBy(() -> StorePage.decode(ObjectKind.SERVERS, truncated, 0))
+      assertThatThrownBy(
+              () -> StorePage.decode(ObjectKind.SERVERS, truncated, 0, KnownObjects.NONE))
           .isInstanceOf(WigeonstageException.class);
     }
   }
 
+  /** Guards against large entries that are decoded again with each list although unchanged. */
+  @Test
+  void objectsOfTheSameEraAndRevisionAreNotDecodedAgain() {
+    StoreObject known =
+        StorePage.decode(ObjectKind.SERVERS, page(object("a")), 2, KnownObjects.NONE)
+            .objects()
+            .get(0);
+    KnownObjects before = new KnownObjects(2, Map.of("a", known));
+    byte[] unchanged = page(object("a"));
+    byte[] changed = page(object("a").replace("5", "6"));
+    assertThat(first(unchanged, 2, before)).isSameAs(known);
+    assertThat(first(changed, 2, before)).isNotSameAs(known);
+    assertThat(first(unchanged, 3, before)).isNotSameAs(known);
+    assertThat(first(unchanged, 0, new KnownObjects(0, Map.of("a", known)))).isNotSameAs(known);
+  }
+
+  private static StoreObject first(byte[] page, long era, KnownObjects known) {
+    return StorePage.decode(ObjectKind.SERVERS, page, era, known).objects().get(0);
+  }
+
   @Test
   void aPageWithoutRevisionIsNotRead() {
     byte[] page = "{\"entries\": []}".getBytes(StandardCharsets.UTF_8);
-    assertThatThrownBy(() -> StorePage.decode(ObjectKind.SERVERS, page, 0))
+    assertThatThrownBy(() -> StorePage.decode(ObjectKind.SERVERS, page, 0, KnownObjects.NONE))
         .isInstanceOf(WigeonstageException.class);
   }
 
@@ -97,7 +121,7 @@
       page[random.nextInt(page.length)] = (byte) INSERTED.charAt(random.nextInt(INSERTED.length()));
     }
     try {
-      StorePage.decode(ObjectKind.SERVERS, page, 0)
+      StorePage.decode(ObjectKind.SERVERS, page, 0, KnownObjects.NONE)
           .objects()
           .forEach(object -> assertThat(object.name()).isNotEmpty());
     } catch (WigeonstageException e) {
