--- a/src/test/java/org/wigeonstage/gateway/RestoredConfigurationModelTest.java
+++ b/src/test/java/org/wigeonstage/gateway/RestoredConfigurationModelTest.java
@@ -6,11 +6,9 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -35,57 +33,37 @@
   private static final int END_MILLIS = 45_000;
   private static final int TICK_MILLIS = 20;
 
-  private record Event(long atMillis, long order, Runnable action) {}
-
   /** One run of the model. */
   private static final class Run {
     private final SplittableRandom random;
-    private final PriorityQueue<Event> events =
-        new PriorityQueue<>(
-            Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
+    private final VirtualTime time;
     private final SimulatedStore store = new SimulatedStore();
     private final List<Gateway> gateways = new ArrayList<>();
     private final ArrayDeque<Runnable> copies = new ArrayDeque<>();
     private final Map<Long, Long> acknowledgedAt = new TreeMap<>();
     private boolean isAway;
-    private long nowMillis;
-    private long eventCount;
     private long version;
 
     private Run(long seed) {
       random = new SplittableRandom(seed);
+      time = new VirtualTime(random, END_OF_FAULTS_MILLIS);
       store.era = 1;
       writeConfiguration();
       for (int i = 0; i < GATEWAYS; i++) {
         gateways.add(new Gateway("gateway-" + i, false));
       }
-      every(400, 800, () -> copies.add(store.copy()));
-      every(3000, 12_000, this::takeAway);
-      every(1500, 5000, this::writeConfiguration);
-      every(2000, 6000, this::turnAway);
-      every(2000, 5000, this::restart);
-    }
-
-    private void at(long delayMillis, Runnable action) {
-      events.add(new Event(nowMillis + delayMillis, eventCount++, action));
-    }
-
-    private void every(int minMillis, int maxMillis, Runnable action) {
-      at(
-          random.nextInt(minMillis, maxMillis),
-          () -> {
-            if (nowMillis < END_OF_FAULTS_MILLIS) {
-              action.run();
-              every(minMillis, maxMillis, action);
-            }
-          });
+      time.every(400, 800, () -> copies.add(store.copy()));
+      time.every(3000, 12_000, this::takeAway);
+      time.every(1500, 5000, this::writeConfiguration);
+      time.every(2000, 6000, this::turnAway);
+      time.every(2000, 5000, this::restart);
     }
 
     /** Writes a version, which may be in place of one that was lost. */
     private void writeConfiguration() {
       if (!isAway) {
         store.writeConfiguration(++version);
-        acknowledgedAt.put(version, nowMillis);
+        acknowledgedAt.put(version, time.nowMillis());
       }
     }
 
@@ -99,7 +77,7 @@
         return;
       }
       isAway = true;
-      at(
+      time.at(
           random.nextInt(50, 900),
           () -> {
             isAway = false;
@@ -108,7 +86,7 @@
             long lost = version;
             boolean isLost = store.configuration().table().version() < lost;
             if (isLost) {
-              at(random.nextInt(50, 4000), () -> writeAgain(lost));
+              time.at(random.nextInt(50, 4000), () -> writeAgain(lost));
             }
           });
     }
@@ -117,7 +95,7 @@
       if (version == lost && !isAway) {
         store.writeConfiguration(lost);
       } else if (version == lost) {
-        at(50, () -> writeAgain(lost));
+        time.at(50, () -> writeAgain(lost));
       }
     }
 
@@ -126,7 +104,7 @@
       boolean isAnotherTurnedAway = gateways.stream().anyMatch(other -> other.isTurnedAway);
       if (!isAnotherTurnedAway && isKnownByAnother(gateway)) {
         gateway.isTurnedAway = true;
-        at(random.nextInt(500, 9000), () -> gateway.isTurnedAway = false);
+        time.at(random.nextInt(500, 9000), () -> gateway.isTurnedAway = false);
       }
     }
 
@@ -146,16 +124,12 @@
                   other != one
                       && !other.isTurnedAway
                       && !other.configuration.isJoining()
-                      && other.linkedAtMillis <= nowMillis
+                      && other.linkedAtMillis <= time.nowMillis()
                       && other.configuration.heldVersion() == version);
     }
 
     private void execute() {
-      while (!events.isEmpty() && events.peek().atMillis() < END_MILLIS) {
-        Event event = events.remove();
-        nowMillis = event.atMillis();
-        event.action().run();
-      }
+      time.executeUntil(END_MILLIS);
       for (Gateway gateway : gateways) {
         assertThat(gateway.configuration.isFresh()).as("%s serves", gateway.name).isTrue();
         assertThat(gateway.configuration.heldVersion()).isEqualTo(version);
@@ -174,20 +148,20 @@
 
       private Gateway(String name, boolean isStartedLater) {
         this.name = name;
-        this.linkedAtMillis = nowMillis + random.nextInt(20, 2500);
+        this.linkedAtMillis = time.nowMillis() + random.nextInt(20, 2500);
         if (isStartedLater) {
           configuration.startJoin();
         }
-        at(0, this::read);
-        at(0, this::tick);
+        time.at(0, this::read);
+        time.at(0, this::tick);
       }
 
       private ClockReading clocks() {
-        return new ClockReading(now(), Instant.EPOCH.plusMillis(nowMillis));
+        return new ClockReading(now(), Instant.EPOCH.plusMillis(time.nowMillis()));
       }
 
       private Duration now() {
-        return Duration.ofMillis(nowMillis);
+        return Duration.ofMillis(time.nowMillis());
       }
 
       private boolean isGone() {
@@ -201,18 +175,18 @@
         ClockReading requestedAt = clocks();
         boolean isAnswered = !isTurnedAway && !isAway;
         StoredConfiguration stored = store.configuration();
-        at(
+        time.at(
             random.nextInt(1, 30),
             () -> {
               if (isAnswered) {
                 configuration.confirm(stored, requestedAt);
               }
-              at(random.nextInt(20, isAnswered ? 100 : 400), this::read);
+              time.at(random.nextInt(20, isAnswered ? 100 : 400), this::read);
             });
       }
 
       private boolean isLinkedTo(Gateway other) {
-        return other != this && Math.max(linkedAtMillis, other.linkedAtMillis) <= nowMillis;
+        return other != this && Math.max(linkedAtMillis, other.linkedAtMillis) <= time.nowMillis();
       }
 
       private void tick() {
@@ -223,14 +197,14 @@
         exchange.retain(linked.stream().map(peer -> peer.name).collect(Collectors.toSet()));
         for (Gateway peer : linked) {
           Optional<KnownConfiguration> known = configuration.known();
-          at(random.nextInt(1, 20), () -> peer.exchange.recordKnown(name, known));
+          time.at(random.nextInt(1, 20), () -> peer.exchange.recordKnown(name, known));
         }
         boolean isEachPeerHeard =
             gateways.stream().allMatch(peer -> peer == this || exchange.hasHeard(peer.name));
         exchange.update(isEachPeerHeard, now());
         exchange.nextRequest(now()).ifPresent(this::send);
         checkRemovedKeys();
-        at(TICK_MILLIS, this::tick);
+        time.at(TICK_MILLIS, this::tick);
       }
 
       private void send(ConfigurationExchange.Request request) {
@@ -238,12 +212,12 @@
             .filter(peer -> peer.name.equals(request.peer()))
             .forEach(
                 peer ->
-                    at(
+                    time.at(
                         random.nextInt(1, 20),
                         () -> {
                           Optional<ConfigurationReport> report =
                               peer.configuration.report(request.heldVersion());
-                          at(
+                          time.at(
                               random.nextInt(1, 20),
                               () -> exchange.applyReply(peer.name, request.id(), report));
                         }));
@@ -257,7 +231,7 @@
         acknowledgedAt.forEach(
             (later, atMillis) -> {
               if (later > inForce) {
-                assertThat(nowMillis - atMillis)
+                assertThat(time.nowMillis() - atMillis)
                     .as("%s serves by %d, %d was acknowledged before", name, inForce, later)
                     .isLessThanOrEqualTo(REVOCATION_MILLIS);
               }
--- a/src/test/java/org/wigeonstage/gateway/RestoredStoreModelTest.java
+++ b/src/test/java/org/wigeonstage/gateway/RestoredStoreModelTest.java
@@ -7,11 +7,9 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
@@ -38,26 +36,21 @@
   private static final int SERVER_WRITE_MILLIS = 1200;
   private static final double LOSS = 0.1;
 
-  private record Event(long atMillis, long order, Runnable action) {}
-
   /** One run of the model. */
   private static final class Run {
     private final SplittableRandom random;
-    private final PriorityQueue<Event> events =
-        new PriorityQueue<>(
-            Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
+    private final VirtualTime time;
     private final SimulatedStore store = new SimulatedStore();
     private final List<Gateway> gateways = new ArrayList<>();
     private final Set<String> liveServers = new TreeSet<>();
     private final ArrayDeque<Runnable> copies = new ArrayDeque<>();
-    private long nowMillis;
-    private long eventCount;
     private long configurationVersion;
     private int targetNumber = 1;
     private int serverCount;
 
     private Run(long seed) {
       random = new SplittableRandom(seed);
+      time = new VirtualTime(random, END_OF_FAULTS_MILLIS);
       writeConfiguration();
       store.writeOrder("v1");
       for (int i = 0; i < 3; i++) {
@@ -66,33 +59,18 @@
       for (int i = 0; i < GATEWAYS; i++) {
         gateways.add(new Gateway());
       }
-      every(300, 1500, () -> copies.add(store.copy()));
-      every(2600, 6000, this::restore);
-      every(1000, 4000, this::writeConfiguration);
-      every(2000, 6000, () -> store.writeOrder("v" + ++targetNumber));
-      every(1000, 4000, this::startServer);
-      every(1500, 4000, this::stopServer);
-      every(1000, 4000, () -> gateways.get(random.nextInt(GATEWAYS)).writeState());
-      every(5000, 15_000, () -> gateways.set(random.nextInt(GATEWAYS), new Gateway()));
-    }
-
-    private void at(long delayMillis, Runnable action) {
-      events.add(new Event(nowMillis + delayMillis, eventCount++, action));
-    }
-
-    private void every(int minMillis, int maxMillis, Runnable action) {
-      at(
-          random.nextInt(minMillis, maxMillis),
-          () -> {
-            if (nowMillis < END_OF_FAULTS_MILLIS) {
-              action.run();
-              every(minMillis, maxMillis, action);
-            }
-          });
+      time.every(300, 1500, () -> copies.add(store.copy()));
+      time.every(2600, 6000, this::restore);
+      time.every(1000, 4000, this::writeConfiguration);
+      time.every(2000, 6000, () -> store.writeOrder("v" + ++targetNumber));
+      time.every(1000, 4000, this::startServer);
+      time.every(1500, 4000, this::stopServer);
+      time.every(1000, 4000, () -> gateways.get(random.nextInt(GATEWAYS)).writeState());
+      time.every(5000, 15_000, () -> gateways.set(random.nextInt(GATEWAYS), new Gateway()));
     }
 
     private boolean isLost() {
-      return nowMillis < END_OF_FAULTS_MILLIS && random.nextDouble() < LOSS;
+      return time.nowMillis() < END_OF_FAULTS_MILLIS && random.nextDouble() < LOSS;
     }
 
     private void writeConfiguration() {
@@ -109,8 +87,8 @@
       }
       copies.poll().run();
       copies.clear();
-      at(random.nextInt(50, 1000), () -> store.writeConfiguration(configurationVersion));
-      at(random.nextInt(50, 1000), () -> store.writeOrder("v" + targetNumber));
+      time.at(random.nextInt(50, 1000), () -> store.writeConfiguration(configurationVersion));
+      time.at(random.nextInt(50, 1000), () -> store.writeOrder("v" + targetNumber));
     }
 
     private void startServer() {
@@ -122,7 +100,7 @@
     private void writeServer(String id) {
       if (liveServers.contains(id)) {
         store.writeServer(id, false);
-        at(SERVER_WRITE_MILLIS, () -> writeServer(id));
+        time.at(SERVER_WRITE_MILLIS, () -> writeServer(id));
       }
     }
 
@@ -132,17 +110,13 @@
         liveServers.remove(id);
         store.writeServer(id, true);
         // A registration that a restore brings back expires, like any that is not renewed.
-        at(random.nextInt(500, 2000), () -> store.removeServer(id));
-        at(END_OF_FAULTS_MILLIS + 4000 - nowMillis, () -> store.removeServer(id));
+        time.at(random.nextInt(500, 2000), () -> store.removeServer(id));
+        time.at(END_OF_FAULTS_MILLIS + 4000 - time.nowMillis(), () -> store.removeServer(id));
       }
     }
 
     private void execute() {
-      while (!events.isEmpty() && events.peek().atMillis() < END_MILLIS) {
-        Event event = events.remove();
-        nowMillis = event.atMillis();
-        event.action().run();
-      }
+      time.executeUntil(END_MILLIS);
       for (Gateway gateway : gateways) {
         assertThat(gateway.available).isEqualTo(liveServers);
         assertThat(gateway.configurationVersion).isEqualTo(configurationVersion);
@@ -165,15 +139,15 @@
       private @Nullable RolloutOrder order;
 
       private Gateway() {
-        at(0, this::read);
+        time.at(0, this::read);
       }
 
       private ClockReading clocks() {
-        return new ClockReading(now(), Instant.EPOCH.plusMillis(nowMillis));
+        return new ClockReading(now(), Instant.EPOCH.plusMillis(time.nowMillis()));
       }
 
       private Duration now() {
-        return Duration.ofMillis(nowMillis);
+        return Duration.ofMillis(time.nowMillis());
       }
 
       private void read() {
@@ -185,7 +159,7 @@
         StoredConfiguration stored = store.configuration();
         RolloutOrder storedOrder = store.order();
         boolean isDelivered = !isLost();
-        at(
+        time.at(
             random.nextInt(1, 300),
             () -> {
               if (isDelivered && era.observe(responseEra)) {
@@ -193,7 +167,7 @@
                 applyServers(servers);
                 applyOrders(storedOrder);
               }
-              at(random.nextInt(20, 300), this::read);
+              time.at(random.nextInt(20, 300), this::read);
             });
         era.observe(gateways.get(random.nextInt(GATEWAYS)).era.highest());
       }
@@ -220,7 +194,9 @@
             .filter(id -> !available.contains(id))
             .forEach(
                 id ->
-                    assertThat(liveServers).as("servers lost at " + nowMillis).doesNotContain(id));
+                    assertThat(liveServers)
+                        .as("servers lost at " + time.nowMillis())
+                        .doesNotContain(id));
         merged.stream()
             .filter(server -> server.isLeaving() && !liveServers.contains(server.id()))
             .forEach(server -> seenLeaving.add(server.id()));
@@ -252,7 +228,7 @@
       }
 
       private void write(RolloutOrder basis, RolloutState state) {
-        at(
+        time.at(
             random.nextInt(1, 200),
             () -> {
               RolloutOrder written = store.writeState(basis, state);
@@ -260,7 +236,7 @@
               if (isLost()) {
                 return;
               }
-              at(
+              time.at(
                   random.nextInt(1, 200),
                   () -> {
                     // As in PlatformStoreClient: a response of another era leaves it undecided.
