Keep what peers state until they expire

A started gateway dropped a peer's statement at each tick in which the peer had no preferred link. Found by reading, not seen in a run.

--- a/src/main/java/org/wigeonstage/gateway/ConfigurationExchange.java
+++ b/src/main/java/org/wigeonstage/gateway/ConfigurationExchange.java
@@ -68,9 +68,12 @@
     return known.isPresent() && configuration.recordKnown(known.get());
   }
 
-  /** Forgets all peers but the connected ones. */
-  void retain(Set<String> connectedPeers) {
-    knownByPeer.keySet().retainAll(connectedPeers);
+  /**
+   * Forgets peers that have expired. What a peer has stated stays true while it is not connected,
+   * and may arrive before its link is preferred.
+   */
+  void retain(Set<String> peers) {
+    knownByPeer.keySet().retainAll(peers);
   }
 
   boolean hasHeard(String peer) {
@@ -101,17 +104,22 @@
     return (isAlone || isTimedOut) && configuration.endJoin() || isChanged;
   }
 
-  /** Returns the request to send now, if any. */
-  Optional<Request> nextRequest(Duration now) {
+  /**
+   * Returns the request to send now, if any.
+   *
+   * @param connectedPeers the names of the peers that can be asked
+   * @param now the current time
+   */
+  Optional<Request> nextRequest(Set<String> connectedPeers, Duration now) {
     Request last = pending;
     boolean isAwaited =
         last != null
-            && knownByPeer.containsKey(last.peer())
+            && connectedPeers.contains(last.peer())
             && now.minus(last.sentAt()).compareTo(REQUEST_TIMEOUT) < 0;
     if (isAwaited || !configuration.needsReport()) {
       return Optional.empty();
     }
-    List<String> candidates = newestPeers();
+    List<String> candidates = newestPeers(connectedPeers);
     if (last != null && candidates.size() > 1) {
       candidates.remove(last.peer());
     }
@@ -125,13 +133,16 @@
     return Optional.of(request);
   }
 
-  /** Returns the peers with the latest configuration; among those, the ones with the latest era. */
-  private List<String> newestPeers() {
+  /**
+   * Returns the connected peers with the latest configuration; among those, the ones with the
+   * latest era.
+   */
+  private List<String> newestPeers(Set<String> connectedPeers) {
     List<String> newest = new ArrayList<>();
     long version = Long.MIN_VALUE;
     long era = Long.MIN_VALUE;
     for (Map.Entry<String, Optional<KnownConfiguration>> entry : knownByPeer.entrySet()) {
-      if (entry.getValue().isEmpty()) {
+      if (entry.getValue().isEmpty() || !connectedPeers.contains(entry.getKey())) {
         continue;
       }
       KnownConfiguration known = entry.getValue().get();
--- a/src/main/java/org/wigeonstage/gateway/ConfigurationLinks.java
+++ b/src/main/java/org/wigeonstage/gateway/ConfigurationLinks.java
@@ -59,11 +59,11 @@
             connected.add(name);
           }
         });
-    exchange.retain(connected);
+    exchange.retain(peers.keySet());
     if (exchange.update(arePeersListed && isJoining && isEachPeerHeard(), now)) {
       applyChanged("peers");
     }
-    exchange.nextRequest(now).ifPresent(this::send);
+    exchange.nextRequest(connected, now).ifPresent(this::send);
     if (storeEra.highest() > 0) {
       sendKnown(configuration.known().orElse(null));
     }
--- a/src/test/java/org/wigeonstage/gateway/RestoredConfigurationModelTest.java
+++ b/src/test/java/org/wigeonstage/gateway/RestoredConfigurationModelTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -194,7 +195,7 @@
           return;
         }
         List<Gateway> linked = gateways.stream().filter(this::isLinkedTo).toList();
-        exchange.retain(linked.stream().map(peer -> peer.name).collect(Collectors.toSet()));
+        Set<String> names = linked.stream().map(peer -> peer.name).collect(Collectors.toSet());
         for (Gateway peer : linked) {
           Optional<KnownConfiguration> known = configuration.known();
           time.at(random.nextInt(1, 20), () -> peer.exchange.recordKnown(name, known));
@@ -202,7 +203,7 @@
         boolean isEachPeerHeard =
             gateways.stream().allMatch(peer -> peer == this || exchange.hasHeard(peer.name));
         exchange.update(isEachPeerHeard, now());
-        exchange.nextRequest(now()).ifPresent(this::send);
+        exchange.nextRequest(names, now()).ifPresent(this::send);
         checkRemovedKeys();
         time.at(TICK_MILLIS, this::tick);
       }
